Workspace, shared contracts, framing and transport

Cause: packages that are built side by side need the same identifiers, records, messages and socket. Ruled out: a generated codec on the data path, which allocates; the data header uses protowire instead and is tested against the schema. Before: no code.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,46 @@
+# Two commands do all set-up on a fresh machine: make demo and make test.
+GOLANGCI_VERSION := v2.12.0
+MODULES := policy node bench
+TOOLS := $(CURDIR)/.tools
+BIN := $(CURDIR)/bin
+LINT := $(TOOLS)/golangci-lint-$(GOLANGCI_VERSION)
+
+.PHONY: build demo test format-check vet lint unit scenarios measure generate clean
+
+build:
+	mkdir -p $(BIN)
+	go build -o $(BIN)/ ./node/cmd/... ./bench/cmd/...
+
+demo: build
+	$(BIN)/demo --bin $(BIN)
+
+test: format-check vet lint unit scenarios
+
+format-check:
+	@files=$$(gofmt -l $(MODULES)); if [ -n "$$files" ]; then echo "gofmt: $$files"; exit 1; fi
+
+vet:
+	go vet $(MODULES:%=./%/...)
+
+$(LINT):
+	mkdir -p $(TOOLS)
+	GOBIN=$(TOOLS) GOWORK=off go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
+	mv $(TOOLS)/golangci-lint $(LINT)
+
+lint: $(LINT)
+	for m in $(MODULES); do (cd $$m && $(LINT) run --config $(CURDIR)/.golangci.yml ./...) || exit 1; done
+
+unit:
+	go test -race -timeout 300s $(shell go list ./policy/... ./node/... ./bench/... | grep -v /bench/scenario)
+
+scenarios: build
+	LACEWING_BIN=$(BIN) go test -count=1 -timeout 600s ./bench/scenario/...
+
+measure: build
+	go run ./bench/cmd/measure --bin $(BIN) --out measure-out
+
+generate:
+	node/proto/generate.sh
+
+clean:
+	rm -rf $(BIN) $(TOOLS) measure-out
--- /dev/null
+++ b/node/logging/logging.go
@@ -0,0 +1,81 @@
+// Package logging makes the structured logger and the rate-bounded log of decisions.
+package logging
+
+import (
+	"io"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+)
+
+// Keys of log lines.
+const (
+	KeyCaller   = "caller"
+	KeyDecision = "decision"
+	KeyError    = "err"
+	KeyHome     = "home"
+	KeyMessage  = "msg"
+	KeyNode     = "node"
+	KeyOwner    = "owner"
+	KeyReason   = "reason"
+	KeyRequest  = "request"
+	KeyRevision = "revision"
+	KeyService  = "service"
+	KeyState    = "state"
+	KeySkipped  = "skipped"
+	KeyTime     = "ts"
+)
+
+// decisionsPerSecond bounds the decision log of a process, so that logging cannot become the load.
+const decisionsPerSecond = 200
+
+// New returns a logfmt logger that drops lines below the level (debug, info, warn, error; info if empty).
+func New(w io.Writer, node, lowest string) log.Logger {
+	logger := log.NewLogfmtLogger(log.NewSyncWriter(w))
+	logger = log.With(logger, KeyTime, log.DefaultTimestampUTC, KeyNode, node)
+	return level.NewFilter(logger, level.Allow(level.ParseDefault(lowest, level.InfoValue())))
+}
+
+// Decisions logs routing and placement decisions, at most decisionsPerSecond. A line tells how many were skipped before it.
+type Decisions struct {
+	logger log.Logger
+	now    func() time.Time
+
+	mu      sync.Mutex
+	second  int64
+	lines   int
+	skipped uint64
+}
+
+// NewDecisions returns a decision log on logger.
+func NewDecisions(logger log.Logger) *Decisions { return &Decisions{logger: logger, now: time.Now} }
+
+// Allow tells whether a line may be written now. Callers ask before they build the line, so that a skipped one costs little.
+func (d *Decisions) Allow() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if second := d.now().Unix(); second != d.second {
+		d.second, d.lines = second, 0
+	}
+	if d.lines >= decisionsPerSecond {
+		d.skipped++
+		return false
+	}
+	d.lines++
+	return true
+}
+
+// Log writes a line that Allow permitted.
+func (d *Decisions) Log(decision string, keyvals ...any) {
+	d.mu.Lock()
+	skipped := d.skipped
+	d.skipped = 0
+	d.mu.Unlock()
+	line := append([]any{KeyDecision, decision}, keyvals...)
+	if skipped > 0 {
+		line = append(line, KeySkipped, skipped)
+	}
+	_ = level.Info(d.logger).Log(line...)
+}
--- /dev/null
+++ b/node/transport/transport.go
@@ -0,0 +1,193 @@
+// Package transport owns a node's UDP socket: it authenticates what arrives, refuses replays and hands frames to the
+// data path and the control path.
+package transport
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-faster/errors"
+
+	lacewingv1 "lacewinglever.dev/node/gen/lacewing/v1"
+	"lacewinglever.dev/node/wire"
+	"lacewinglever.dev/policy/ident"
+)
+
+// socketBuffer is the size of the kernel's receive and send buffers, in bytes. The default overflows within a few milliseconds at a
+// burst of full datagrams.
+const socketBuffer = 4 << 20
+
+// Options configure a Transport.
+type Options struct {
+	Self      ident.NodeID
+	Listen    string // host:port
+	Advertise string // host:port that other nodes use
+	Keys      *wire.Keyring
+	Readers   int // goroutines that read the socket; at least 1
+	Metrics   *metrics.Set
+}
+
+// Handlers receive authentic frames that were not seen before. They are called from several goroutines. Data and Payload are valid only
+// during the call.
+type Handlers struct {
+	Data    func(d *wire.Data)
+	Return  func(d *wire.Data)
+	Control func(c *lacewingv1.Control)
+}
+
+// Transport is a node's UDP socket.
+type Transport struct {
+	options  Options
+	conn     *net.UDPConn
+	keys     atomic.Pointer[wire.Keyring]
+	replay   *wire.Replay
+	sequence atomic.Uint64
+	drops    map[error]*metrics.Counter
+	replays  *metrics.Counter
+	unknown  *metrics.Counter
+}
+
+// Open binds the socket.
+func Open(o Options) (*Transport, error) {
+	address, err := net.ResolveUDPAddr("udp", o.Listen)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen address")
+	}
+	conn, err := net.ListenUDP("udp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "bind node socket")
+	}
+	_ = conn.SetReadBuffer(socketBuffer)
+	_ = conn.SetWriteBuffer(socketBuffer)
+	t := &Transport{options: o, conn: conn, replay: wire.NewReplay()}
+	t.keys.Store(o.Keys)
+	t.sequence.Store(wire.FirstSequence(time.Now()))
+	t.drops = map[error]*metrics.Counter{}
+	for _, reason := range []error{wire.ErrShort, wire.ErrUnknownKey, wire.ErrBadTag, wire.ErrMalformed} {
+		t.drops[reason] = o.Metrics.NewCounter(`lacewing_frames_dropped_total{reason="` + reason.Error() + `"}`)
+	}
+	t.replays = o.Metrics.NewCounter(`lacewing_frames_dropped_total{reason="replayed or out of time"}`)
+	t.unknown = o.Metrics.NewCounter(`lacewing_frames_dropped_total{reason="unknown type"}`)
+	return t, nil
+}
+
+// SetKeys replaces the keyring, for key rotation.
+func (t *Transport) SetKeys(k *wire.Keyring) { t.keys.Store(k) }
+
+// Self returns the id of this node.
+func (t *Transport) Self() ident.NodeID { return t.options.Self }
+
+// Run reads until the context ends, then closes the socket.
+func (t *Transport) Run(ctx context.Context, h Handlers) error {
+	stop := context.AfterFunc(ctx, func() { _ = t.conn.Close() })
+	defer stop()
+	readers := max(t.options.Readers, 1)
+	done := make(chan error, readers)
+	for range readers {
+		go func() { done <- t.read(h) }()
+	}
+	err := <-done
+	if ctx.Err() != nil {
+		return nil
+	}
+	return errors.Wrap(err, "read node socket")
+}
+
+func (t *Transport) read(h Handlers) error {
+	buffer := make([]byte, wire.MaxFrame)
+	var d wire.Data
+	for {
+		n, _, err := t.conn.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return err
+		}
+		if err != nil {
+			continue // ICMP errors of earlier sends are reported here
+		}
+		t.dispatch(h, buffer[:n], &d)
+	}
+}
+
+func (t *Transport) dispatch(h Handlers, frame []byte, d *wire.Data) {
+	kind, body, err := t.keys.Load().Open(frame)
+	if err != nil {
+		t.drops[err].Inc()
+		return
+	}
+	switch kind {
+	case wire.TypeData, wire.TypeReturn:
+		t.dispatchData(h, kind, body, d)
+	case wire.TypeControl:
+		t.dispatchControl(h, body)
+	default:
+		t.unknown.Inc()
+	}
+}
+
+func (t *Transport) dispatchData(h Handlers, kind wire.Type, body []byte, d *wire.Data) {
+	if err := wire.ParseData(body, d); err != nil {
+		t.drops[wire.ErrMalformed].Inc()
+		return
+	}
+	if !t.replay.Fresh(d.Sender, d.Sequence, d.SentUnixMs, nowMs()) {
+		t.replays.Inc()
+		return
+	}
+	handler := h.Data
+	if kind == wire.TypeReturn {
+		handler = h.Return
+	}
+	if handler == nil {
+		t.unknown.Inc()
+		return
+	}
+	handler(d)
+}
+
+func (t *Transport) dispatchControl(h Handlers, body []byte) {
+	c, err := wire.ParseControl(body)
+	if err != nil {
+		t.drops[wire.ErrMalformed].Inc()
+		return
+	}
+	if !t.replay.Fresh(ident.NodeID(c.GetSender()), c.GetSequence(), c.GetSentUnixMs(), nowMs()) {
+		t.replays.Inc()
+		return
+	}
+	if h.Control != nil {
+		h.Control(c)
+	}
+}
+
+// SendData signs and sends d. It fills in sender, sequence and time. scratch is a buffer to encode in; the grown buffer is returned
+// for the next call.
+func (t *Transport) SendData(scratch []byte, to netip.AddrPort, kind wire.Type, d *wire.Data) ([]byte, error) {
+	d.Sender = t.options.Self
+	d.Sequence = t.sequence.Add(1)
+	d.SentUnixMs = nowMs()
+	scratch = t.keys.Load().AppendData(scratch[:0], kind, d)
+	_, err := t.conn.WriteToUDPAddrPort(scratch, to)
+	return scratch, err
+}
+
+// SendControl signs and sends c. It fills in sender, sequence, time and reply address, and returns the size of the datagram in bytes.
+func (t *Transport) SendControl(to netip.AddrPort, c *lacewingv1.Control) (int, error) {
+	c.Sender = uint64(t.options.Self)
+	c.Sequence = t.sequence.Add(1)
+	c.SentUnixMs = nowMs()
+	c.ReplyAddress = t.options.Advertise
+	frame, err := t.keys.Load().AppendControl(nil, c)
+	if err != nil {
+		return 0, errors.Wrap(err, "encode control message")
+	}
+	if _, err := t.conn.WriteToUDPAddrPort(frame, to); err != nil {
+		return 0, errors.Wrap(err, "send control message")
+	}
+	return len(frame), nil
+}
+
+func nowMs() uint64 { return uint64(time.Now().UnixMilli()) }
--- /dev/null
+++ b/policy/yamlfile/yamlfile.go
@@ -0,0 +1,88 @@
+// Package yamlfile decodes YAML text into a typed struct and reports every fault with its path and line.
+package yamlfile
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+
+	"github.com/go-faster/errors"
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+)
+
+// maxFileSize bounds a settings file, in bytes.
+const maxFileSize = 1 << 20
+
+// Fault is one mistake in a settings file.
+type Fault struct {
+	Path    string // YAML path, such as $.udp.listen
+	Line    int    // 0 if the path is absent from the file
+	Message string
+}
+
+// Faults collects the mistakes of one file. It is an error if there is any.
+type Faults struct {
+	File string
+	List []Fault
+	tree *ast.File
+}
+
+// Add notes a fault at a YAML path.
+func (f *Faults) Add(path, format string, args ...any) {
+	f.List = append(f.List, Fault{Path: path, Line: f.line(path), Message: fmt.Sprintf(format, args...)})
+}
+
+func (f *Faults) line(path string) int {
+	p, err := yaml.PathString(path)
+	if err != nil || f.tree == nil {
+		return 0
+	}
+	node, err := p.FilterFile(f.tree)
+	if err != nil || node == nil {
+		return 0
+	}
+	return node.GetToken().Position.Line
+}
+
+// Error lists all faults, one a line.
+func (f *Faults) Error() string {
+	lines := make([]string, len(f.List))
+	for i, fault := range f.List {
+		lines[i] = fmt.Sprintf("%s:%d: %s: %s", f.File, fault.Line, fault.Path, fault.Message)
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Err returns f if it has any fault, else nil.
+func (f *Faults) Err() error {
+	if len(f.List) == 0 {
+		return nil
+	}
+	return f
+}
+
+// Parse decodes text into a copy of defaults, then runs check on it. Unknown fields are faults. The name is used in
+// messages. The error is a *Faults where check found any.
+func Parse[T any](name string, text []byte, defaults T, check func(*T, *Faults)) (*T, error) {
+	if len(text) > maxFileSize {
+		return nil, errors.Errorf("%s: %d bytes, at most %d", name, len(text), maxFileSize)
+	}
+	faults := &Faults{File: name}
+	tree, err := parser.ParseBytes(text, 0)
+	if err != nil {
+		return nil, errors.Errorf("%s: %s", name, yaml.FormatError(err, false, false))
+	}
+	faults.tree = tree
+	value := defaults
+	decoder := yaml.NewDecoder(bytes.NewReader(text), yaml.Strict())
+	if err := decoder.Decode(&value); err != nil {
+		return nil, errors.Errorf("%s: %s", name, yaml.FormatError(err, false, false))
+	}
+	check(&value, faults)
+	if err := faults.Err(); err != nil {
+		return nil, err
+	}
+	return &value, nil
+}
