peer, entry: membership, dissemination and the entry's data plane

Cause: nodes had shared contracts but no way to find each other, to learn settings or to carry a datagram.

- policy/membership: watchers by rendezvous, suspicion, death, scope loss and return, refutation.
- node/peer: Mesh over UDP control messages and PeerService.Sync.
- node/entry and lacewing-entry: sockets per service, forwarding by the view, returns, shutdown by announcement.
- policy/view: HomeIndex, so that the data path needs no second table per slot.

Ruled out: a destination per slot in the entry.

Before: no node could join. After: loopback tests join two entries and two agents, spread settings of 100 KB, mark a crashed agent dead, refute a wrong death, and send datagrams through an entry to a stand-in agent and back.

Conclusion: works on loopback.

--- /dev/null
+++ b/node/entry/entry_test.go
@@ -0,0 +1,188 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-kit/log"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"lacewinglever.dev/node/config"
+	"lacewinglever.dev/node/logging"
+	"lacewinglever.dev/node/peer"
+	"lacewinglever.dev/node/transport"
+	"lacewinglever.dev/node/wire"
+	"lacewinglever.dev/policy/ident"
+	"lacewinglever.dev/policy/record"
+	"lacewinglever.dev/policy/settings"
+	"lacewinglever.dev/policy/view"
+)
+
+var keyText = "000102030405060708090a0b0c0d0e0f"
+
+func freePort(t testing.TB) string {
+	c, err := net.ListenPacket("udp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = c.Close() }()
+	return c.LocalAddr().String()
+}
+
+// echoAgent is a stand-in for an agent: a node that returns every datagram to its caller.
+func echoAgent(t *testing.T, ctx context.Context, name string, service ident.ServiceName, seed string) *peer.Peer {
+	key, err := wire.ParseKey(keyText)
+	assert.NilError(t, err)
+	keys, err := wire.NewKeyring(map[byte]wire.Key{1: key}, 1)
+	assert.NilError(t, err)
+	address, set := freePort(t), metrics.NewSet()
+	self := record.Node{
+		ID: ident.NewNodeID(name), Name: name, DataCentre: "dc1", UDPAddress: address, RPCAddress: freePort(t),
+		Service: service.ID(), ServiceName: service, State: record.Ready, Weight: 1,
+	}
+	tr, err := transport.Open(transport.Options{Self: self.ID, Listen: address, Advertise: address, Keys: keys, Metrics: set})
+	assert.NilError(t, err)
+	p, err := peer.New(peer.Options{Self: self, Transport: tr, Keys: keys, Seeds: []string{seed}, Logger: log.NewNopLogger(), Metrics: set})
+	assert.NilError(t, err)
+	echo := func(d *wire.Data) {
+		back := wire.Data{Service: d.Service, Destination: d.Entry, Caller: d.Caller, Entry: d.Entry, Payload: d.Payload}
+		if n, ok := p.Node(d.Entry); ok {
+			_, _ = tr.SendData(nil, netip.MustParseAddrPort(n.UDPAddress), wire.TypeReturn, &back)
+		}
+	}
+	go func() { _ = tr.Run(ctx, transport.Handlers{Data: echo, Control: p.Control}) }()
+	go func() { _ = p.Run(ctx) }()
+	return p
+}
+
+// answered sends from a new caller and tells whether the echo came from the service's address.
+func answered(t *testing.T, address string) bool {
+	caller, err := net.Dial("udp", address)
+	assert.NilError(t, err)
+	defer caller.Close()
+	if _, err := caller.Write([]byte("reading 7")); err != nil {
+		return false
+	}
+	buffer := make([]byte, 100)
+	_ = caller.SetReadDeadline(time.Now().Add(200 * time.Millisecond))
+	n, err := caller.Read(buffer)
+	return err == nil && string(buffer[:n]) == "reading 7"
+}
+
+func waitAnswered(t *testing.T, address string, want bool) {
+	t.Helper()
+	check := func(poll.LogT) poll.Result {
+		if answered(t, address) == want {
+			return poll.Success()
+		}
+		return poll.Continue("%s answered: want %v", address, want)
+	}
+	poll.WaitOn(t, check, poll.WithTimeout(5*time.Second), poll.WithDelay(50*time.Millisecond))
+}
+
+// Guards against datagrams that don't come back from the service's own address, and against services whose sockets don't follow the
+// settings: appearing, changing address, being deleted.
+func TestServicesFollowSettings(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	c := &Config{Node: config.Node{
+		Name: "entry-1", DataCentre: "dc1", Metrics: freePort(t),
+		UDP: config.Address{Listen: freePort(t)}, RPC: config.Address{Listen: freePort(t)},
+		Keys: []config.Key{{ID: 1, Value: keyText}}, SignWith: 1,
+	}}
+	c.UDP.Advertise, c.RPC.Advertise = c.UDP.Listen, c.RPC.Listen
+	program := make(chan error, 1)
+	entryCtx, terminate := context.WithCancel(ctx)
+	go func() { program <- Main(entryCtx, c, io.Discard, ParseAccepted, nil) }()
+
+	service := ident.ServiceName{Team: "maturacao", Name: "room-control"}
+	first, second := freePort(t), freePort(t)
+	agent := echoAgent(t, ctx, "agent-1", service, c.RPC.Listen)
+	publish := func(number uint64, address string, deleted bool) {
+		agent.Publish(record.ForRevision(record.Revision{
+			Service: service, Number: number, Spec: []byte("kind: feed\naddress: " + address + "\n"), Accepted: time.Now(), Deleted: deleted,
+		}))
+	}
+	publish(1, first, false)
+	waitAnswered(t, first, true)
+	publish(2, second, false)
+	waitAnswered(t, second, true)
+	waitAnswered(t, first, false)
+	publish(3, "not an address", false) // stays at revision 2
+	time.Sleep(300 * time.Millisecond)
+	waitAnswered(t, second, true)
+	publish(4, second, true)
+	waitAnswered(t, second, false)
+	publish(5, first, false)
+	waitAnswered(t, first, true)
+
+	terminate()
+	assert.Assert(t, answered(t, first), "forwards after SIGTERM")
+	assert.NilError(t, <-program)
+	n, _ := agent.Node(ident.NewNodeID("entry-1"))
+	assert.Equal(t, n.State, record.Left)
+}
+
+// newBench makes services with one pool each, without sockets of callers.
+func newBench(services, targets, slots int) []*service {
+	e := &Entry{options: Options{Decisions: logging.NewDecisions(log.NewNopLogger())}}
+	e.addMetrics(metrics.NewSet())
+	pool := make([]record.Node, targets)
+	for i := range pool {
+		name := fmt.Sprint("agent-", i)
+		pool[i] = record.Node{
+			ID: ident.NewNodeID(name), Name: name, DataCentre: "dc1", UDPAddress: "127.0.0.1:9", State: record.Ready, Weight: 1,
+		}
+	}
+	out := make([]*service, services)
+	spec := &settings.Spec{Service: ident.ServiceName{Team: "t", Name: "0"}, HashSlots: slots}
+	built := newRoute(nil, spec, pool)
+	var routes [16]*route // further services share these, to bound the memory of the benchmark
+	for i := range routes {
+		routes[i] = &route{view: view.Build(built.view, spec.Service.ID(), slots, built.view.Members), destinations: slices.Clone(built.destinations)}
+	}
+	for i := range out {
+		name := ident.ServiceName{Team: "t", Name: fmt.Sprint(i)}
+		out[i] = &service{entry: e, id: name.ID(), name: name.String()}
+		out[i].route.Store(routes[i%len(routes)])
+	}
+	return out
+}
+
+// BenchmarkDecide measures the forwarding decision. It must not allocate, and cost at most half as much again at the largest scale.
+func BenchmarkDecide(b *testing.B) {
+	for _, c := range []struct{ services, targets, slots int }{{1, 7, view.DefaultSlots}, {13000, 2300, view.MaxSlots}} {
+		b.Run(fmt.Sprintf("targets=%d/services=%d", c.targets, c.services), func(b *testing.B) {
+			services := newBench(c.services, c.targets, c.slots)
+			payload := make([]byte, 200)
+			var d wire.Data
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := 0; i < b.N; i++ {
+				from := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), uint16(i))
+				services[i%len(services)].decide(&d, from, payload)
+			}
+		})
+	}
+}
+
+// Guards against the forwarding decision allocating.
+func TestDecideDoesNotAllocate(t *testing.T) {
+	e := &Entry{}
+	e.addMetrics(metrics.NewSet())
+	name := ident.ServiceName{Team: "t", Name: "s"}
+	pool := []record.Node{{ID: 1, UDPAddress: "127.0.0.1:9", State: record.Ready}}
+	s := &service{entry: e, id: name.ID()}
+	s.route.Store(newRoute(nil, &settings.Spec{Service: name, HashSlots: view.DefaultSlots}, pool))
+	var d wire.Data
+	from := netip.MustParseAddrPort("10.0.0.1:4000")
+	payload := make([]byte, 100)
+	assert.Equal(t, testing.AllocsPerRun(100, func() { s.decide(&d, from, payload) }), 0.0)
+	assert.Equal(t, d.Destination, ident.NodeID(1))
+}
--- /dev/null
+++ b/node/entry/program.go
@@ -0,0 +1,202 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-faster/errors"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"golang.org/x/sync/errgroup"
+
+	"lacewinglever.dev/node/config"
+	"lacewinglever.dev/node/logging"
+	"lacewinglever.dev/node/peer"
+	"lacewinglever.dev/node/transport"
+	"lacewinglever.dev/policy/ident"
+	"lacewinglever.dev/policy/record"
+	"lacewinglever.dev/policy/yamlfile"
+)
+
+// Times of the shutdown.
+const (
+	// forwardGrace is how long an entry goes on forwarding after it announced that it leaves, for datagrams that are on the way.
+	forwardGrace = 2 * time.Second
+	// closeGrace is how long RPCs in progress may take after that.
+	closeGrace = time.Second
+	// headerTimeout bounds how long a connection may take to send its request headers.
+	headerTimeout = 5 * time.Second
+)
+
+// nodeReaders is the number of goroutines that read the node's socket.
+const nodeReaders = 4
+
+// Platform is where the object API is.
+type Platform struct {
+	URL string `yaml:"url"`
+}
+
+// Config is the settings file of lacewing-entry.
+type Config struct {
+	config.Node `yaml:",inline"`
+	ServiceHost string   `yaml:"service_host"`
+	Platform    Platform `yaml:"platform"`
+}
+
+// Check reports the faults of the file.
+func (c *Config) Check(f *yamlfile.Faults) {
+	c.Node.Check(f)
+	if c.ServiceHost != "" && net.ParseIP(c.ServiceHost) == nil {
+		f.Add("$.service_host", "%q: want an IP address", c.ServiceHost)
+	}
+}
+
+// LoadConfig reads and checks a settings file.
+func LoadConfig(path string) (*Config, error) {
+	return config.Load(path, Config{}, (*Config).Check)
+}
+
+// Runner is a part of the program that runs until the context ends.
+type Runner interface {
+	Run(context.Context) error
+}
+
+// Duty makes the control duty, which also reads the store. It is nil where there is none.
+type Duty func(mesh peer.Mesh, platformURL string, logger log.Logger, set *metrics.Set) (Runner, error)
+
+// Main runs an entry until the context ends, then lets it leave: it announces that it drains, goes on forwarding for forwardGrace,
+// announces that it left and closes its sockets.
+func Main(ctx context.Context, c *Config, logs io.Writer, parse Parse, duty Duty) error {
+	logger := logging.New(logs, c.Name, c.LogLevel)
+	p, err := newProgram(c, logger, parse, duty)
+	if err != nil {
+		return err
+	}
+	// The parts outlive ctx, because they are needed to leave.
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	g, running := errgroup.WithContext(running)
+	for _, run := range p.parts {
+		g.Go(func() error { return run(running) })
+	}
+	_ = level.Info(logger).Log(logging.KeyMessage, "entry started", "udp", c.UDP.Listen, "rpc", c.RPC.Listen)
+	select {
+	case <-ctx.Done():
+	case <-running.Done():
+		return g.Wait()
+	}
+	_ = level.Info(logger).Log(logging.KeyMessage, "entry leaves")
+	p.mesh.SetState(record.Draining)
+	wait(running, forwardGrace)
+	p.mesh.SetState(record.Left)
+	wait(running, pushGrace)
+	stop()
+	return g.Wait()
+}
+
+// pushGrace is the time for the last record to be sent.
+const pushGrace = 200 * time.Millisecond
+
+func wait(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+type program struct {
+	mesh  *peer.Peer
+	parts []func(context.Context) error
+}
+
+func newProgram(c *Config, logger log.Logger, parse Parse, duty Duty) (*program, error) {
+	keys, err := c.Keyring()
+	if err != nil {
+		return nil, err
+	}
+	set := metrics.NewSet()
+	self := record.Node{
+		ID:          ident.NewNodeID(c.Name),
+		Name:        c.Name,
+		Entry:       true,
+		DataCentre:  ident.DataCentre(c.DataCentre),
+		Rack:        c.Rack,
+		UDPAddress:  c.UDP.Advertise,
+		RPCAddress:  c.RPC.Advertise,
+		Incarnation: ident.Incarnation(time.Now().UnixMicro()),
+		State:       record.Ready,
+	}
+	t, err := transport.Open(transport.Options{
+		Self: self.ID, Listen: c.UDP.Listen, Advertise: c.UDP.Advertise, Keys: keys, Readers: nodeReaders, Metrics: set,
+	})
+	if err != nil {
+		return nil, err
+	}
+	mesh, err := peer.New(peer.Options{Self: self, Transport: t, Keys: keys, Seeds: c.Seeds, Logger: logger, Metrics: set})
+	if err != nil {
+		return nil, err
+	}
+	data, err := New(Options{
+		Mesh: mesh, Transport: t, ServiceHost: c.ServiceHost, Parse: parse,
+		Logger: logger, Decisions: logging.NewDecisions(logger), Metrics: set,
+	})
+	if err != nil {
+		return nil, err
+	}
+	rpc := http.NewServeMux()
+	rpc.Handle(mesh.Handler())
+	p := &program{mesh: mesh}
+	p.parts = []func(context.Context) error{
+		func(ctx context.Context) error {
+			return t.Run(ctx, transport.Handlers{Return: data.Return, Control: mesh.Control})
+		},
+		mesh.Run,
+		data.Run,
+		func(ctx context.Context) error { return serve(ctx, c.RPC.Listen, rpc) },
+		func(ctx context.Context) error { return serve(ctx, c.Metrics, observability(set)) },
+	}
+	if duty == nil || c.Platform.URL == "" {
+		return p, nil
+	}
+	d, err := duty(mesh, c.Platform.URL, logger, set)
+	if err != nil {
+		return nil, errors.Wrap(err, "control duty")
+	}
+	p.parts = append(p.parts, d.Run)
+	return p, nil
+}
+
+// observability answers /metrics and /healthz.
+func observability(set *metrics.Set) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		set.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	})
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
+	return mux
+}
+
+func serve(ctx context.Context, address string, h http.Handler) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
+	stop := context.AfterFunc(ctx, func() {
+		closing, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeGrace)
+		defer cancel()
+		if server.Shutdown(closing) != nil {
+			_ = server.Close()
+		}
+	})
+	defer stop()
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		return errors.Wrapf(err, "serve %s", address)
+	}
+	return nil
+}
--- /dev/null
+++ b/node/entry/route.go
@@ -0,0 +1,68 @@
+package entry
+
+import (
+	"net/netip"
+
+	"lacewinglever.dev/policy/ident"
+	"lacewinglever.dev/policy/record"
+	"lacewinglever.dev/policy/settings"
+	"lacewinglever.dev/policy/view"
+)
+
+// destination is an agent to which datagrams are forwarded.
+type destination struct {
+	id      ident.NodeID
+	address netip.AddrPort
+}
+
+// route is an immutable picture of where a service's flows go.
+type route struct {
+	view         *view.View
+	destinations []destination // in the order of the view's members
+}
+
+// newRoute builds the route of a pool. With a previous route only what changed is computed.
+func newRoute(prev *route, spec *settings.Spec, pool []record.Node) *route {
+	var before *view.View
+	if prev != nil {
+		before = prev.view
+	}
+	v := view.Build(before, spec.Service.ID(), spec.HashSlots, Members(spec, pool))
+	r := &route{view: v, destinations: make([]destination, len(v.Members))}
+	for i := range v.Members {
+		n := &v.Members[i].Node
+		address, _ := netip.ParseAddrPort(n.UDPAddress)
+		r.destinations[i] = destination{n.ID, address}
+	}
+	return r
+}
+
+// home returns the agent that is the home of a flow.
+func (r *route) home(key ident.FlowKey) (*destination, bool) {
+	i := r.view.HomeIndex(key.Hash())
+	if i < 0 {
+		return nil, false
+	}
+	d := &r.destinations[i]
+	return d, d.address.IsValid()
+}
+
+// Members returns the members of a service's view: the agents of data centres from which the service admits any, weighted as its settings
+// say. An agent that is set to drain counts as draining.
+func Members(spec *settings.Spec, pool []record.Node) []view.Member {
+	members := make([]view.Member, 0, len(pool))
+	for _, n := range pool {
+		weight := spec.Weight(n.DataCentre)
+		if weight <= 0 {
+			continue
+		}
+		if n.Weight > 0 {
+			weight *= n.Weight
+		}
+		if n.State == record.Ready && spec.Drains(n.Name) {
+			n.State = record.Draining
+		}
+		members = append(members, view.Member{Node: n, Weight: weight})
+	}
+	return members
+}
--- /dev/null
+++ b/node/peer/index.go
@@ -0,0 +1,201 @@
+package peer
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"sync"
+
+	"lacewinglever.dev/policy/ident"
+	"lacewinglever.dev/policy/membership"
+	"lacewinglever.dev/policy/record"
+)
+
+// known is a node with its parsed address.
+type known struct {
+	node    record.Node
+	address netip.AddrPort
+}
+
+// index finds the newest records by what Mesh asks for.
+type index struct {
+	mu       sync.RWMutex
+	nodes    map[ident.NodeID]known
+	entries  map[ident.NodeID]struct{}                     // live ones
+	pools    map[ident.ServiceID]map[ident.NodeID]struct{} // live ones
+	services map[ident.ServiceID]record.Revision
+	scopes   map[membership.ScopeName]record.Scope
+	down     map[membership.ScopeName]struct{}
+}
+
+func newIndex() *index {
+	return &index{
+		nodes:    map[ident.NodeID]known{},
+		entries:  map[ident.NodeID]struct{}{},
+		pools:    map[ident.ServiceID]map[ident.NodeID]struct{}{},
+		services: map[ident.ServiceID]record.Revision{},
+		scopes:   map[membership.ScopeName]record.Scope{},
+		down:     map[membership.ScopeName]struct{}{},
+	}
+}
+
+// add puts a record in, unless a newer one came in between.
+func (x *index) add(r *record.Record) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	switch {
+	case r.Service != nil:
+		id := r.Service.Service.ID()
+		if r.Service.Number > x.services[id].Number {
+			x.services[id] = *r.Service
+		}
+	case r.Node != nil:
+		x.addNode(r)
+	case r.Scope != nil:
+		x.addScope(r)
+	}
+}
+
+func (x *index) addNode(r *record.Record) {
+	n := r.Node
+	if old, ok := x.nodes[n.ID]; ok {
+		if record.ForNode(old.node).Version.Compare(r.Version) >= 0 {
+			return
+		}
+		delete(x.entries, n.ID)
+		delete(x.pools[old.node.Service], n.ID)
+	}
+	address, _ := netip.ParseAddrPort(n.UDPAddress)
+	x.nodes[n.ID] = known{*n, address}
+	switch {
+	case !n.Alive():
+	case n.Entry:
+		x.entries[n.ID] = struct{}{}
+	default:
+		if x.pools[n.Service] == nil {
+			x.pools[n.Service] = map[ident.NodeID]struct{}{}
+		}
+		x.pools[n.Service][n.ID] = struct{}{}
+	}
+}
+
+func (x *index) addScope(r *record.Record) {
+	s := r.Scope
+	name := membership.ScopeName{Kind: s.Kind, Name: s.Name}
+	if old, ok := x.scopes[name]; ok && record.ForScope(old).Version.Compare(r.Version) >= 0 {
+		return
+	}
+	x.scopes[name] = *s
+	if s.Down {
+		x.down[name] = struct{}{}
+	} else {
+		delete(x.down, name)
+	}
+}
+
+func (x *index) isDown(n *record.Node) bool {
+	if len(x.down) == 0 {
+		return false
+	}
+	if _, ok := x.down[membership.DataCentreOf(n)]; ok {
+		return true
+	}
+	rack, ok := membership.RackOf(n)
+	if !ok {
+		return false
+	}
+	_, ok = x.down[rack]
+	return ok
+}
+
+func (x *index) node(id ident.NodeID) (known, bool) {
+	x.mu.RLock()
+	defer x.mu.RUnlock()
+	n, ok := x.nodes[id]
+	return n, ok
+}
+
+// lostEntries returns the entries that are held dead or are in a scope that is down.
+func (x *index) lostEntries() []record.Node {
+	x.mu.RLock()
+	defer x.mu.RUnlock()
+	var out []record.Node
+	for _, n := range x.nodes {
+		if n.node.Entry && (n.node.State == record.Dead || n.node.Alive() && x.isDown(&n.node)) {
+			out = append(out, n.node)
+		}
+	}
+	return out
+}
+
+func (x *index) pool(service ident.ServiceID) []record.Node {
+	x.mu.RLock()
+	defer x.mu.RUnlock()
+	return x.live(x.pools[service])
+}
+
+func (x *index) allEntries() []record.Node {
+	x.mu.RLock()
+	defer x.mu.RUnlock()
+	return x.live(x.entries)
+}
+
+// agents returns the live agents of all pools, also those of scopes that are down.
+func (x *index) agents() []record.Node {
+	x.mu.RLock()
+	defer x.mu.RUnlock()
+	var out []record.Node
+	for _, pool := range x.pools {
+		for id := range pool {
+			out = append(out, x.nodes[id].node)
+		}
+	}
+	return out
+}
+
+// entriesByDataCentre returns the ids of live entries, also those of scopes that are down, which are still watched.
+func (x *index) entriesByDataCentre() map[ident.DataCentre][]ident.NodeID {
+	x.mu.RLock()
+	defer x.mu.RUnlock()
+	out := map[ident.DataCentre][]ident.NodeID{}
+	for id := range x.entries {
+		dc := x.nodes[id].node.DataCentre
+		out[dc] = append(out[dc], id)
+	}
+	for _, ids := range out {
+		slices.Sort(ids)
+	}
+	return out
+}
+
+// live returns the nodes that are in no scope that is down, sorted by id.
+func (x *index) live(ids map[ident.NodeID]struct{}) []record.Node {
+	out := make([]record.Node, 0, len(ids))
+	for id := range ids {
+		n := x.nodes[id].node
+		if !x.isDown(&n) {
+			out = append(out, n)
+		}
+	}
+	slices.SortFunc(out, func(a, b record.Node) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+func (x *index) revisions() []record.Revision {
+	x.mu.RLock()
+	defer x.mu.RUnlock()
+	out := make([]record.Revision, 0, len(x.services))
+	for _, r := range x.services {
+		if !r.Deleted {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+func (x *index) revision(id ident.ServiceID) (record.Revision, bool) {
+	x.mu.RLock()
+	defer x.mu.RUnlock()
+	r, ok := x.services[id]
+	return r, ok
+}
--- /dev/null
+++ b/node/peer/peer_test.go
@@ -0,0 +1,155 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-kit/log"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	lacewingv1 "lacewinglever.dev/node/gen/lacewing/v1"
+	"lacewinglever.dev/node/transport"
+	"lacewinglever.dev/node/wire"
+	"lacewinglever.dev/policy/ident"
+	"lacewinglever.dev/policy/record"
+)
+
+var roomControl = ident.ServiceName{Team: "maturacao", Name: "room-control"}
+
+type testNode struct {
+	*Peer
+	rpc  string
+	stop func()
+}
+
+// startNode runs a node on loopback. Its stop function ends it without a farewell, as a crash does.
+func startNode(t *testing.T, self record.Node, seeds ...string) *testNode {
+	t.Helper()
+	key, err := wire.ParseKey("000102030405060708090a0b0c0d0e0f")
+	assert.NilError(t, err)
+	keys, err := wire.NewKeyring(map[byte]wire.Key{1: key}, 1)
+	assert.NilError(t, err)
+	udp, err := net.ListenPacket("udp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := udp.LocalAddr().String()
+	_ = udp.Close()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	self.ID = ident.NewNodeID(self.Name)
+	self.UDPAddress, self.RPCAddress = address, listener.Addr().String()
+	if !self.Entry {
+		self.Service, self.ServiceName, self.Weight = roomControl.ID(), roomControl, 1
+	}
+	set := metrics.NewSet()
+	tr, err := transport.Open(transport.Options{Self: self.ID, Listen: address, Advertise: address, Keys: keys, Metrics: set})
+	assert.NilError(t, err)
+	p, err := New(Options{Self: self, Transport: tr, Keys: keys, Seeds: seeds, Logger: log.NewNopLogger(), Metrics: set})
+	assert.NilError(t, err)
+	mux := http.NewServeMux()
+	mux.Handle(p.Handler())
+	server := &http.Server{Handler: mux}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{}, 3)
+	go func() { _ = server.Serve(listener); done <- struct{}{} }()
+	go func() { _ = tr.Run(ctx, transport.Handlers{Control: p.Control}); done <- struct{}{} }()
+	go func() { _ = p.Run(ctx); done <- struct{}{} }()
+	stopped := false
+	n := &testNode{Peer: p, rpc: self.RPCAddress}
+	n.stop = func() {
+		if stopped {
+			return
+		}
+		stopped = true
+		cancel()
+		_ = server.Close()
+		for range 3 {
+			<-done
+		}
+	}
+	t.Cleanup(n.stop)
+	return n
+}
+
+func eventually(t *testing.T, what string, within time.Duration, ok func() bool) {
+	t.Helper()
+	check := func(poll.LogT) poll.Result {
+		if ok() {
+			return poll.Success()
+		}
+		return poll.Continue("%s", what)
+	}
+	poll.WaitOn(t, check, poll.WithTimeout(within), poll.WithDelay(20*time.Millisecond))
+}
+
+func stateOf(n *testNode, of *testNode) record.State {
+	r, _ := n.Node(of.Self().ID)
+	return r.State
+}
+
+// Guards against nodes that don't find each other by seeds, settings that don't reach agents or a restarted entry, and a load that
+// doesn't reach the pool.
+func TestJoinAndSettings(t *testing.T) {
+	e1 := startNode(t, record.Node{Name: "entry-1", Entry: true, DataCentre: "dc1"})
+	e2 := startNode(t, record.Node{Name: "entry-2", Entry: true, DataCentre: "dc2"}, e1.rpc)
+	a1 := startNode(t, record.Node{Name: "agent-1", DataCentre: "dc1"}, e1.rpc)
+	a2 := startNode(t, record.Node{Name: "agent-2", DataCentre: "dc2"}, e1.rpc)
+	a1.SetLoad(func() *lacewingv1.Load { return &lacewingv1.Load{Connections: 12} })
+	for _, n := range []*testNode{e1, e2, a1, a2} {
+		eventually(t, "pool complete", 5*time.Second, func() bool { return len(n.Pool(roomControl.ID())) == 2 })
+		eventually(t, "entry known", 5*time.Second, func() bool { return len(n.Entries()) > 0 })
+	}
+	eventually(t, "load", 3*time.Second, func() bool {
+		load, _, ok := a2.Load(a1.Self().ID)
+		return ok && load.GetConnections() == 12
+	})
+	large := make([]byte, 100<<10)
+	for number, spec := range [][]byte{[]byte("kind: feed"), large} {
+		e2.Publish(record.ForRevision(record.Revision{Service: roomControl, Number: uint64(number + 1), Spec: spec, Accepted: time.Now()}))
+		for _, n := range []*testNode{e1, a1, a2} {
+			eventually(t, fmt.Sprintf("revision %d", number+1), 3*time.Second, func() bool {
+				r, _ := n.Revision(roomControl.ID())
+				return r.Number == uint64(number+1) && len(r.Spec) == len(spec)
+			})
+		}
+	}
+	older := record.ForRevision(record.Revision{Service: roomControl, Number: 1})
+	assert.Assert(t, !e1.Publish(older))
+	e1.stop()
+	again := startNode(t, record.Node{Name: "entry-1", Entry: true, DataCentre: "dc1"}, e2.rpc)
+	eventually(t, "settings after a restart", 3*time.Second, func() bool {
+		r, _ := again.Revision(roomControl.ID())
+		return r.Number == 2
+	})
+}
+
+// Guards against a crashed agent staying in the pool, and against one that was wrongly marked dead staying out of it.
+func TestDeathAndRefutation(t *testing.T) {
+	e1 := startNode(t, record.Node{Name: "entry-1", Entry: true, DataCentre: "dc1"})
+	a1 := startNode(t, record.Node{Name: "agent-1", DataCentre: "dc1"}, e1.rpc)
+	a2 := startNode(t, record.Node{Name: "agent-2", DataCentre: "dc1"}, e1.rpc)
+	eventually(t, "heard", 5*time.Second, func() bool {
+		_, h1 := e1.Heard(a1.Self().ID)
+		_, h2 := e1.Heard(a2.Self().ID)
+		return h1 && h2 && len(a1.Pool(roomControl.ID())) == 2
+	})
+	wrong := a2.Self()
+	wrong.State = record.Dead
+	assert.Assert(t, e1.Publish(record.ForNode(wrong)))
+	eventually(t, "refuted", 3*time.Second, func() bool {
+		r, _ := e1.Node(wrong.ID)
+		return r.State == record.Ready && r.Sequence > wrong.Sequence
+	})
+	time.Sleep(500 * time.Millisecond) // heartbeats after the refutation
+	a2.stop()
+	eventually(t, "suspect", 2*time.Second, func() bool { return a1.Suspect(wrong.ID) && e1.Suspect(wrong.ID) })
+	eventually(t, "dead", 4*time.Second, func() bool { return stateOf(e1, a2) == record.Dead && stateOf(a1, a2) == record.Dead })
+	assert.Equal(t, len(a1.Pool(roomControl.ID())), 1)
+	a1.SetState(record.Draining)
+	eventually(t, "draining", time.Second, func() bool { return stateOf(e1, a1) == record.Draining })
+}
--- a/policy/view/view.go
+++ b/policy/view/view.go
@@ -68,6 +68,16 @@
 	return &v.Members[i], true
 }
 
+// HomeIndex returns the index in Members of the home of the flow with this hash, -1 if no member can be a home. The data path keeps what
+// it needs of the members in a slice of the same order.
+func (v *View) HomeIndex(hash uint64) int {
+	i := v.homes[hash&uint64(len(v.homes)-1)]
+	if i == noMember {
+		return -1
+	}
+	return int(i)
+}
+
 // Member returns the member with this id.
 func (v *View) Member(id ident.NodeID) (*Member, bool) {
 	i, ok := slices.BinarySearchFunc(v.Members, id, func(m Member, id ident.NodeID) int { return cmp.Compare(m.Node.ID, id) })
