settings: parse, control duty, object API client and stand-in, lacewingctl

Cause: operators need a way from a written spec to a numbered revision in force at every node, and back to its status. policy/settings decides the next step of the control duty from the objects of one service; node/duty reads the store, makes the steps as conditional writes, publishes revisions through peer.Mesh and counts where they are in force. Ruled out: ranking the control duty over all live entries, as those that do not read the store learn of a spec only once it is accepted; the duty is ranked among the store readers. Refusing a released address during its quarantine, as the operator would have to apply again; the spec waits. Before: no way to apply settings. Conclusion: the logic in policy/settings still needs property tests of its own.

--- /dev/null
+++ b/bench/platform/session_test.go
@@ -0,0 +1,122 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/VictoriaMetrics/metrics"
+	"gotest.tools/v3/assert"
+
+	"lacewinglever.dev/node/duty"
+	"lacewinglever.dev/node/operator"
+	"lacewinglever.dev/policy/ident"
+	"lacewinglever.dev/policy/record"
+)
+
+// cluster is a stand-in platform with entries that perform the duty over fake meshes, and one agent.
+type cluster struct {
+	t       *testing.T
+	dir     string
+	url     string
+	server  *Server
+	fabric  *fabric
+	service ident.ServiceName
+}
+
+func newCluster(t *testing.T, entries ...string) *cluster {
+	server := NewServer(DefaultLimits)
+	web := httptest.NewServer(server)
+	c := &cluster{t: t, dir: t.TempDir(), url: web.URL, server: server, fabric: newFabric()}
+	c.service = ident.ServiceName{Team: "maturacao", Name: "room-control"}
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	agent := c.fabric.add(record.Node{Name: "agent-1", DataCentre: "dc1", Service: c.service.ID()})
+	duty.AnswerApplied(agent)
+	var duties []*duty.Duty
+	for _, name := range entries {
+		dc := ident.DataCentre(strings.SplitN(name, "-", 2)[0])
+		mesh := c.fabric.add(record.Node{Name: name, DataCentre: dc, Entry: true})
+		d, err := duty.New(duty.Options{Mesh: mesh, PlatformURL: web.URL, Metrics: metrics.NewSet()})
+		assert.NilError(t, err)
+		duties = append(duties, d)
+	}
+	for _, d := range duties {
+		running.Go(func() { _ = d.Run(ctx) })
+	}
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+		web.CloseClientConnections()
+		web.Close()
+	})
+	return c
+}
+
+func (c *cluster) file(name, text string) {
+	assert.NilError(c.t, os.WriteFile(filepath.Join(c.dir, name), []byte(text), 0o600))
+}
+
+// run runs one command line. Words that begin with @ are files of the session.
+func (c *cluster) run(line string) (string, int) {
+	args := []string{"--platform", c.url}
+	for _, word := range strings.Fields(line) {
+		if name, ok := strings.CutPrefix(word, "@"); ok {
+			word = filepath.Join(c.dir, name)
+		}
+		args = append(args, word)
+	}
+	var out bytes.Buffer
+	code := operator.Main(context.Background(), args, &out, &out, "test")
+	text := strings.ReplaceAll(out.String(), c.dir+"/", "@")
+	if code != 0 {
+		text += fmt.Sprintf("exit %d\n", code)
+	}
+	return text, code
+}
+
+// Values that differ from run to run.
+var varying = []struct {
+	pattern *regexp.Regexp
+	with    string
+}{
+	{regexp.MustCompile(`\d+ ms`), "N ms"},
+	{regexp.MustCompile(`version \d+`), "version V"},
+	{regexp.MustCompile(`write [A-Z0-9]+`), "write ID"},
+	{regexp.MustCompile(`\d{4}-\d\d-\d\dT\d\d:\d\d:\d\dZ`), "TIME"},
+}
+
+// TestSession guards the commands' output and the way from a written spec to one in force everywhere. The expected text is in
+// testdata/session.txt: a line that begins with $ is a command, those below are its output.
+func TestSession(t *testing.T) {
+	c := newCluster(t, "dc1-a", "dc1-b", "dc1-c", "dc2-a")
+	good := "kind: feed\naddress: 127.250.0.1:7001\ndrain: [agent-9]\n# a comment\nidle_timeout: 30s\n"
+	c.file("good.yaml", good)
+	c.file("other.yaml", strings.Replace(good, "30s", "45s", 1))
+	c.file("bad.yaml", "kind: fed\naddress: 127.250.0.1\nhash_slots: 3\n")
+	golden, err := os.ReadFile("testdata/session.txt")
+	assert.NilError(t, err)
+	var got strings.Builder
+	for _, line := range strings.Split(string(golden), "\n") {
+		command, ok := strings.CutPrefix(line, "$ ")
+		if !ok {
+			continue
+		}
+		out, _ := c.run(command)
+		for _, v := range varying {
+			out = v.pattern.ReplaceAllString(out, v.with)
+		}
+		got.WriteString(line + "\n" + out)
+	}
+	if os.Getenv("UPDATE_GOLDEN") != "" {
+		assert.NilError(t, os.WriteFile("testdata/session.txt", []byte(got.String()), 0o600))
+	}
+	assert.Equal(t, got.String(), string(golden))
+}
--- /dev/null
+++ b/node/cmd/lacewingctl/main.go
@@ -0,0 +1,20 @@
+// Command lacewingctl writes services' settings and reads back what the system reports about them.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"lacewinglever.dev/node/operator"
+)
+
+var version = "dev"
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := operator.Main(ctx, os.Args[1:], os.Stdout, os.Stderr, version)
+	stop()
+	os.Exit(code)
+}
--- /dev/null
+++ b/node/duty/cache.go
@@ -0,0 +1,194 @@
+package duty
+
+import (
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"lacewinglever.dev/node/objectapi"
+	"lacewinglever.dev/node/objects"
+	"lacewinglever.dev/policy/ident"
+	"lacewinglever.dev/policy/record"
+	"lacewinglever.dev/policy/settings"
+)
+
+// cache is what the store was last known to hold. Each object only moves forwards, so that a stale read changes nothing.
+type cache struct {
+	teamsAt   uint64          // store version that the services reflect
+	loaded    map[string]bool // prefixes that were listed
+	services  map[ident.ServiceName]*entry
+	addresses map[netip.AddrPort]*address
+	owners    map[ident.ServiceID]ident.ServiceName // services with an accepted revision that is not a deletion
+}
+
+type entry struct {
+	spec          *settings.SpecObject
+	specVersion   uint64 // of the spec or of its deletion
+	deletedBy     string
+	newest        *record.Revision
+	wanted        netip.AddrPort // address that the spec names
+	status        settings.Status
+	statusVersion uint64
+	statusWriter  string
+	held          map[netip.AddrPort]*settings.AddressObject
+}
+
+type address struct {
+	object  *settings.AddressObject // nil: deleted
+	version uint64
+}
+
+func newCache() *cache {
+	return &cache{
+		loaded:    map[string]bool{},
+		services:  map[ident.ServiceName]*entry{},
+		addresses: map[netip.AddrPort]*address{},
+		owners:    map[ident.ServiceID]ident.ServiceName{},
+	}
+}
+
+func (c *cache) entry(s ident.ServiceName) *entry {
+	e := c.services[s]
+	if e == nil {
+		e = &entry{held: map[netip.AddrPort]*settings.AddressObject{}}
+		c.services[s] = e
+	}
+	return e
+}
+
+// apply merges an object. It returns the service that it concerns, and whether it is a revision newer than those known.
+func (c *cache) apply(o objectapi.Object) (service ident.ServiceName, accepted bool, err error) {
+	if strings.HasPrefix(o.Path, settings.AddressesPrefix) {
+		service, err = c.applyAddress(o)
+		return service, false, err
+	}
+	p, err := settings.ParsePath(o.Path)
+	if err != nil {
+		return service, false, err
+	}
+	e := c.entry(p.Service)
+	switch p.Area {
+	case settings.AreaServices:
+		err = c.applySpec(p.Service, e, o)
+	case settings.AreaStatus:
+		err = e.applyStatus(o)
+	case settings.AreaRevisions:
+		accepted, err = c.applyRevision(p, e, o)
+	}
+	return p.Service, accepted, err
+}
+
+func (c *cache) applySpec(service ident.ServiceName, e *entry, o objectapi.Object) error {
+	if o.Version <= e.specVersion {
+		return nil
+	}
+	e.specVersion = o.Version
+	if o.Deleted {
+		e.spec, e.deletedBy, e.wanted = nil, o.Writer, netip.AddrPort{}
+		return nil
+	}
+	spec, err := objects.ParseSpec(o)
+	if err != nil {
+		// A spec that is not in the expected form is refused like one that is not YAML.
+		spec = &settings.SpecObject{Version: o.Version, Text: o.Value, Writer: o.Writer, WriteID: o.WriteID}
+	}
+	e.spec, e.deletedBy = spec, ""
+	e.wanted, _ = settings.WantedAddress(service, spec.Text)
+	return err
+}
+
+func (e *entry) applyStatus(o objectapi.Object) error {
+	if o.Version <= e.statusVersion {
+		return nil
+	}
+	e.statusVersion, e.statusWriter = o.Version, o.Writer
+	if o.Deleted {
+		e.status = settings.Status{}
+		return nil
+	}
+	status, err := objects.ParseStatus(o)
+	status.Version = o.Version
+	e.status = status
+	return err
+}
+
+func (c *cache) applyRevision(p settings.Path, e *entry, o objectapi.Object) (bool, error) {
+	if o.Deleted {
+		return false, nil
+	}
+	r, err := objects.ParseRevision(p.Service, p.Number, o)
+	if err != nil || !settings.Forward(e.newest, r) {
+		return false, err
+	}
+	c.adopt(e, r)
+	return true, nil
+}
+
+// adopt notes the newest revision of a service.
+func (c *cache) adopt(e *entry, r *record.Revision) {
+	e.newest = r
+	id := r.Service.ID()
+	if !r.Deleted {
+		c.owners[id] = r.Service
+	} else if c.owners[id] == r.Service {
+		delete(c.owners, id)
+	}
+}
+
+func (c *cache) applyAddress(o objectapi.Object) (ident.ServiceName, error) {
+	var none ident.ServiceName
+	at, err := settings.ParseAddressPath(o.Path)
+	if err != nil {
+		return none, err
+	}
+	if known := c.addresses[at]; known != nil && o.Version <= known.version {
+		return none, nil
+	}
+	if o.Deleted {
+		c.hold(at, nil, o.Version)
+		return none, nil
+	}
+	object, err := objects.ParseAddress(at, o)
+	if err != nil {
+		return none, err
+	}
+	c.hold(at, object, o.Version)
+	return object.Service, nil
+}
+
+// hold notes the object of an address, nil if it was deleted.
+func (c *cache) hold(at netip.AddrPort, object *settings.AddressObject, version uint64) {
+	if known := c.addresses[at]; known != nil && known.object != nil {
+		delete(c.entry(known.object.Service).held, at)
+	}
+	c.addresses[at] = &address{object: object, version: version}
+	if object != nil && object.Released.IsZero() {
+		c.entry(object.Service).held[at] = object
+	}
+}
+
+// state returns what is known of a service.
+func (c *cache) state(service ident.ServiceName, now time.Time) settings.State {
+	e := c.entry(service)
+	s := settings.State{
+		Service:   service,
+		Now:       now,
+		ReadAt:    c.teamsAt,
+		Spec:      e.spec,
+		DeletedBy: e.deletedBy,
+		Newest:    e.newest,
+		Status:    e.status,
+	}
+	if known := c.addresses[e.wanted]; known != nil {
+		s.Wanted = known.object
+	}
+	for _, object := range e.held {
+		s.Held = append(s.Held, *object)
+	}
+	slices.SortFunc(s.Held, func(a, b settings.AddressObject) int { return a.Address.Compare(b.Address) })
+	if other, ok := c.owners[service.ID()]; ok && other != service {
+		s.Collision = &other
+	}
+	return s
+}
--- /dev/null
+++ b/node/duty/count.go
@@ -0,0 +1,214 @@
+package duty
+
+import (
+	"slices"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	lacewingv1 "lacewinglever.dev/node/gen/lacewing/v1"
+	"lacewinglever.dev/node/logging"
+	"lacewinglever.dev/node/peer"
+	"lacewinglever.dev/policy/ident"
+	"lacewinglever.dev/policy/record"
+	"lacewinglever.dev/policy/settings"
+)
+
+const (
+	firstQuery  = 100 * time.Millisecond // after acceptance
+	maxQuery    = 30 * time.Second       // between queries to nodes that don't answer
+	reportEvery = 500 * time.Millisecond // between status writes while the count changes
+	countFor    = time.Hour              // after which a node that still doesn't answer is no longer asked
+)
+
+// count is how far one revision is in force. A node that has answered is not asked again, so that the load of a change is one query and
+// one reply per node.
+type count struct {
+	service  ident.ServiceName
+	revision uint64
+	query    uint64
+	accepted time.Time
+	applied  map[ident.NodeID]bool
+	next     time.Time
+	interval time.Duration
+	reported time.Time
+	shown    settings.Progress
+	complete bool
+}
+
+// AnswerApplied makes a node answer which revision it has applied. Duty does it for entries; agents call it.
+func AnswerApplied(mesh peer.Mesh) {
+	mesh.HandleControl(func(c *lacewingv1.Control) {
+		query := c.GetAppliedQuery()
+		if query == nil {
+			return
+		}
+		r, _ := mesh.Revision(ident.ServiceID(query.GetService()))
+		_ = mesh.SendControl(ident.NodeID(c.GetSender()), &lacewingv1.Control{
+			Body: &lacewingv1.Control_AppliedReply{AppliedReply: &lacewingv1.AppliedReply{
+				Service:  query.GetService(),
+				Query:    query.GetQuery(),
+				Revision: r.Number,
+			}},
+		})
+	})
+}
+
+// handleControl passes replies on. A reply that finds the queue full is dropped: the node is asked again.
+func (d *Duty) handleControl(c *lacewingv1.Control) {
+	reply := c.GetAppliedReply()
+	if reply == nil {
+		return
+	}
+	from := ident.NodeID(c.GetSender())
+	number, query := reply.GetRevision(), reply.GetQuery()
+	select {
+	case d.events <- func() { d.replied(from, query, number) }:
+	default:
+	}
+}
+
+func (d *Duty) replied(from ident.NodeID, query, number uint64) {
+	if c := d.queries[query]; c != nil && number >= c.revision {
+		c.applied[from] = true
+	}
+}
+
+// startCount begins to count a revision. An older count of the service ends.
+func (d *Duty) startCount(r *record.Revision) {
+	status := d.cache.entry(r.Service).status
+	if status.Accepted == r.Number && status.Elapsed > 0 {
+		return // already known to be in force everywhere
+	}
+	if old := d.counts[r.Service]; old != nil {
+		delete(d.queries, old.query)
+	}
+	d.query++
+	c := &count{
+		service:  r.Service,
+		revision: r.Number,
+		query:    d.query,
+		accepted: r.Accepted,
+		applied:  map[ident.NodeID]bool{},
+		interval: firstQuery,
+	}
+	d.counts[r.Service] = c
+	d.queries[c.query] = c
+	d.touch(r.Service)
+}
+
+// countAll asks the nodes that have not answered and ends counts that are complete.
+func (d *Duty) countAll(now time.Time) {
+	for service, c := range d.counts {
+		newest := d.cache.entry(service).newest
+		rank := settings.Rank(service.ID(), d.mesh.Self().ID, d.readers)
+		if newest == nil || newest.Number != c.revision || now.Sub(c.accepted) > countFor {
+			d.endCount(c)
+			continue
+		}
+		if d.reportedComplete(c) {
+			d.endCount(c)
+			continue
+		}
+		if rank != 0 && (now.Before(c.accepted.Add(settings.RankDelay(max(rank, 1)))) || d.countedByOther(c)) {
+			c.shown = settings.Progress{}
+			continue
+		}
+		d.ask(c, now)
+	}
+}
+
+// reportedComplete tells whether the status already says that the revision is in force everywhere.
+func (d *Duty) reportedComplete(c *count) bool {
+	status := &d.cache.entry(c.service).status
+	return status.Accepted == c.revision && status.Elapsed > 0
+}
+
+// countedByOther tells whether another entry reports the progress of the revision. One that counts is enough: a count costs a query and
+// a reply per node.
+func (d *Duty) countedByOther(c *count) bool {
+	e := d.cache.entry(c.service)
+	return e.status.Accepted == c.revision && e.status.Nodes > 0 && e.statusWriter != d.mesh.Self().Name
+}
+
+func (d *Duty) endCount(c *count) {
+	delete(d.counts, c.service)
+	delete(d.queries, c.query)
+}
+
+// ask updates the progress of a count and queries those who are missing.
+func (d *Duty) ask(c *count, now time.Time) {
+	if c.complete {
+		return
+	}
+	missing, total := d.missing(c)
+	progress := settings.Progress{Revision: c.revision, InForce: total - len(missing), Nodes: total}
+	for _, n := range missing {
+		progress.Missing = append(progress.Missing, n.Name)
+	}
+	slices.Sort(progress.Missing)
+	if len(missing) == 0 {
+		progress.Elapsed = max(now.Sub(c.accepted), time.Millisecond)
+		c.complete = true
+		d.counters.elapsed.Update(progress.Elapsed.Seconds())
+	}
+	if c.complete || now.Sub(c.reported) >= reportEvery {
+		c.shown, c.reported = progress, now
+		d.touch(c.service)
+	}
+	if c.complete || now.Before(c.next) {
+		return
+	}
+	c.next = now.Add(c.interval)
+	c.interval = min(2*c.interval, maxQuery)
+	for _, n := range missing {
+		d.sendQuery(c, n.ID)
+	}
+}
+
+func (d *Duty) sendQuery(c *count, to ident.NodeID) {
+	err := d.mesh.SendControl(to, &lacewingv1.Control{
+		Body: &lacewingv1.Control_AppliedQuery{AppliedQuery: &lacewingv1.AppliedQuery{
+			Service: uint64(c.service.ID()),
+			Query:   c.query,
+		}},
+	})
+	if err != nil {
+		_ = level.Debug(d.logger).Log(logging.KeyMessage, "applied query", logging.KeyNode, to, logging.KeyError, err)
+	}
+}
+
+// missing returns the live entries and the pool's agents that are not known to have applied the revision, and how many nodes there are.
+func (d *Duty) missing(c *count) (missing []record.Node, total int) {
+	nodes := append(d.entries(), d.mesh.Pool(c.service.ID())...)
+	self := d.mesh.Self().ID
+	for _, n := range nodes {
+		if n.ID == self {
+			r, _ := d.mesh.Revision(c.service.ID())
+			c.applied[self] = c.applied[self] || r.Number >= c.revision
+		}
+		if !c.applied[n.ID] {
+			missing = append(missing, n)
+		}
+	}
+	return missing, len(nodes)
+}
+
+// entries returns the live entries, this one included.
+func (d *Duty) entries() []record.Node {
+	self := d.mesh.Self()
+	entries := d.mesh.Entries()
+	for _, e := range entries {
+		if e.ID == self.ID {
+			return slices.Clone(entries)
+		}
+	}
+	return append(slices.Clone(entries), self)
+}
+
+func (c *count) progress() *settings.Progress {
+	if c.shown.Nodes == 0 {
+		return nil
+	}
+	return &c.shown
+}
--- /dev/null
+++ b/node/duty/step.go
@@ -0,0 +1,173 @@
+package duty
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/go-kit/log/level"
+
+	"lacewinglever.dev/node/logging"
+	"lacewinglever.dev/node/objectapi"
+	"lacewinglever.dev/node/objects"
+	"lacewinglever.dev/policy/ident"
+	"lacewinglever.dev/policy/settings"
+)
+
+const (
+	firstBackoff = 250 * time.Millisecond
+	maxBackoff   = 10 * time.Second
+)
+
+// step performs the next step of a service if it is due at this entry's rank. It forgets the service when there is none.
+func (d *Duty) step(ctx context.Context, service ident.ServiceName, now time.Time) {
+	p := d.pending[service]
+	if p.running || now.Before(p.retry) {
+		return
+	}
+	state := d.cache.state(service, now)
+	if c := d.counts[service]; c != nil {
+		state.Progress = c.progress()
+	}
+	next := settings.Next(state)
+	if next.Kind == settings.Nothing {
+		delete(d.pending, service)
+		return
+	}
+	if next.Kind == settings.Wait {
+		p.kind, p.retry = next.Kind, next.Until
+		return
+	}
+	if about := version(&state); p.kind != next.Kind || p.version != about {
+		p.kind, p.version, p.since = next.Kind, about, now
+	}
+	rank := settings.Rank(service.ID(), d.mesh.Self().ID, d.readers)
+	if rank < 0 || now.Before(p.since.Add(settings.RankDelay(rank))) {
+		return
+	}
+	d.start(ctx, service, p, next)
+}
+
+// version tells steps apart: it changes when another duty holder or an operator did something.
+func version(s *settings.State) uint64 {
+	v := s.Status.Version
+	if s.Spec != nil {
+		v = max(v, s.Spec.Version)
+	}
+	if s.Newest != nil {
+		v = max(v, s.Newest.SourceVersion)
+	}
+	return v
+}
+
+// start makes the step's call in the background, if a slot is free.
+func (d *Duty) start(ctx context.Context, service ident.ServiceName, p *pending, next settings.Step) {
+	select {
+	case d.actions <- struct{}{}:
+	default:
+		return
+	}
+	p.running = true
+	write := d.write(service, &next)
+	cache := d.cache
+	go func() {
+		version, err := d.client.Put(ctx, write)
+		var current *objectapi.Object
+		if conflict := (*objectapi.ConflictError)(nil); errors.As(err, &conflict) {
+			current = d.reread(ctx, write.Path)
+		}
+		<-d.actions
+		d.post(ctx, func() {
+			if cache == d.cache {
+				d.finish(ctx, service, &next, &write, version, err, current)
+			}
+		})
+	}()
+}
+
+func (d *Duty) write(service ident.ServiceName, next *settings.Step) objectapi.Write {
+	w := objectapi.Write{If: objectapi.AtVersion(next.IfVersion), Writer: d.mesh.Self().Name, ID: objectapi.NewWriteID()}
+	switch next.Kind {
+	case settings.ClaimAddress, settings.ReleaseAddress:
+		w.Path = settings.AddressPath(next.Address.Address)
+		w.Value = objects.FromAddress(&next.Address)
+	case settings.AcceptRevision:
+		next.Revision.WriteID = w.ID
+		w.If = objectapi.Absent()
+		w.Path = settings.RevisionPath(service, next.Revision.Number)
+		w.Value = objects.FromRevision(&next.Revision, w.Writer)
+	case settings.WriteStatus:
+		w.Path = settings.StatusPath(service)
+		w.Value = objects.FromStatus(&next.Status)
+	}
+	return w
+}
+
+// reread returns the object that won a conflict, so that the next step starts from it and not from what a slow watch has shown.
+func (d *Duty) reread(ctx context.Context, path string) *objectapi.Object {
+	o, err := d.client.Get(ctx, path)
+	if err != nil && !errors.Is(err, objectapi.ErrNotFound) || o.Version == 0 {
+		return nil
+	}
+	return &o
+}
+
+// finish takes in the outcome of a step.
+func (d *Duty) finish(ctx context.Context, service ident.ServiceName, next *settings.Step, w *objectapi.Write, version uint64, err error,
+	current *objectapi.Object) {
+	p := d.pending[service]
+	p.running = false
+	conflict := (*objectapi.ConflictError)(nil)
+	switch {
+	case err == nil:
+		p.backoff = 0
+		d.done(service, next, version)
+	case errors.As(err, &conflict):
+		d.counters.conflicts.Inc()
+		d.postpone(p)
+		if current != nil {
+			d.merge("", objectapi.Listing{Objects: []objectapi.Object{*current}})
+		}
+	default:
+		d.counters.failures.Inc()
+		d.postpone(p)
+		_ = level.Warn(d.logger).Log(logging.KeyMessage, next.Kind, logging.KeyService, service, logging.KeyError, err)
+	}
+	d.step(ctx, service, time.Now())
+}
+
+func (d *Duty) postpone(p *pending) {
+	p.backoff = min(max(2*p.backoff, firstBackoff), maxBackoff)
+	p.retry = time.Now().Add(p.backoff)
+}
+
+// done takes in the object that this entry wrote, without waiting for the watch.
+func (d *Duty) done(service ident.ServiceName, next *settings.Step, version uint64) {
+	e := d.cache.entry(service)
+	switch next.Kind {
+	case settings.ClaimAddress, settings.ReleaseAddress:
+		written := next.Address
+		written.Version = version
+		if known := d.cache.addresses[written.Address]; known == nil || known.version < version {
+			d.cache.hold(written.Address, &written, version)
+		}
+	case settings.AcceptRevision:
+		if settings.Forward(e.newest, &next.Revision) {
+			d.cache.adopt(e, &next.Revision)
+			d.counters.accepted.Inc()
+			_ = level.Info(d.logger).Log(logging.KeyMessage, "revision accepted", logging.KeyService, service,
+				logging.KeyRevision, next.Revision.Number)
+			d.publish(service)
+		}
+	case settings.WriteStatus:
+		if e.statusVersion < version {
+			if next.Status.RefusedVersion != 0 && next.Status.RefusedVersion != e.status.RefusedVersion {
+				d.counters.refused.Inc()
+				_ = level.Info(d.logger).Log(logging.KeyMessage, "spec refused", logging.KeyService, service,
+					logging.KeyReason, next.Status.Reason)
+			}
+			e.status, e.statusVersion, e.statusWriter = next.Status, version, d.mesh.Self().Name
+			e.status.Version = version
+		}
+	}
+}
--- /dev/null
+++ b/policy/settings/revision.go
@@ -0,0 +1,321 @@
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"lacewinglever.dev/policy/ident"
+	"lacewinglever.dev/policy/record"
+)
+
+// AddressQuarantine is how long a released address cannot be taken by another service. It is longer than the time within which the
+// release is in force everywhere.
+const AddressQuarantine = 10 * time.Second
+
+// maxMissing bounds the names of missing nodes in a status, so that a lost data centre does not make it large.
+const maxMissing = 16
+
+// SpecObject is the operator's spec as the object API holds it.
+type SpecObject struct {
+	Version uint64
+	Text    []byte
+	Writer  string
+	WriteID string
+}
+
+// AddressObject is who holds a service address.
+type AddressObject struct {
+	Version  uint64
+	Address  netip.AddrPort
+	Service  ident.ServiceName
+	Source   uint64    // version of the spec for which the address was claimed
+	Released time.Time // zero while held
+}
+
+// Held tells whether the address is held by service.
+func (a *AddressObject) Held(service ident.ServiceName) bool {
+	return a != nil && a.Service == service && a.Released.IsZero()
+}
+
+// Status is what the system reports about a service.
+type Status struct {
+	Version         uint64 // of the status object; 0 if there is none
+	Accepted        uint64 // newest accepted revision; 0: none
+	AcceptedVersion uint64 // version of the spec that it came from
+	Deleted         bool
+	RefusedVersion  uint64 // version of the spec that was refused last; 0: none
+	Reason          string // of the refusal
+	InForce         int    // nodes that have applied the accepted revision
+	Nodes           int    // nodes that should have
+	Missing         []string
+	Elapsed         time.Duration // from acceptance until it was first in force everywhere; 0: not yet
+}
+
+// Progress is how far a revision is in force, as the duty holder counted it.
+type Progress struct {
+	Revision uint64
+	InForce  int
+	Nodes    int
+	Missing  []string
+	Elapsed  time.Duration
+}
+
+// State is what a duty holder knows about one service. Objects may be stale: every step is a conditional write.
+type State struct {
+	Service   ident.ServiceName
+	Now       time.Time
+	ReadAt    uint64           // store version that the knowledge of the service reflects
+	Spec      *SpecObject      // nil: there is none
+	DeletedBy string           // writer who deleted the spec; empty if unknown
+	Newest    *record.Revision // nil: none accepted
+	Wanted    *AddressObject   // object of the address that the spec names; nil: there is none
+	Held      []AddressObject  // addresses that the service holds
+	Status    Status
+	Progress  *Progress          // nil: not counted
+	Collision *ident.ServiceName // other service with an accepted revision and the same id
+}
+
+// StepKind is what the control duty does next for a service.
+type StepKind uint8
+
+// Kinds of step.
+const (
+	Nothing        StepKind = iota
+	Wait                    // until the time of the step, then look again
+	ClaimAddress            // write Step.Address if its version is still Step.IfVersion
+	ReleaseAddress          // the same, with the time of release
+	AcceptRevision          // create the object of Step.Revision if it is absent
+	WriteStatus             // write Step.Status if the version is still Step.IfVersion
+)
+
+// String returns the kind's name as in logs.
+func (k StepKind) String() string {
+	switch k {
+	case Wait:
+		return "wait"
+	case ClaimAddress:
+		return "claim address"
+	case ReleaseAddress:
+		return "release address"
+	case AcceptRevision:
+		return "accept revision"
+	case WriteStatus:
+		return "write status"
+	}
+	return "nothing"
+}
+
+// Step is the next step of the control duty. IfVersion 0 means that the object must be absent.
+type Step struct {
+	Kind      StepKind
+	IfVersion uint64
+	Address   AddressObject
+	Revision  record.Revision
+	Status    Status
+	Until     time.Time
+}
+
+// Next decides the next step for a service. It is deterministic.
+//
+// Revision n+1 is created only by a holder that has seen revision n, and only from a spec that is newer than that of n. As the number
+// is claimed by creating its object, numbers have no gaps and the specs behind them only get newer, whoever performs the duty.
+func Next(s State) Step {
+	if step, ok := s.release(); ok {
+		return step
+	}
+	if s.deletionPending() {
+		return s.accept(record.Revision{SourceVersion: s.ReadAt, Writer: s.DeletedBy, Deleted: true})
+	}
+	reason := ""
+	if s.specPending() {
+		step, refusal := s.consider()
+		if refusal == "" {
+			return step
+		}
+		reason = refusal
+	}
+	if want := s.wantedStatus(reason); !sameStatus(want, s.Status) {
+		return Step{Kind: WriteStatus, IfVersion: s.Status.Version, Status: want}
+	}
+	return Step{}
+}
+
+// WantedAddress returns the address that a spec names, if it names a valid one.
+func WantedAddress(service ident.ServiceName, text []byte) (netip.AddrPort, bool) {
+	spec, err := Parse(service.String(), service, text)
+	if err != nil {
+		return netip.AddrPort{}, false
+	}
+	return spec.Address, true
+}
+
+// Forward tells whether a node that has applied current may apply candidate. Revisions are applied only forwards.
+func Forward(current, candidate *record.Revision) bool {
+	return current == nil || candidate.Number > current.Number
+}
+
+func (s *State) newestSource() uint64 {
+	if s.Newest == nil {
+		return 0
+	}
+	return s.Newest.SourceVersion
+}
+
+// specPending tells whether the spec is neither accepted nor refused.
+func (s *State) specPending() bool {
+	return s.Spec != nil && s.Spec.Version > s.newestSource() && s.Spec.Version != s.Status.RefusedVersion
+}
+
+// deletionPending tells whether the operator deleted the spec and no revision says so. A claim without a revision also needs one:
+// the deletion's number ensures that no paused holder can still accept the spec for which the address was claimed.
+func (s *State) deletionPending() bool {
+	if s.Spec != nil || s.ReadAt <= s.newestSource() {
+		return false
+	}
+	if s.Newest != nil && !s.Newest.Deleted {
+		return true
+	}
+	for _, a := range s.Held {
+		if a.Source > s.newestSource() && s.ReadAt > a.Source {
+			return true
+		}
+	}
+	return false
+}
+
+// consider returns the next step towards accepting the spec, or the reason to refuse it.
+func (s *State) consider() (Step, string) {
+	if err := CheckWriter(s.Spec.Writer, s.Service); err != nil {
+		return Step{}, err.Error()
+	}
+	spec, err := Parse(s.Service.String(), s.Service, s.Spec.Text)
+	if err != nil {
+		return Step{}, err.Error()
+	}
+	if s.Collision != nil {
+		return Step{}, fmt.Sprintf("the id %s is that of service %s, choose another name", s.Service.ID(), s.Collision)
+	}
+	if !s.addressReady(spec.Address) {
+		return s.claim(spec.Address)
+	}
+	return s.accept(record.Revision{
+		Spec:          s.Spec.Text,
+		Writer:        s.Spec.Writer,
+		SourceVersion: s.Spec.Version,
+	}), ""
+}
+
+// addressReady tells whether the claim covers the spec. A claim made for an older spec counts only while the newest revision uses it:
+// otherwise a paused holder may be about to release it, and only a renewed claim makes that release fail.
+func (s *State) addressReady(a netip.AddrPort) bool {
+	if !s.Wanted.Held(s.Service) || s.Wanted.Address != a {
+		return false
+	}
+	return s.Wanted.Source == s.Spec.Version || s.newestAddress() == a
+}
+
+func (s *State) newestAddress() netip.AddrPort {
+	if s.Newest == nil || s.Newest.Deleted {
+		return netip.AddrPort{}
+	}
+	a, _ := WantedAddress(s.Service, s.Newest.Spec)
+	return a
+}
+
+func (s *State) claim(a netip.AddrPort) (Step, string) {
+	step := Step{
+		Kind:    ClaimAddress,
+		Address: AddressObject{Address: a, Service: s.Service, Source: s.Spec.Version},
+	}
+	if s.Wanted == nil {
+		return step, ""
+	}
+	step.IfVersion = s.Wanted.Version
+	if s.Wanted.Service == s.Service {
+		return step, ""
+	}
+	if s.Wanted.Released.IsZero() {
+		return Step{}, fmt.Sprintf("address %s is held by service %s", a, s.Wanted.Service)
+	}
+	if free := s.Wanted.Released.Add(AddressQuarantine); s.Now.Before(free) {
+		return Step{Kind: Wait, Until: free}, ""
+	}
+	return step, ""
+}
+
+// release returns the step that gives up an address which the newest revision no longer uses. The claim must be older than the newest
+// revision's spec, as a newer claim belongs to a revision that is about to be accepted.
+func (s *State) release() (Step, bool) {
+	current := s.newestAddress()
+	for _, a := range s.Held {
+		if a.Held(s.Service) && a.Address != current && a.Source < s.newestSource() {
+			released := a
+			released.Released = s.Now
+			return Step{Kind: ReleaseAddress, IfVersion: a.Version, Address: released}, true
+		}
+	}
+	return Step{}, false
+}
+
+func (s *State) accept(r record.Revision) Step {
+	r.Service = s.Service
+	r.Number = 1
+	r.Accepted = s.Now
+	if s.Newest != nil {
+		r.Number = s.Newest.Number + 1
+	}
+	return Step{Kind: AcceptRevision, Revision: r}
+}
+
+func (s *State) wantedStatus(reason string) Status {
+	want := s.Status
+	if s.Newest != nil && s.Newest.Number > want.Accepted {
+		want = Status{
+			Version:         want.Version,
+			Accepted:        s.Newest.Number,
+			AcceptedVersion: s.Newest.SourceVersion,
+			Deleted:         s.Newest.Deleted,
+			RefusedVersion:  want.RefusedVersion,
+			Reason:          want.Reason,
+		}
+	}
+	if reason != "" {
+		want.RefusedVersion, want.Reason = s.Spec.Version, reason
+	}
+	if want.RefusedVersion <= want.AcceptedVersion {
+		want.RefusedVersion, want.Reason = 0, ""
+	}
+	if p := s.Progress; p != nil && p.Revision == want.Accepted && p.Nodes > 0 {
+		want.InForce, want.Nodes = p.InForce, p.Nodes
+		want.Missing = slices.Clone(p.Missing[:min(len(p.Missing), maxMissing)])
+		if want.Elapsed == 0 {
+			want.Elapsed = p.Elapsed
+		}
+	}
+	return want
+}
+
+func sameStatus(a, b Status) bool {
+	return a.Accepted == b.Accepted && a.AcceptedVersion == b.AcceptedVersion && a.Deleted == b.Deleted &&
+		a.RefusedVersion == b.RefusedVersion && a.Reason == b.Reason &&
+		a.InForce == b.InForce && a.Nodes == b.Nodes && a.Elapsed == b.Elapsed && slices.Equal(a.Missing, b.Missing)
+}
+
+// CheckHistory reports the first gap or step backwards in the revisions of one service, which are sorted by number.
+func CheckHistory(revisions []record.Revision) error {
+	source := uint64(0)
+	for i, r := range revisions {
+		if want := uint64(i) + 1; r.Number != want {
+			return errors.Errorf("%s: revision %d is missing, found %d", r.Service, want, r.Number)
+		}
+		if r.SourceVersion <= source {
+			return errors.Errorf("%s: revision %d came from spec version %d, not newer than %d", r.Service, r.Number, r.SourceVersion, source)
+		}
+		source = r.SourceVersion
+	}
+	return nil
+}
