--- a/node/wire/frame.go
+++ b/node/wire/frame.go
@@ -89,6 +89,16 @@
 	return siphash.Hash(k.k0, k.k1, b) == tag
 }
 
+// TagWith returns the keyed hash of b under the key with this id, for users that carry only a part of the tag. It returns false if there
+// is no such key.
+func (r *Keyring) TagWith(keyID byte, b []byte) (uint64, bool) {
+	if !r.present[keyID] {
+		return 0, false
+	}
+	k := &r.keys[keyID]
+	return siphash.Hash(k.k0, k.k1, b), true
+}
+
 // begin appends an unsigned header.
 func (r *Keyring) begin(b []byte, t Type) []byte {
 	return append(b, byte(t), r.signer, 0, 0, 0, 0, 0, 0, 0, 0)
