bench: stand-ins for the network and for targets

Cause: demo, scenarios and measurements need a network with delays, loss and cuts between data centres, and targets that record each run and misbehave on demand.

--- /dev/null
+++ b/bench/cmd/standin-fabric/main.go
@@ -0,0 +1,28 @@
+// Command standin-fabric stands in for the network between callers, entries and agents.
+package main
+
+import (
+	"context"
+	"os"
+
+	"lacewinglever.dev/bench/fabric"
+	"lacewinglever.dev/bench/program"
+	"lacewinglever.dev/node/config"
+	"lacewinglever.dev/node/logging"
+)
+
+type options struct {
+	program.Common
+	Config string `long:"config" description:"settings file"`
+}
+
+func main() {
+	var o options
+	program.Main(&o, &o.Common, func(ctx context.Context) error {
+		settings, err := config.Load(o.Config, fabric.Defaults(), (*fabric.Config).Check)
+		if err != nil {
+			return err
+		}
+		return fabric.New(*settings, logging.New(os.Stderr, "fabric", "info")).Run(ctx)
+	})
+}
--- /dev/null
+++ b/bench/cmd/standin-target/main.go
@@ -0,0 +1,28 @@
+// Command standin-target stands in for a target: it serves feeds and requests and misbehaves on demand.
+package main
+
+import (
+	"context"
+	"os"
+
+	"lacewinglever.dev/bench/program"
+	"lacewinglever.dev/bench/target"
+	"lacewinglever.dev/node/config"
+	"lacewinglever.dev/node/logging"
+)
+
+type options struct {
+	program.Common
+	Config string `long:"config" description:"settings file"`
+}
+
+func main() {
+	var o options
+	program.Main(&o, &o.Common, func(ctx context.Context) error {
+		settings, err := config.Load(o.Config, target.Defaults(), (*target.Config).Check)
+		if err != nil {
+			return err
+		}
+		return target.New(*settings, logging.New(os.Stderr, settings.Name, "info")).Run(ctx)
+	})
+}
--- /dev/null
+++ b/bench/program/program.go
@@ -0,0 +1,82 @@
+// Package program holds what the command lines of the bench programs share.
+package program
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/jessevdk/go-flags"
+)
+
+const (
+	// headerTimeout bounds how long a client may take to send a request's header.
+	headerTimeout = 5 * time.Second
+	maxBodyBytes  = 1 << 20
+)
+
+// Common is the options that every program has.
+type Common struct {
+	Version bool `long:"version" description:"print the version and exit"`
+}
+
+// Main parses the options, runs the program until SIGINT or SIGTERM, and exits with 1 on an error.
+func Main(options any, common *Common, run func(context.Context) error) {
+	if _, err := flags.Parse(options); err != nil {
+		if flags.WroteHelp(err) {
+			return
+		}
+		os.Exit(2)
+	}
+	if common.Version {
+		fmt.Println(version())
+		return
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	err := run(ctx)
+	stop()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			return s.Value
+		}
+	}
+	return info.Main.Version
+}
+
+// Serve serves HTTP on the address until the context ends. It returns once the address is bound.
+func Serve(ctx context.Context, address string, handler http.Handler) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	go func() { _ = server.Serve(listener) }()
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	return nil
+}
+
+// ReadJSON decodes a request's body into v. Unknown fields are errors; fields that the body does not name keep their value.
+func ReadJSON(r *http.Request, v any) error {
+	decoder := json.NewDecoder(http.MaxBytesReader(nil, r.Body, maxBodyBytes))
+	decoder.DisallowUnknownFields()
+	return decoder.Decode(v)
+}
--- /dev/null
+++ b/bench/target/answer.go
@@ -0,0 +1,32 @@
+package target
+
+import (
+	"fmt"
+	"math/rand/v2"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Headers of requests and answers of the stand-ins. The agents pass them through.
+const (
+	HeaderRun     = "Run-Id"      // the caller's id of the run
+	HeaderTarget  = "Target-Name" // who ran it
+	HeaderSum     = "Body-Xxh64"  // checksum of the whole answer, 16 hexadecimal digits
+	HeaderNotRun  = "Lacewing-Not-Run"
+	QuerySize     = "size" // bytes of the answer
+	MaxAnswerSize = 16 << 20
+)
+
+// Answer returns the answer to a run: a line that names target, service and run, then bytes that follow from the run id, so
+// that the caller can tell a foreign, mixed or cut answer from its own.
+func Answer(target, service, run string, size int) []byte {
+	b := fmt.Appendf(nil, "%s %s %s\n", target, service, run)
+	random := rand.New(rand.NewPCG(xxhash.Sum64String(run), 0))
+	for len(b) < size {
+		b = append(b, byte('a'+random.IntN(26)))
+	}
+	return b
+}
+
+// Sum returns the checksum that HeaderSum carries.
+func Sum(b []byte) string { return fmt.Sprintf("%016x", xxhash.Sum64(b)) }
