bench: load program for feeds and requests

Cause: the guarantees are about what callers see, so callers have to look for broken feeds, foreign, wrong or cut answers, doubled runs and runs after not-run.

An answer's bytes follow from target, service and run id, so that the caller can tell another run's answer from its own; comparing only a checksum was ruled out, because a foreign answer carries a right one. Run logs are read every second, so that little is lost when a target is killed, and again from the start when a target restarted.

--- /dev/null
+++ b/bench/cmd/loadgen/main.go
@@ -0,0 +1,65 @@
+// Command loadgen holds feeds open, sends requests, and reports what callers saw.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+
+	"github.com/go-faster/errors"
+
+	"lacewinglever.dev/bench/load"
+	"lacewinglever.dev/bench/program"
+	"lacewinglever.dev/node/config"
+)
+
+type options struct {
+	program.Common
+	Config string `long:"config" description:"settings file"`
+	Out    string `long:"out" description:"file for the report as JSON; empty: standard output"`
+}
+
+func main() {
+	var o options
+	program.Main(&o, &o.Common, func(ctx context.Context) error { return run(ctx, o) })
+}
+
+// run prints the table to standard error and writes the JSON report. Faults in the report make it fail.
+func run(ctx context.Context, o options) error {
+	settings, err := config.Load(o.Config, load.Defaults(), (*load.Config).Check)
+	if err != nil {
+		return err
+	}
+	l, err := load.New(*settings)
+	if err != nil {
+		return err
+	}
+	report, err := l.Run(ctx)
+	if err != nil {
+		return err
+	}
+	report.Table(os.Stderr)
+	text, err := json.MarshalIndent(report, "", "  ")
+	if err != nil {
+		return err
+	}
+	if err := write(o.Out, append(text, '\n')); err != nil {
+		return err
+	}
+	if faults := report.Faults(); len(faults) > 0 {
+		return errors.Errorf("%q", faults)
+	}
+	return nil
+}
+
+func write(path string, text []byte) error {
+	if path == "" {
+		_, err := os.Stdout.Write(text)
+		return err
+	}
+	// The report is renamed into place, so that a reader never sees half of one.
+	if err := os.WriteFile(path+".part", text, 0o644); err != nil {
+		return err
+	}
+	return os.Rename(path+".part", path)
+}
--- /dev/null
+++ b/bench/load/config.go
@@ -0,0 +1,117 @@
+// Package load holds feeds open and sends requests at a given rate, and finds what a caller must never see: broken feeds,
+// foreign, wrong or cut answers, doubled runs, and runs after "not run".
+package load
+
+import (
+	"fmt"
+	"time"
+
+	"lacewinglever.dev/node/config"
+	"lacewinglever.dev/policy/yamlfile"
+)
+
+// Limits of a load.
+const (
+	maxFeeds    = 1_000_000
+	maxDuration = time.Hour
+)
+
+// Config is the settings file of the load program.
+type Config struct {
+	Duration time.Duration `yaml:"duration"`
+	Seed     uint64        `yaml:"seed"`
+	Admin    string        `yaml:"admin"` // host:port of the admin endpoint; empty: none
+	Feeds    []Feeds       `yaml:"feeds"`
+	Requests []Requests    `yaml:"requests"`
+}
+
+// Feeds is a number of feeds to one service.
+type Feeds struct {
+	Service  string        `yaml:"service"`
+	Address  string        `yaml:"address"`
+	Count    int           `yaml:"count"`
+	OpenRate float64       `yaml:"open_rate"` // feeds opened a second
+	Churn    float64       `yaml:"churn"`     // feeds a second that end and are replaced by new ones
+	Interval time.Duration `yaml:"interval"`  // between datagrams of one feed
+	Size     int           `yaml:"size"`      // bytes of a datagram
+	Targets  []string      `yaml:"targets"`   // URLs of the pool's targets
+}
+
+// Requests is a stream of requests to one service.
+type Requests struct {
+	Service     string        `yaml:"service"`
+	Address     string        `yaml:"address"`
+	Rate        float64       `yaml:"rate"` // requests a second, whatever the answers
+	Connections int           `yaml:"connections"`
+	InFlight    int           `yaml:"in_flight"` // further requests are counted and not sent
+	Timeout     time.Duration `yaml:"timeout"`   // of one try
+	Tries       int           `yaml:"tries"`
+	Mix         []Request     `yaml:"mix"`
+	Targets     []string      `yaml:"targets"`
+}
+
+// Request is one kind of request.
+type Request struct {
+	Method string `yaml:"method"`
+	Path   string `yaml:"path"`
+	Size   int    `yaml:"size"`   // bytes of the answer
+	Weight int    `yaml:"weight"` // share of the mix
+	Permit bool   `yaml:"permit"` // not idempotent
+}
+
+// Defaults returns the settings that a file need not name.
+func Defaults() Config { return Config{Duration: 20 * time.Second, Seed: 1} }
+
+// Check reports the faults of the settings and fills in defaults of the lists.
+func (c *Config) Check(f *yamlfile.Faults) {
+	if c.Duration <= 0 || c.Duration > maxDuration {
+		f.Add("$.duration", "want more than 0 and at most %v", maxDuration)
+	}
+	if c.Admin != "" {
+		config.CheckHostPort(f, "$.admin", c.Admin)
+	}
+	for i := range c.Feeds {
+		c.Feeds[i].check(f, fmt.Sprintf("$.feeds[%d]", i))
+	}
+	for i := range c.Requests {
+		c.Requests[i].check(f, fmt.Sprintf("$.requests[%d]", i))
+	}
+}
+
+func (g *Feeds) check(f *yamlfile.Faults, path string) {
+	config.CheckHostPort(f, path+".address", g.Address)
+	if g.Count < 1 || g.Count > maxFeeds {
+		f.Add(path+".count", "%d: want 1 to %d", g.Count, maxFeeds)
+	}
+	if g.Churn < 0 || g.OpenRate < 0 {
+		f.Add(path, "negative rate")
+	}
+	g.OpenRate = orDefault(g.OpenRate, 500)
+	g.Interval = orDefault(g.Interval, 500*time.Millisecond)
+	g.Size = orDefault(g.Size, 100)
+}
+
+func (g *Requests) check(f *yamlfile.Faults, path string) {
+	config.CheckHostPort(f, path+".address", g.Address)
+	if g.Rate <= 0 {
+		f.Add(path+".rate", "must be positive")
+	}
+	if len(g.Mix) == 0 {
+		f.Add(path+".mix", "is empty")
+	}
+	g.Connections = orDefault(g.Connections, 8)
+	g.InFlight = orDefault(g.InFlight, 1000)
+	g.Timeout = orDefault(g.Timeout, 3*time.Second)
+	g.Tries = orDefault(g.Tries, 3)
+	for i := range g.Mix {
+		g.Mix[i].Weight = orDefault(g.Mix[i].Weight, 1)
+	}
+}
+
+func orDefault[T comparable](value, otherwise T) T {
+	var zero T
+	if value == zero {
+		return otherwise
+	}
+	return value
+}
--- /dev/null
+++ b/bench/load/report.go
@@ -0,0 +1,154 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// maxEvents bounds the faults that a report describes one by one.
+const maxEvents = 50
+
+// Report is what a load found.
+type Report struct {
+	Seconds  float64         `json:"seconds"`
+	Stalls   int             `json:"stalls"` // times the load program itself stood still for too long to judge silence
+	Feeds    []FeedReport    `json:"feeds"`
+	Requests []RequestReport `json:"requests"`
+}
+
+// FeedReport is about the feeds of one service.
+type FeedReport struct {
+	Service        string         `json:"service"`
+	Wanted         int            `json:"wanted"`
+	Open           int            `json:"open"`   // answered at least once and not ended
+	Opened         int            `json:"opened"` // answered at least once
+	Unopened       int            `json:"unopened"`
+	Broken         int            `json:"broken"` // feeds that moved or fell silent, once per feed
+	Moved          int            `json:"moved"`
+	Silent         int            `json:"silent"`
+	BrokenByTarget map[string]int `json:"broken_by_target"` // by the target that served the feed before
+	Misrouted      int            `json:"misrouted"`        // datagrams of a foreign service, flow or caller
+	Malformed      int            `json:"malformed"`
+	Late           int            `json:"late"` // datagrams of feeds that have ended
+	Calls          int            `json:"calls"`
+	Answers        int            `json:"answers"`
+	Readings       int            `json:"readings"`
+	Gaps           int            `json:"gaps"` // readings that are missing
+	Latency        Latency        `json:"latency"`
+	Pool           PoolReport     `json:"pool"`
+	Events         []string       `json:"events,omitempty"`
+}
+
+// RequestReport is about the requests to one service.
+type RequestReport struct {
+	Service            string     `json:"service"`
+	Started            int        `json:"started"`
+	Answered           int        `json:"answered"`
+	NotRun             int        `json:"not_run"`
+	Unknown            int        `json:"unknown"`
+	Unsent             int        `json:"unsent"`  // no connection could be opened
+	Skipped            int        `json:"skipped"` // too many in flight
+	Pending            int        `json:"pending"`
+	Retries            int        `json:"retries"`
+	PermitsRequired    int        `json:"permits_required"`
+	Errors             int        `json:"errors"` // answered with a status other than 200
+	Wrong              int        `json:"wrong"`  // an answer that is complete and not the run's own
+	Cut                int        `json:"cut"`    // answers whose end is missing, visibly to the caller
+	Misrouted          int        `json:"misrouted"`
+	Doubled            int        `json:"doubled"` // requests with a permit that ran more than once
+	RunAfterNotRun     int        `json:"run_after_not_run"`
+	AnsweredWithoutRun int        `json:"answered_without_run"` // judged only if all run logs were read to the end
+	UnreadLogs         int        `json:"unread_logs"`          // run logs that could not be read to the end
+	Latency            Latency    `json:"latency"`              // from the intended start to the whole answer
+	Pool               PoolReport `json:"pool"`
+	Events             []string   `json:"events,omitempty"`
+}
+
+// PoolReport tells how evenly the work is spread over a pool. An imbalance is the largest share divided by the mean.
+type PoolReport struct {
+	Targets             int                `json:"targets"`
+	Connections         map[string]float64 `json:"connections"` // flows open at each target by its own count
+	ConnectionImbalance float64            `json:"connection_imbalance"`
+	NewFlows            map[string]float64 `json:"new_flows"` // since the last mark
+	NewFlowImbalance    float64            `json:"new_flow_imbalance"`
+	BusySeconds         map[string]float64 `json:"busy_seconds"` // slot-seconds since the last mark
+	BusyImbalance       float64            `json:"busy_imbalance"`
+	Samples             []Sample           `json:"samples"`
+}
+
+// Sample is the imbalance over the window that ends at a time.
+type Sample struct {
+	Second      float64 `json:"second"` // since the start
+	Connections float64 `json:"connections"`
+	NewFlows    float64 `json:"new_flows"`
+	Busy        float64 `json:"busy"`
+}
+
+// Latency is a distribution in microseconds.
+type Latency struct {
+	Count int64 `json:"count"`
+	P50   int64 `json:"p50_us"`
+	P99   int64 `json:"p99_us"`
+	P999  int64 `json:"p999_us"`
+	Max   int64 `json:"max_us"`
+}
+
+const maxLatencyUs = 120_000_000
+
+func newHistogram() *hdrhistogram.Histogram { return hdrhistogram.New(1, maxLatencyUs, 3) }
+
+func latencyOf(h *hdrhistogram.Histogram) Latency {
+	return Latency{
+		Count: h.TotalCount(), P50: h.ValueAtQuantile(50), P99: h.ValueAtQuantile(99),
+		P999: h.ValueAtQuantile(99.9), Max: h.Max(),
+	}
+}
+
+// Faults lists what must not be, whatever fails: each line names the service and the count. Broken feeds are not among them,
+// because a target that dies breaks its own.
+func (r *Report) Faults() []string {
+	var faults []string
+	add := func(service, what string, n int) {
+		if n > 0 {
+			faults = append(faults, fmt.Sprintf("%s: %d %s", service, n, what))
+		}
+	}
+	for _, f := range r.Feeds {
+		add(f.Service, "misrouted datagrams", f.Misrouted)
+	}
+	for _, q := range r.Requests {
+		add(q.Service, "misrouted answers", q.Misrouted)
+		add(q.Service, "wrong answers", q.Wrong)
+		add(q.Service, "doubled runs", q.Doubled)
+		add(q.Service, "runs after not-run", q.RunAfterNotRun)
+		add(q.Service, "answered requests without a run", q.AnsweredWithoutRun)
+	}
+	return faults
+}
+
+// Table writes the report for people.
+func (r *Report) Table(w io.Writer) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	row := func(format string, args ...any) { fmt.Fprintf(t, format+"\t\n", args...) }
+	if len(r.Feeds) > 0 {
+		row("feeds\topened\tunopened\tbroken\tmoved\tsilent\tmisrouted\tgaps\tp50 ms\tp99 ms\tconnections max/mean\tnew max/mean")
+	}
+	for _, f := range r.Feeds {
+		row("%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.3f\t%.3f", f.Service, f.Opened, f.Unopened, f.Broken, f.Moved, f.Silent,
+			f.Misrouted, f.Gaps, ms(f.Latency.P50), ms(f.Latency.P99), f.Pool.ConnectionImbalance, f.Pool.NewFlowImbalance)
+	}
+	_ = t.Flush()
+	if len(r.Requests) > 0 {
+		row("requests\tstarted\tanswered\tnot run\tunknown\tunsent\twrong\tcut\tmisrouted\tdoubled\tafter not-run\tp50 ms\tp99 ms\tbusy max/mean")
+	}
+	for _, q := range r.Requests {
+		row("%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.3f", q.Service, q.Started, q.Answered, q.NotRun, q.Unknown, q.Unsent,
+			q.Wrong, q.Cut, q.Misrouted, q.Doubled, q.RunAfterNotRun, ms(q.Latency.P50), ms(q.Latency.P99), q.Pool.BusyImbalance)
+	}
+	_ = t.Flush()
+}
+
+func ms(us int64) float64 { return float64(us) / 1000 }
--- a/bench/target/answer.go
+++ b/bench/target/answer.go
@@ -9,12 +9,15 @@
 
 // Headers of requests and answers of the stand-ins. The agents pass them through.
 const (
-	HeaderRun     = "Run-Id"      // the caller's id of the run
-	HeaderTarget  = "Target-Name" // who ran it
-	HeaderSum     = "Body-Xxh64"  // checksum of the whole answer, 16 hexadecimal digits
-	HeaderNotRun  = "Lacewing-Not-Run"
-	QuerySize     = "size" // bytes of the answer
-	MaxAnswerSize = 16 << 20
+	HeaderRun    = "Run-Id"      // the caller's id of the run
+	HeaderTarget = "Target-Name" // who ran it
+	HeaderSum    = "Body-Xxh64"  // checksum of the whole answer, 16 hexadecimal digits
+	// HeaderLogStart tells which process's run log an answer to GET /runs is from.
+	HeaderLogStart = "Run-Log-Start"
+	HeaderNotRun   = "Lacewing-Not-Run"
+	QuerySize      = "size" // bytes of the answer
+	QueryFrom      = "from" // of GET /runs: how many runs to skip
+	MaxAnswerSize  = 16 << 20
 )
 
 // Answer returns the answer to a run: a line that names target, service and run, then bytes that follow from the run id, so
--- a/bench/target/requests.go
+++ b/bench/target/requests.go
@@ -186,12 +186,15 @@
 	panic(http.ErrAbortHandler)
 }
 
-// list writes the run log as JSON lines.
-func (q *requests) list(w http.ResponseWriter, _ *http.Request) {
+// list writes the run log as JSON lines, without the runs before the one numbered by the query's from.
+func (q *requests) list(w http.ResponseWriter, r *http.Request) {
+	from, _ := strconv.Atoi(r.URL.Query().Get(QueryFrom))
 	q.mu.Lock()
-	runs := append([]Run(nil), q.runs...)
+	from = min(max(0, from), len(q.runs))
+	runs := append([]Run(nil), q.runs[from:]...)
 	q.mu.Unlock()
 	w.Header().Set("Content-Type", "application/jsonl")
+	w.Header().Set(HeaderLogStart, strconv.FormatInt(q.t.started.UnixNano(), 10))
 	encoder := json.NewEncoder(w)
 	for i := range runs {
 		_ = encoder.Encode(&runs[i])
--- a/bench/target/target.go
+++ b/bench/target/target.go
@@ -21,6 +21,7 @@
 	logger   log.Logger
 	flows    *flows
 	requests *requests
+	started  time.Time
 
 	mu        sync.RWMutex
 	now       Mode
@@ -29,7 +30,7 @@
 
 // New prepares a target.
 func New(config Config, logger log.Logger) *Target {
-	t := &Target{config: config, logger: logger, now: config.Mode, coldSince: time.Now()}
+	t := &Target{config: config, logger: logger, now: config.Mode, started: time.Now(), coldSince: time.Now()}
 	t.flows = &flows{t: t}
 	t.requests = newRequests(t)
 	return t
