flow, placement, agent: flow table, directory, placement and the agent's data plane

Cause: agents need to own flows, to know the owners of those they are home of, and to choose owners without herding. Ruled out: taking a flow that a home forwards as placed under any view (two owners when views differ); letting the placing home count as told before the owner has registered (two owners when the marked datagram is lost); releasing a contested flow on the word of an agent that is not its home. Conclusion: the program follows; the data plane has not run over sockets yet.

--- /dev/null
+++ b/node/agent/health.go
@@ -0,0 +1,123 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// Polling of the target.
+const (
+	pollInterval = 250 * time.Millisecond
+	pollTimeout  = time.Second
+	maxLoadBody  = 4 << 10
+	// failuresToDown keeps one lost answer from making a warm target cold.
+	failuresToDown = 3
+	fullyWarm      = 1000
+)
+
+// targetLoad is the answer to GET /load.
+type targetLoad struct {
+	Ready       bool   `json:"ready"`
+	Draining    bool   `json:"draining"`
+	Shedding    bool   `json:"shedding"`
+	Connections uint32 `json:"connections"`
+	Busy        uint32 `json:"busy"`
+	Slots       uint32 `json:"slots"`
+}
+
+// health follows the target's load endpoint and its warm-up.
+type health struct {
+	url    string
+	client *http.Client
+
+	mu       sync.Mutex
+	load     targetLoad
+	up       bool
+	upSince  time.Time
+	failures int
+}
+
+// newHealth follows the target at url. Without a url the target is taken to be ready and warm.
+func newHealth(url string) *health {
+	h := &health{url: url, client: &http.Client{Timeout: pollTimeout}}
+	if url == "" {
+		h.up = true
+		h.load.Ready = true
+	}
+	return h
+}
+
+func (h *health) run(ctx context.Context) {
+	if h.url == "" {
+		return
+	}
+	poll := time.NewTicker(pollInterval)
+	defer poll.Stop()
+	for {
+		load, err := h.fetch(ctx)
+		h.note(time.Now(), load, err)
+		select {
+		case <-ctx.Done():
+			return
+		case <-poll.C:
+		}
+	}
+}
+
+func (h *health) fetch(ctx context.Context) (targetLoad, error) {
+	var load targetLoad
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, h.url+"/load", nil)
+	if err != nil {
+		return load, errors.Wrap(err, "target url")
+	}
+	response, err := h.client.Do(request)
+	if err != nil {
+		return load, errors.Wrap(err, "get load of target")
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return load, errors.Errorf("get load of target: status %d", response.StatusCode)
+	}
+	err = json.NewDecoder(io.LimitReader(response.Body, maxLoadBody)).Decode(&load)
+	return load, errors.Wrap(err, "load of target")
+}
+
+// note takes one answer. A target that comes up is cold.
+func (h *health) note(now time.Time, load targetLoad, err error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if err != nil || !load.Ready {
+		h.failures++
+		if h.failures >= failuresToDown || err == nil {
+			h.up = false
+		}
+		return
+	}
+	h.failures = 0
+	h.load = load
+	if !h.up {
+		h.up = true
+		h.upSince = now
+	}
+}
+
+// snapshot returns the newest load and how warm the target is. A target that is down or draining is not warm at all, so that it gets no
+// new work.
+func (h *health) snapshot(now time.Time, warmUp time.Duration) (load targetLoad, warmPerMille uint32) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.up || h.load.Draining {
+		return h.load, 0
+	}
+	age := now.Sub(h.upSince)
+	if h.upSince.IsZero() || age >= warmUp {
+		return h.load, fullyWarm
+	}
+	return h.load, uint32(fullyWarm * age / warmUp)
+}
--- /dev/null
+++ b/node/agent/pool.go
@@ -0,0 +1,215 @@
+package agent
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-kit/log/level"
+
+	"lacewinglever.dev/node/logging"
+	"lacewinglever.dev/policy/ident"
+	"lacewinglever.dev/policy/placement"
+	"lacewinglever.dev/policy/record"
+	"lacewinglever.dev/policy/settings"
+	"lacewinglever.dev/policy/view"
+)
+
+const (
+	// entryTimeout is for how long an entry that was not heard is still used for return traffic.
+	entryTimeout = time.Second
+	// sameReport is how far the times of arrival of one load report may differ when they are computed from its age.
+	sameReport = 50 * time.Millisecond
+)
+
+// pool is what the agent derives from the mesh: settings, view and load reports. refresh is its only writer.
+type pool struct {
+	mu       sync.Mutex
+	spec     settings.Spec
+	revision uint64
+	view     *view.View
+	reports  map[ident.NodeID]report
+}
+
+// report tells load reports of one target apart.
+type report struct {
+	arrived time.Duration
+	number  uint64
+}
+
+func (p *pool) init(service ident.ServiceID) {
+	p.view = view.Build(nil, service, view.DefaultSlots, nil)
+	p.reports = map[ident.NodeID]report{}
+	p.spec = settings.Spec{HashSlots: view.DefaultSlots, IdleTimeout: defaultIdleTimeout}
+}
+
+func (p *pool) settings() settings.Spec {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.spec
+}
+
+func (p *pool) warmUp() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.spec.WarmUp
+}
+
+func (p *pool) applied() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.revision
+}
+
+// Spec returns the settings in force, and whether any were received.
+func (a *Agent) Spec() (settings.Spec, bool) {
+	a.pool.mu.Lock()
+	defer a.pool.mu.Unlock()
+	return a.pool.spec, a.pool.revision > 0
+}
+
+// routes are the addresses of agents and entries. They are replaced as a whole.
+type routes struct {
+	digest  uint64
+	agents  map[ident.NodeID]netip.AddrPort
+	entries map[ident.NodeID]netip.AddrPort
+	order   []ident.NodeID // live entries; those before local are of the own data centre
+	local   int
+}
+
+// entry returns the wanted entry if it is live, else another one, of the own data centre if there is any.
+func (r *routes) entry(wanted ident.NodeID, caller ident.Caller) (ident.NodeID, netip.AddrPort, bool) {
+	if to, ok := r.entries[wanted]; ok {
+		return wanted, to, true
+	}
+	choice := r.order
+	if r.local > 0 {
+		choice = r.order[:r.local]
+	}
+	if len(choice) == 0 {
+		return 0, netip.AddrPort{}, false
+	}
+	id := choice[xxhash.Sum64(caller[:])%uint64(len(choice))]
+	return id, r.entries[id], true
+}
+
+// refresh takes over what the mesh knows now.
+func (a *Agent) refresh() {
+	a.applySettings()
+	members := a.members()
+	spec := a.pool.settings()
+	a.pool.mu.Lock()
+	v := view.Build(a.pool.view, a.service, spec.HashSlots, members)
+	a.pool.view = v
+	a.pool.mu.Unlock()
+	a.setRoutes(v)
+	a.table.SetView(a.now(), v)
+	a.chooser.Update(a.reports(v))
+}
+
+// applySettings applies the newest accepted revision. Revisions only go forwards.
+func (a *Agent) applySettings() {
+	revision, ok := a.options.Mesh.Revision(a.service)
+	if !ok || revision.Number <= a.pool.applied() || revision.Deleted {
+		return
+	}
+	spec, err := a.options.Parse("revision", a.options.Service, revision.Spec)
+	if err != nil {
+		_ = level.Error(a.options.Logger).Log(logging.KeyMessage, "accepted revision cannot be parsed",
+			logging.KeyRevision, revision.Number, logging.KeyError, err)
+		return
+	}
+	a.pool.mu.Lock()
+	a.pool.spec = *spec
+	a.pool.revision = revision.Number
+	a.pool.mu.Unlock()
+	a.table.SetIdleTimeout(spec.IdleTimeout)
+	_ = level.Info(a.options.Logger).Log(logging.KeyMessage, "settings applied", logging.KeyRevision, revision.Number)
+}
+
+// members returns the pool with the weights that the settings give. Targets without weight are not in the pool.
+func (a *Agent) members() []view.Member {
+	spec := a.pool.settings()
+	self := a.options.Mesh.Self()
+	nodes := a.options.Mesh.Pool(a.service)
+	present := false
+	var out []view.Member
+	for _, n := range nodes {
+		present = present || n.ID == self.ID
+		out = appendMember(out, &spec, n)
+	}
+	if !present && self.Alive() {
+		out = appendMember(out, &spec, self)
+	}
+	return out
+}
+
+func appendMember(out []view.Member, spec *settings.Spec, n record.Node) []view.Member {
+	weight := spec.Weight(n.DataCentre) * n.Weight
+	if weight <= 0 {
+		return out
+	}
+	return append(out, view.Member{Node: n, Weight: weight})
+}
+
+func (a *Agent) setRoutes(v *view.View) {
+	r := &routes{digest: v.Digest, agents: map[ident.NodeID]netip.AddrPort{}, entries: map[ident.NodeID]netip.AddrPort{}}
+	for i := range v.Members {
+		addRoute(r.agents, &v.Members[i].Node)
+	}
+	dc := a.options.Mesh.Self().DataCentre
+	for _, n := range a.options.Mesh.Entries() {
+		if age, ok := a.options.Mesh.Heard(n.ID); !ok || age > entryTimeout || !addRoute(r.entries, &n) {
+			continue
+		}
+		r.order = append(r.order, n.ID)
+		if n.DataCentre == dc {
+			r.local = len(r.order)
+		}
+	}
+	a.routes.Store(r)
+}
+
+func addRoute(to map[ident.NodeID]netip.AddrPort, n *record.Node) bool {
+	address, err := netip.ParseAddrPort(n.UDPAddress)
+	if err != nil {
+		return false
+	}
+	to[n.ID] = address
+	return true
+}
+
+// reports returns the load reports of the pool's targets.
+func (a *Agent) reports(v *view.View) []placement.Report {
+	out := make([]placement.Report, 0, len(v.Members))
+	now := a.now()
+	for i := range v.Members {
+		m := &v.Members[i]
+		r := placement.Report{Node: m.Node.ID, Weight: m.Weight}
+		ready := m.Node.State == record.Ready
+		if m.Node.ID == a.self {
+			load := a.Load()
+			r.Connections, r.WarmPerMille = load.GetConnections(), load.GetWarmPerMille()
+			r.Eligible = ready && !load.GetShedding() && !a.table.Draining()
+		} else if load, age, ok := a.options.Mesh.Load(m.Node.ID); ok {
+			r.Connections, r.WarmPerMille = load.GetConnections(), load.GetWarmPerMille()
+			r.Eligible = ready && !load.GetShedding() && !a.options.Mesh.Suspect(m.Node.ID)
+			r.Number = a.number(m.Node.ID, now-age)
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
+// number returns a number that changes with each load report.
+func (a *Agent) number(id ident.NodeID, arrived time.Duration) uint64 {
+	a.pool.mu.Lock()
+	defer a.pool.mu.Unlock()
+	r := a.pool.reports[id]
+	if r.number == 0 || arrived > r.arrived+sameReport {
+		r = report{arrived: arrived, number: r.number + 1}
+		a.pool.reports[id] = r
+	}
+	return r.number
+}
--- /dev/null
+++ b/node/agent/run.go
@@ -0,0 +1,153 @@
+package agent
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"lacewinglever.dev/node/logging"
+	"lacewinglever.dev/policy/ident"
+	"lacewinglever.dev/policy/record"
+	"lacewinglever.dev/policy/view"
+)
+
+// Timing of the agent's life cycle.
+const (
+	tickInterval    = 20 * time.Millisecond
+	refreshInterval = 100 * time.Millisecond
+	// joinAtLeast leaves time to learn of the pool before the agent concludes that nobody has anything to register.
+	joinAtLeast     = 500 * time.Millisecond
+	joinAtMost      = 2 * time.Second
+	handOverAtMost  = 2 * time.Second
+	announceAtLeast = 500 * time.Millisecond
+	// leaveLinger is how long datagrams of entries that have not yet learnt of the departure are still forwarded.
+	leaveLinger = time.Second
+)
+
+// Run serves until the context ends and the graceful shutdown after it is complete. The transport and the mesh must keep running until
+// Run has returned.
+func (a *Agent) Run(ctx context.Context) error {
+	work, stop := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { a.health.run(work) })
+	running.Go(func() { a.loop(work) })
+	if a.feed != nil {
+		running.Go(a.feed.run)
+	}
+	a.join(ctx)
+	<-ctx.Done()
+	a.shutDown()
+	stop()
+	if a.feed != nil {
+		a.feed.close()
+	}
+	running.Wait()
+	return nil
+}
+
+// loop refreshes the view and the table until the context ends.
+func (a *Agent) loop(ctx context.Context) {
+	tick := time.NewTicker(tickInterval)
+	refresh := time.NewTicker(refreshInterval)
+	defer tick.Stop()
+	defer refresh.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+			a.tick()
+		case <-refresh.C:
+			a.update()
+		case <-a.changed:
+			a.update()
+		}
+	}
+}
+
+func (a *Agent) update() {
+	a.refresh()
+	a.followDrain()
+}
+
+// followDrain drains the target, or ends that, as the settings say.
+func (a *Agent) followDrain() {
+	if !a.ready.Load() || a.exiting.Load() {
+		return
+	}
+	spec := a.pool.settings()
+	self := a.options.Mesh.Self()
+	drain := spec.Drains(self.Name)
+	a.table.SetDraining(drain)
+	switch {
+	case drain && self.State == record.Ready:
+		a.setState(record.Draining)
+	case !drain && self.State == record.Draining:
+		a.setState(record.Ready)
+	}
+}
+
+func (a *Agent) setState(s record.State) {
+	a.options.Mesh.SetState(s)
+	_ = level.Info(a.options.Logger).Log(logging.KeyMessage, "state changed", logging.KeyState, s)
+	a.wake()
+}
+
+// join waits until the pool has registered its flows here, then announces the target as ready.
+func (a *Agent) join(ctx context.Context) {
+	a.wake()
+	started := time.Now()
+	wait(ctx, joinAtLeast, func() bool { return false })
+	wait(ctx, joinAtMost-time.Since(started), a.table.Joined)
+	if ctx.Err() != nil {
+		return
+	}
+	a.setState(record.Ready)
+	a.ready.Store(true)
+}
+
+// shutDown drains the target, hands the directory over and announces the departure.
+func (a *Agent) shutDown() {
+	a.exiting.Store(true)
+	a.table.SetDraining(true)
+	a.setState(record.Draining)
+	drain, cancel := context.WithTimeout(context.Background(), a.options.DrainTimeout)
+	defer cancel()
+	wait(drain, announceAtLeast, func() bool { return false })
+	if err := a.local.Drain(drain); err != nil {
+		_ = level.Warn(a.options.Logger).Log(logging.KeyMessage, "drain ended by timeout", "flows", a.table.Owned())
+	}
+	a.pool.mu.Lock()
+	successor := without(a.pool.view, a.self)
+	a.pool.mu.Unlock()
+	a.table.HandOver(successor)
+	wait(context.Background(), handOverAtMost, a.table.HandedOver)
+	a.setState(record.Left)
+	wait(context.Background(), leaveLinger, func() bool { return false })
+}
+
+// without returns the view that holds when the agent has left.
+func without(v *view.View, self ident.NodeID) *view.View {
+	members := slices.DeleteFunc(slices.Clone(v.Members), func(m view.Member) bool { return m.Node.ID == self })
+	return view.Build(v, v.Service, v.Slots(), members)
+}
+
+// wait returns when done reports true, after the duration, or when the context ends.
+func wait(ctx context.Context, atMost time.Duration, done func() bool) {
+	limit := time.NewTimer(atMost)
+	poll := time.NewTicker(tickInterval)
+	defer limit.Stop()
+	defer poll.Stop()
+	for !done() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-limit.C:
+			return
+		case <-poll.C:
+		}
+	}
+}
