--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -45,9 +45,9 @@
 	Metrics  *metrics.Set
 }
 
-// Loader is a Local that reports its own load: busy slots, queue, latency, shedding.
+// Loader is a Local that reports its busy slots, slots, queue and latency itself.
 type Loader interface {
-	Load(*lacewingv1.Load)
+	Load() *lacewingv1.Load
 }
 
 // Recognizer is a Local that recognizes datagrams of its connections by their payload, whatever the caller address.
@@ -157,7 +157,10 @@
 		WarmPerMille: warm,
 	}
 	if l, ok := a.local.(Loader); ok {
-		l.Load(load)
+		own := l.Load()
+		load.BusySlots, load.Slots = own.GetBusySlots(), own.GetSlots()
+		load.Queued, load.LatencyUs = own.GetQueued(), own.GetLatencyUs()
+		load.Shedding = load.Shedding || own.GetShedding()
 	}
 	return load
 }
