--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -40,7 +40,7 @@
 	DrainTimeout time.Duration
 	Parse        func(name string, service ident.ServiceName, text []byte) (*settings.Spec, error)
 	// NewLocal makes what serves the owned flows; nil for the UDP socket to the target.
-	NewLocal func(Return) (Local, error)
+	NewLocal func(*Agent) (Local, error)
 	Logger   log.Logger
 	Metrics  *metrics.Set
 }
@@ -81,6 +81,7 @@
 	unroutable *metrics.Counter
 	changed    chan struct{}
 	exiting    atomic.Bool
+	drained    atomic.Bool // by RPC
 	ready      atomic.Bool
 }
 
@@ -124,7 +125,7 @@
 		a.feed, a.slots, a.local = f, f, f
 		return nil
 	}
-	local, err := a.options.NewLocal(a.Return)
+	local, err := a.options.NewLocal(a)
 	if err != nil {
 		return err
 	}
@@ -308,7 +309,10 @@
 	s.data = wire.Data{Service: a.service, Destination: id, Caller: caller, Entry: id, Payload: payload}
 	frame, err := a.options.Transport.SendData(s.frame, to, wire.TypeReturn, &s.data)
 	s.frame = frame
-	return errors.Wrap(err, "send return datagram")
+	if err != nil {
+		return errors.Wrap(err, "send return datagram")
+	}
+	return nil
 }
 
 func (a *Agent) wake() {
--- a/node/agent/health.go
+++ b/node/agent/health.go
@@ -84,8 +84,10 @@
 	if response.StatusCode != http.StatusOK {
 		return load, errors.Errorf("get load of target: status %d", response.StatusCode)
 	}
-	err = json.NewDecoder(io.LimitReader(response.Body, maxLoadBody)).Decode(&load)
-	return load, errors.Wrap(err, "load of target")
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxLoadBody)).Decode(&load); err != nil {
+		return load, errors.Wrap(err, "load of target")
+	}
+	return load, nil
 }
 
 // note takes one answer. A target that comes up is cold.
--- a/node/agent/pool.go
+++ b/node/agent/pool.go
@@ -62,11 +62,15 @@
 	return p.revision
 }
 
-// Spec returns the settings in force, and whether any were received.
-func (a *Agent) Spec() (settings.Spec, bool) {
+// Settings returns the newest accepted settings of the service, nil while none are known.
+func (a *Agent) Settings() *settings.Spec {
 	a.pool.mu.Lock()
 	defer a.pool.mu.Unlock()
-	return a.pool.spec, a.pool.revision > 0
+	if a.pool.revision == 0 {
+		return nil
+	}
+	spec := a.pool.spec
+	return &spec
 }
 
 // routes are the addresses of agents and entries. They are replaced as a whole.
--- a/node/agent/run.go
+++ b/node/agent/run.go
@@ -27,10 +27,12 @@
 	leaveLinger = time.Second
 )
 
-// Run serves until the context ends and the graceful shutdown after it is complete. The transport and the mesh must keep running until
-// Run has returned.
-func (a *Agent) Run(ctx context.Context) error {
-	work, stop := context.WithCancel(context.Background())
+// Run serves until ctx ends and the graceful shutdown after it is complete. The transport and the mesh must keep running until Run has
+// returned. When abort ends, Run returns without a graceful shutdown.
+func (a *Agent) Run(ctx, abort context.Context) error {
+	work, stop := context.WithCancel(abort)
+	ctx, cancel := merge(ctx, abort)
+	defer cancel()
 	var running sync.WaitGroup
 	running.Go(func() { a.health.run(work) })
 	running.Go(func() { a.loop(work) })
@@ -39,7 +41,7 @@
 	}
 	a.join(ctx)
 	<-ctx.Done()
-	a.shutDown()
+	a.shutDown(abort)
 	stop()
 	if a.feed != nil {
 		a.feed.close()
@@ -48,6 +50,16 @@
 	return nil
 }
 
+// merge returns a context that ends with either of the two.
+func merge(a, b context.Context) (context.Context, context.CancelFunc) {
+	merged, cancel := context.WithCancel(a)
+	stop := context.AfterFunc(b, cancel)
+	return merged, func() {
+		stop()
+		cancel()
+	}
+}
+
 // loop refreshes the view and the table until the context ends.
 func (a *Agent) loop(ctx context.Context) {
 	tick := time.NewTicker(tickInterval)
@@ -80,7 +92,7 @@
 	}
 	spec := a.pool.settings()
 	self := a.options.Mesh.Self()
-	drain := spec.Drains(self.Name)
+	drain := spec.Drains(self.Name) || a.drained.Load()
 	a.table.SetDraining(drain)
 	switch {
 	case drain && self.State == record.Ready:
@@ -90,6 +102,12 @@
 	}
 }
 
+// forceDrain drains the target until the process ends.
+func (a *Agent) forceDrain() {
+	a.drained.Store(true)
+	a.wake()
+}
+
 func (a *Agent) setState(s record.State) {
 	a.options.Mesh.SetState(s)
 	_ = level.Info(a.options.Logger).Log(logging.KeyMessage, "state changed", logging.KeyState, s)
@@ -110,11 +128,11 @@
 }
 
 // shutDown drains the target, hands the directory over and announces the departure.
-func (a *Agent) shutDown() {
+func (a *Agent) shutDown(abort context.Context) {
 	a.exiting.Store(true)
 	a.table.SetDraining(true)
 	a.setState(record.Draining)
-	drain, cancel := context.WithTimeout(context.Background(), a.options.DrainTimeout)
+	drain, cancel := context.WithTimeout(abort, a.options.DrainTimeout)
 	defer cancel()
 	wait(drain, announceAtLeast, func() bool { return false })
 	if err := a.local.Drain(drain); err != nil {
@@ -124,9 +142,9 @@
 	successor := without(a.pool.view, a.self)
 	a.pool.mu.Unlock()
 	a.table.HandOver(successor)
-	wait(context.Background(), handOverAtMost, a.table.HandedOver)
+	wait(abort, handOverAtMost, a.table.HandedOver)
 	a.setState(record.Left)
-	wait(context.Background(), leaveLinger, func() bool { return false })
+	wait(abort, leaveLinger, func() bool { return false })
 }
 
 // without returns the view that holds when the agent has left.
--- a/policy/flow/claim.go
+++ b/policy/flow/claim.go
@@ -30,12 +30,24 @@
 		return x.place(d)
 	}
 	c := &claim{id: x.t.claimID.Add(1), started: x.now, waiting: waiting}
-	x.s.claims[x.caller] = c
+	x.startClaim(c)
 	decision := x.hold(c, d)
 	x.ask(c)
 	return decision
 }
 
+func (x *exchange) startClaim(c *claim) {
+	if x.s.claims[x.caller] == nil {
+		x.t.claims.Add(1)
+	}
+	x.s.claims[x.caller] = c
+}
+
+func (x *exchange) endClaim() {
+	x.t.claims.Add(-1)
+	delete(x.s.claims, x.caller)
+}
+
 func (x *exchange) hold(c *claim, d *Datagram) Decision {
 	if len(c.held) >= maxHeld || x.s.heldBytes+len(d.Payload) > maxHeldBytes {
 		return Decision{Reason: HeldFull}
@@ -91,7 +103,7 @@
 	if c == nil {
 		return
 	}
-	delete(x.s.claims, x.caller)
+	x.endClaim()
 	for _, d := range c.held {
 		x.s.heldBytes -= len(d.Payload)
 		one := decision
@@ -105,7 +117,7 @@
 // placeHeld places the flow of a claim that found no owner.
 func (x *exchange) placeHeld(c *claim) {
 	if len(c.held) == 0 {
-		delete(x.s.claims, x.caller)
+		x.endClaim()
 		return
 	}
 	x.place(&c.held[0])
@@ -215,7 +227,7 @@
 
 // verified ends a dispute. If the owner in the directory still owns the flow, the challenger is told to give it up.
 func (x *exchange) verified(c *claim, owner ident.NodeID) {
-	delete(x.s.claims, x.caller)
+	x.endClaim()
 	e, i := x.s.find(x.caller)
 	if e == nil || e.kind == owned || e.node != c.waiting[0] {
 		return
@@ -235,7 +247,7 @@
 // verifyAgain asks again while the owner in the directory and the challenger are in the view: with one of them gone, nothing is in dispute.
 func (x *exchange) verifyAgain(c *claim) {
 	if c.challenger == 0 || !x.alive(c.challenger) || !x.alive(c.waiting[0]) {
-		delete(x.s.claims, x.caller)
+		x.endClaim()
 		return
 	}
 	c.started, c.sends = x.now, 0
@@ -247,9 +259,6 @@
 	s := &t.shards[n]
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.claims) == 0 {
-		return
-	}
 	callers := make([]ident.Caller, 0, len(s.claims))
 	for caller := range s.claims {
 		callers = append(callers, caller)
--- a/policy/flow/register.go
+++ b/policy/flow/register.go
@@ -439,6 +439,6 @@
 // verify asks the owner in the directory whether it still owns the flow.
 func (x *exchange) verify(e *entry, challenger ident.NodeID) {
 	c := &claim{id: x.t.claimID.Add(1), started: x.now, waiting: []ident.NodeID{e.node}, verify: true, challenger: challenger}
-	x.s.claims[x.caller] = c
+	x.startClaim(c)
 	x.ask(c)
 }
--- a/policy/flow/table.go
+++ b/policy/flow/table.go
@@ -28,6 +28,7 @@
 	idle    atomic.Int64 // idle timeout, nanoseconds
 	own     atomic.Int64
 	known   atomic.Int64
+	claims  atomic.Int64
 	drain   atomic.Bool
 	claimID atomic.Uint64
 	shards  [shards]shard
@@ -358,7 +359,7 @@
 
 // Tick does what time requires: repeats and ends claims, sends registrations, ends idle flows. It is called every 20 ms or so.
 func (t *Table) Tick(now time.Duration, out *Effects) {
-	for i := range t.shards {
+	for i := 0; i < shards && t.claims.Load() > 0; i++ {
 		t.tickClaims(now, uint32(i), out)
 	}
 	t.expire(now, t.expiry.Add(1)%shards, out)
