--- /dev/null
+++ b/node/rpcauth/rpcauth_test.go
@@ -0,0 +1,77 @@
+package rpcauth
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lacewinglever.dev/node/wire"
+)
+
+func keyring(t *testing.T, text string) *wire.Keyring {
+	key, err := wire.ParseKey(text)
+	assert.NilError(t, err)
+	keys, err := wire.NewKeyring(map[byte]wire.Key{3: key}, 3)
+	assert.NilError(t, err)
+	return keys
+}
+
+// Guards against RPCs of strangers, changed or old RPCs being served, and against answers of strangers being accepted.
+func TestSignedRPC(t *testing.T) {
+	ours := keyring(t, "000102030405060708090a0b0c0d0e0f")
+	theirs := keyring(t, "ff0102030405060708090a0b0c0d0e0f")
+	served := 0
+	echo := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		served++
+		_, _ = io.Copy(w, r.Body)
+	})
+	server := httptest.NewServer(Handler(ours, echo))
+	defer server.Close()
+	plain := httptest.NewServer(echo)
+	defer plain.Close()
+
+	resp, err := Client(ours).Post(server.URL+"/x", "text/plain", bytes.NewReader([]byte("hello")))
+	assert.NilError(t, err)
+	body, _ := io.ReadAll(resp.Body)
+	assert.Equal(t, string(body), "hello")
+	assert.Equal(t, served, 1)
+
+	_, err = Client(theirs).Post(server.URL+"/x", "text/plain", nil)
+	assert.ErrorContains(t, err, "401")
+	_, err = Client(ours).Post(plain.URL, "text/plain", nil)
+	assert.ErrorIs(t, err, ErrUnsigned)
+	served = 0
+
+	for _, c := range []struct {
+		name       string
+		age        time.Duration
+		path, body string
+		want       int
+	}{
+		{"as signed", 0, "/x", "hello", 200},
+		{"other body", 0, "/x", "hallo", 401},
+		{"other path", 0, "/y", "hello", 401},
+		{"old", 31 * time.Second, "/x", "hello", 401},
+		{"from the future", -31 * time.Second, "/x", "hello", 401},
+	} {
+		req, _ := http.NewRequest(http.MethodPost, server.URL+c.path, bytes.NewReader([]byte(c.body)))
+		sign(ours, req.Header, subject{"/x", 0, uint64(time.Now().Add(-c.age).UnixMilli())}, []byte("hello"))
+		resp, err := http.DefaultClient.Do(req)
+		assert.NilError(t, err)
+		assert.Equal(t, resp.StatusCode, c.want, c.name)
+		if c.want == http.StatusOK {
+			req.Header.Set(HeaderTime, strconv.FormatUint(nowMs()+5, 10))
+			req.Body = io.NopCloser(bytes.NewReader([]byte(c.body)))
+			resp, err = http.DefaultClient.Do(req)
+			assert.NilError(t, err)
+			assert.Equal(t, resp.StatusCode, http.StatusUnauthorized, "changed time")
+		}
+	}
+	assert.Equal(t, served, 1)
+}
--- /dev/null
+++ b/policy/spread/spread_test.go
@@ -0,0 +1,179 @@
+package spread
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"lacewinglever.dev/policy/ident"
+	"lacewinglever.dev/policy/record"
+)
+
+func drawRecord(t *rapid.T) record.Record {
+	n := rapid.IntRange(0, 5).Draw(t, "key")
+	name := ident.ServiceName{Team: "t", Name: fmt.Sprint(n)}
+	switch rapid.IntRange(0, 2).Draw(t, "kind") {
+	case 0:
+		return record.ForRevision(record.Revision{Service: name, Number: rapid.Uint64Range(1, 9).Draw(t, "number")})
+	case 1:
+		return record.ForNode(record.Node{
+			ID: ident.NodeID(n + 1), Entry: n%2 == 0, DataCentre: ident.DataCentre(fmt.Sprint("dc", n%3)), Service: name.ID(),
+			Incarnation: ident.Incarnation(rapid.Uint64Range(1, 3).Draw(t, "incarnation")),
+			Sequence:    rapid.Uint64Range(0, 3).Draw(t, "sequence"),
+			State:       record.State(rapid.IntRange(1, 5).Draw(t, "state")),
+		})
+	}
+	issued := time.UnixMilli(rapid.Int64Range(1, 9).Draw(t, "issued"))
+	return record.ForScope(record.Scope{Kind: record.ScopeRack, Name: fmt.Sprint(n), Issued: issued, Issuer: 1})
+}
+
+// exchange is one Sync in which a calls b.
+func exchange(a, b *Store, f Filter) {
+	differing := a.Digests(f).Differing(b.Digests(f))
+	held := map[string]record.Version{}
+	for _, r := range a.Delta(f, differing, nil) {
+		held[r.Key] = r.Version
+		b.Merge(r)
+	}
+	for _, r := range b.Delta(f, differing, held) {
+		a.Merge(r)
+	}
+}
+
+// Guards against records that go back to an older version, and against nodes that stay different when messages are reordered, doubled and
+// lost.
+func TestConvergence(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		stores := []*Store{NewStore(), NewStore(), NewStore()}
+		newest := map[string]record.Version{}
+		var inFlight []record.Record
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			r := drawRecord(t)
+			if len(inFlight) > 0 && rapid.Bool().Draw(t, "deliver old") { // out of order, possibly again
+				r = rapid.SampledFrom(inFlight).Draw(t, "message")
+			}
+			inFlight = append(inFlight, r)
+			s := rapid.SampledFrom(stores).Draw(t, "receiver") // the others lose it
+			before, _ := s.Get(r.Key)
+			s.Merge(r)
+			after, _ := s.Get(r.Key)
+			if after.Version.Compare(before.Version) < 0 || after.Version.Compare(r.Version) < 0 {
+				t.Fatalf("%s went from %v to %v on %v", r.Key, before.Version, after.Version, r.Version)
+			}
+			if v, ok := newest[r.Key]; !ok || r.Version.Compare(v) > 0 {
+				newest[r.Key] = r.Version
+			}
+		}
+		for _, pair := range [][2]int{{0, 1}, {1, 2}, {2, 0}, {0, 1}} {
+			exchange(stores[pair[0]], stores[pair[1]], Filter{})
+		}
+		for _, s := range stores {
+			if s.Digests(Filter{}).Root() != stores[0].Digests(Filter{}).Root() || s.Len() != len(newest) {
+				t.Fatalf("stores differ after exchanges")
+			}
+			for key, v := range newest {
+				if r, _ := s.Get(key); r.Version != v {
+					t.Fatalf("%s: %v, newest is %v", key, r.Version, v)
+				}
+			}
+		}
+	})
+}
+
+// Guards against incremental digests that differ from the records, and against a filtered exchange that leaves an agent incomplete or
+// brings it the records of others.
+func TestDigestsAndFilter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		entry, agent := NewStore(), NewStore()
+		for range rapid.IntRange(1, 60).Draw(t, "records") {
+			entry.Merge(drawRecord(t))
+		}
+		var scanned Digests
+		entry.Each(Filter{}, nil, func(r record.Record) { scanned[Bucket(r.Key)] ^= digestOf(&r) })
+		if scanned != *entry.Digests(Filter{}) {
+			t.Fatalf("incremental digests differ from the records")
+		}
+		f := Filter{Service: ident.ServiceName{Team: "t", Name: "1"}.ID(), DataCentre: "dc2"}
+		exchange(agent, entry, f)
+		if agent.Digests(f).Root() != entry.Digests(f).Root() {
+			t.Fatalf("agent is incomplete")
+		}
+		agent.Each(Filter{}, nil, func(r record.Record) {
+			foreign := r.Service != nil && r.Service.Service.Name != "1" ||
+				r.Node != nil && r.Node.Entry && r.Node.DataCentre != "dc2" ||
+				r.Node != nil && !r.Node.Entry && r.Node.Service != f.Service
+			if foreign {
+				t.Fatalf("agent was sent %s", r.Key)
+			}
+		})
+	})
+}
+
+// Guards against pushes above the control budget, records that are never pushed, and settings that wait behind node records.
+func TestQueuePacing(t *testing.T) {
+	const size = 300
+	rapid.Check(t, func(t *rapid.T) {
+		q := NewQueue()
+		now := time.UnixMilli(0)
+		q.Take(now, 1200, nil)
+		due := map[string]record.Version{}
+		sent, largest := 0, 0
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			for range rapid.IntRange(0, 8).Draw(t, "records") {
+				r := drawRecord(t)
+				q.Add(r)
+				if v, ok := due[r.Key]; !ok || r.Version.Compare(v) > 0 {
+					due[r.Key] = r.Version
+				}
+			}
+			now = now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "pause")) * time.Millisecond)
+			batch := q.Take(now, 1200, func(*record.Record) int { return size })
+			last := classSettings
+			for i := range batch {
+				if classOf(&batch[i]) < last {
+					t.Fatalf("priority: %s too late", batch[i].Key)
+				}
+				last = classOf(&batch[i])
+				if batch[i].Version.Compare(due[batch[i].Key]) >= 0 {
+					delete(due, batch[i].Key)
+				}
+			}
+			spent := 3 * size * len(batch)
+			q.Spend(spent)
+			sent += spent
+			largest = max(largest, spent)
+			if allowed := PushBurst + now.Sub(time.UnixMilli(0)).Seconds()*PushRate + float64(largest); float64(sent) > allowed {
+				t.Fatalf("%d bytes sent by %v, allowed %.0f", sent, now, allowed)
+			}
+		}
+		for i := 0; q.Len() > 0; i++ {
+			now = now.Add(time.Second)
+			for _, r := range q.Take(now, 1200, func(*record.Record) int { return size }) {
+				if r.Version.Compare(due[r.Key]) >= 0 {
+					delete(due, r.Key)
+				}
+			}
+			if i > 1000 {
+				t.Fatalf("%d records are never pushed", q.Len())
+			}
+		}
+		if len(due) > 0 {
+			t.Fatalf("not pushed: %v", due)
+		}
+	})
+}
+
+func BenchmarkDigestsFiltered(b *testing.B) {
+	s := NewStore()
+	for i := range 61000 {
+		s.Merge(record.ForNode(record.Node{ID: ident.NodeID(i + 1), Service: ident.ServiceID(i % 13000), Incarnation: 1, State: record.Ready}))
+	}
+	assert.Equal(b, s.Len(), 61000)
+	b.ResetTimer()
+	for b.Loop() {
+		s.Digests(Filter{Service: 5, DataCentre: "dc1"})
+	}
+}
