spread: groups of records make filtered exchanges cheap

Ruled out: a store per service, which would keep entries' records of a data centre once per service. Conclusion: the cost follows what the filter selects.

--- a/policy/spread/spread_test.go
+++ b/policy/spread/spread_test.go
@@ -101,6 +101,11 @@
 		if agent.Digests(f).Root() != entry.Digests(f).Root() {
 			t.Fatalf("agent is incomplete")
 		}
+		entry.Each(Filter{}, nil, func(r record.Record) {
+			if _, ok := agent.Get(r.Key); ok != f.Match(&r) {
+				t.Fatalf("%s: agent has it: %v", r.Key, ok)
+			}
+		})
 		agent.Each(Filter{}, nil, func(r record.Record) {
 			foreign := r.Service != nil && r.Service.Service.Name != "1" ||
 				r.Node != nil && r.Node.Entry && r.Node.DataCentre != "dc2" ||
--- a/policy/spread/store.go
+++ b/policy/spread/store.go
@@ -62,14 +62,46 @@
 	return r.Node.Service == f.Service
 }
 
+// groupKind is what the records of a group have in common.
+type groupKind uint8
+
+const (
+	groupScopes  groupKind = iota + 1 // all scopes
+	groupService                      // a service's revision and its agents
+	groupEntries                      // entries of a data centre
+)
+
+// group is a set of records that a filter selects as a whole.
+type group struct {
+	kind       groupKind
+	service    ident.ServiceID
+	dataCentre ident.DataCentre
+}
+
+func groupOf(r *record.Record) group {
+	switch {
+	case r.Scope != nil:
+		return group{kind: groupScopes}
+	case r.Service != nil:
+		return group{kind: groupService, service: r.Service.Service.ID()}
+	case r.Node.Entry:
+		return group{kind: groupEntries, dataCentre: r.Node.DataCentre}
+	}
+	return group{kind: groupService, service: r.Node.Service}
+}
+
 type stored struct {
 	record record.Record
+	group  group
 	digest uint64
 }
 
+// shard holds the records of some buckets. The groups make a filtered exchange cost as much as what it selects: an entry answers several
+// agents per second.
 type shard struct {
 	mu      sync.RWMutex
-	records map[string]stored
+	records map[string]*stored
+	groups  map[group]map[string]*stored
 	digests [Buckets / shardCount]uint64
 }
 
@@ -82,7 +114,8 @@
 func NewStore() *Store {
 	s := &Store{}
 	for i := range s.shards {
-		s.shards[i].records = map[string]stored{}
+		s.shards[i].records = map[string]*stored{}
+		s.shards[i].groups = map[group]map[string]*stored{}
 	}
 	return s
 }
@@ -94,22 +127,67 @@
 	digest := digestOf(&r)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
-	old, known := sh.records[r.Key]
-	if known && r.Version.Compare(old.record.Version) <= 0 {
-		return false
+	if old := sh.records[r.Key]; old != nil {
+		if r.Version.Compare(old.record.Version) <= 0 {
+			return false
+		}
+		sh.digests[bucket/shardCount] ^= old.digest
+		sh.leaveGroup(old)
 	}
-	sh.records[r.Key] = stored{r, digest}
-	sh.digests[bucket/shardCount] ^= old.digest ^ digest
+	sh.digests[bucket/shardCount] ^= digest
+	sh.put(&stored{r, groupOf(&r), digest})
 	return true
 }
 
+func (sh *shard) put(r *stored) {
+	sh.records[r.record.Key] = r
+	if sh.groups[r.group] == nil {
+		sh.groups[r.group] = map[string]*stored{}
+	}
+	sh.groups[r.group][r.record.Key] = r
+}
+
+func (sh *shard) leaveGroup(r *stored) {
+	delete(sh.groups[r.group], r.record.Key)
+	if len(sh.groups[r.group]) == 0 {
+		delete(sh.groups, r.group)
+	}
+}
+
+// each calls do for every record that the filter selects.
+func (sh *shard) each(f Filter, do func(key string, r *stored)) {
+	visit := func(records map[string]*stored) {
+		for key, r := range records {
+			do(key, r)
+		}
+	}
+	if f.All() {
+		visit(sh.records)
+		return
+	}
+	visit(sh.groups[group{kind: groupScopes}])
+	visit(sh.groups[group{kind: groupService, service: f.Service}])
+	if f.DataCentre != "" {
+		visit(sh.groups[group{kind: groupEntries, dataCentre: f.DataCentre}])
+		return
+	}
+	for g, records := range sh.groups {
+		if g.kind == groupEntries {
+			visit(records)
+		}
+	}
+}
+
 // Get returns the newest record of a key.
 func (s *Store) Get(key string) (record.Record, bool) {
 	sh := &s.shards[Bucket(key)%shardCount]
 	sh.mu.RLock()
 	defer sh.mu.RUnlock()
-	r, ok := sh.records[key]
-	return r.record, ok
+	r := sh.records[key]
+	if r == nil {
+		return record.Record{}, false
+	}
+	return r.record, true
 }
 
 // Len returns the number of records.
@@ -134,21 +212,13 @@
 				d[j*shardCount+i] = x
 			}
 		} else {
-			sh.addDigests(f, &d)
+			sh.each(f, func(key string, r *stored) { d[Bucket(key)] ^= r.digest })
 		}
 		sh.mu.RUnlock()
 	}
 	return &d
 }
 
-func (sh *shard) addDigests(f Filter, d *Digests) {
-	for key, r := range sh.records {
-		if f.Match(&r.record) {
-			d[Bucket(key)] ^= r.digest
-		}
-	}
-}
-
 // Each calls do for every record that the filter selects in these buckets, all buckets if nil. It holds no lock during the call.
 func (s *Store) Each(f Filter, buckets *BucketSet, do func(record.Record)) {
 	for i := range s.shards {
@@ -162,11 +232,11 @@
 	sh.mu.RLock()
 	defer sh.mu.RUnlock()
 	var out []record.Record
-	for key, r := range sh.records {
-		if (buckets == nil || buckets[Bucket(key)]) && f.Match(&r.record) {
+	sh.each(f, func(key string, r *stored) {
+		if buckets == nil || buckets[Bucket(key)] {
 			out = append(out, r.record)
 		}
-	}
+	})
 	return out
 }
 
