entry: control duty, settings parser and connections routed by their id

Ruled out: letting package duty answer applied queries at an entry. It answers with the newest known revision, which may not be served by the sockets yet; the entry passes it a mesh without those queries and answers with what its sockets serve. Before: a parser of its own and no store reader. After: settings.Parse, duty.New, and QUIC datagrams whose connection id has a valid tag go to the agent that it names, without allocation.

--- a/node/cmd/lacewing-entry/main.go
+++ b/node/cmd/lacewing-entry/main.go
@@ -50,7 +50,7 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	return entry.Main(ctx, config, os.Stderr, entry.ParseAccepted, nil)
+	return entry.Main(ctx, config, os.Stderr)
 }
 
 // version returns the module's version, or the commit where the build has none.
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -36,15 +36,12 @@
 	readersEach  = 4
 )
 
-// Parse parses the settings of a service. name is used in messages.
-type Parse func(name string, service ident.ServiceName, text []byte) (*settings.Spec, error)
-
 // Options configure an Entry.
 type Options struct {
 	Mesh        peer.Mesh
 	Transport   *transport.Transport
-	ServiceHost string // host on which service ports are bound; empty: the service's own address
-	Parse       Parse
+	Keys        *wire.Keyring // checks connection ids
+	ServiceHost string        // host on which service ports are bound; empty: the service's own address
 	Logger      log.Logger
 	Decisions   *logging.Decisions
 	Metrics     *metrics.Set
@@ -250,7 +247,7 @@
 
 // update returns the service at revision r: the same with new settings, or a new one if its address changed. It returns nil if it failed.
 func (e *Entry) update(old *service, r *record.Revision) *service {
-	spec, err := e.options.Parse(r.Service.String(), r.Service, r.Spec)
+	spec, err := settings.Parse(r.Service.String(), r.Service, r.Spec)
 	if err != nil {
 		e.badSpecs.Inc()
 		e.fail(r, "settings not applied", err)
--- a/node/entry/entry_test.go
+++ b/node/entry/entry_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/poll"
 
 	"lacewinglever.dev/node/config"
+	"lacewinglever.dev/node/connid"
 	"lacewinglever.dev/node/peer"
 	"lacewinglever.dev/node/transport"
 	"lacewinglever.dev/node/wire"
@@ -98,7 +99,7 @@
 	c.UDP.Advertise, c.RPC.Advertise = c.UDP.Listen, c.RPC.Listen
 	program := make(chan error, 1)
 	entryCtx, terminate := context.WithCancel(ctx)
-	go func() { program <- Main(entryCtx, c, io.Discard, ParseAccepted, nil) }()
+	go func() { program <- Main(entryCtx, c, io.Discard) }()
 
 	service := ident.ServiceName{Team: "maturacao", Name: "room-control"}
 	first, second := freePort(t), freePort(t)
@@ -185,3 +186,39 @@
 	assert.Equal(t, testing.AllocsPerRun(100, func() { s.decide(&d, from, payload) }), 0.0)
 	assert.Equal(t, d.Destination, ident.NodeID(1))
 }
+
+// Guards against datagrams of an established connection going to the home when its agent is another, and against a caller choosing the agent.
+func TestConnectionRoutedToItsAgent(t *testing.T) {
+	key, err := wire.ParseKey(keyText)
+	assert.NilError(t, err)
+	keys, err := wire.NewKeyring(map[byte]wire.Key{1: key}, 1)
+	assert.NilError(t, err)
+	e := &Entry{options: Options{Keys: keys}}
+	e.addMetrics(metrics.NewSet())
+	name := ident.ServiceName{Team: "t", Name: "s"}
+	spec := &settings.Spec{Service: name, HashSlots: view.DefaultSlots, Kind: settings.Request}
+	var pool []record.Node
+	for id := ident.NodeID(1); id <= 7; id++ {
+		pool = append(pool, record.Node{ID: id, UDPAddress: "127.0.0.1:9", State: record.Ready})
+	}
+	s := &service{entry: e, id: name.ID()}
+	s.route.Store(newRoute(nil, spec, pool))
+	from := netip.MustParseAddrPort("10.0.0.1:4000")
+	var d wire.Data
+	home, _ := s.decide(&d, from, make([]byte, 100))
+	for id := ident.NodeID(1); id <= 8; id++ {
+		connection, err := connid.NewGenerator(id, 5, keys).GenerateConnectionID()
+		assert.NilError(t, err)
+		datagram := append([]byte{0x40}, connection.Bytes()...)
+		datagram = append(datagram, make([]byte, 30)...)
+		want := id
+		if id == 8 { // not of the pool
+			want = home.id
+		}
+		assert.Equal(t, testing.AllocsPerRun(10, func() { s.decide(&d, from, datagram) }), 0.0)
+		assert.Equal(t, d.Destination, want)
+		datagram[connid.Size]++ // the tag
+		s.decide(&d, from, datagram)
+		assert.Equal(t, d.Destination, home.id)
+	}
+}
--- a/node/entry/program.go
+++ b/node/entry/program.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -14,6 +15,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"lacewinglever.dev/node/config"
+	"lacewinglever.dev/node/duty"
+	lacewingv1 "lacewinglever.dev/node/gen/lacewing/v1"
 	"lacewinglever.dev/node/logging"
 	"lacewinglever.dev/node/peer"
 	"lacewinglever.dev/node/transport"
@@ -53,6 +56,9 @@
 	if c.ServiceHost != "" && net.ParseIP(c.ServiceHost) == nil {
 		f.Add("$.service_host", "%q: want an IP address", c.ServiceHost)
 	}
+	if u, err := url.Parse(c.Platform.URL); c.Platform.URL != "" && (err != nil || u.Host == "") {
+		f.Add("$.platform.url", "%q: want a URL with a host", c.Platform.URL)
+	}
 }
 
 // LoadConfig reads and checks a settings file.
@@ -60,19 +66,11 @@
 	return config.Load(path, Config{}, (*Config).Check)
 }
 
-// Runner is a part of the program that runs until the context ends.
-type Runner interface {
-	Run(context.Context) error
-}
-
-// Duty makes the control duty, which also reads the store. It is nil where there is none.
-type Duty func(mesh peer.Mesh, platformURL string, logger log.Logger, set *metrics.Set) (Runner, error)
-
 // Main runs an entry until the context ends, then lets it leave: it announces that it drains, goes on forwarding for forwardGrace,
 // announces that it left and closes its sockets.
-func Main(ctx context.Context, c *Config, logs io.Writer, parse Parse, duty Duty) error {
+func Main(ctx context.Context, c *Config, logs io.Writer) error {
 	logger := logging.New(logs, c.Name, c.LogLevel)
-	p, err := newProgram(c, logger, parse, duty)
+	p, err := newProgram(c, logger)
 	if err != nil {
 		return err
 	}
@@ -108,12 +106,25 @@
 	}
 }
 
+// dutyMesh keeps applied queries from package duty, which would answer with the newest revision that the node knows. Entry answers with the
+// one that its sockets serve.
+type dutyMesh struct{ peer.Mesh }
+
+// HandleControl adds f for all messages but applied queries.
+func (m dutyMesh) HandleControl(f func(*lacewingv1.Control)) {
+	m.Mesh.HandleControl(func(c *lacewingv1.Control) {
+		if c.GetAppliedQuery() == nil {
+			f(c)
+		}
+	})
+}
+
 type program struct {
 	mesh  *peer.Peer
 	parts []func(context.Context) error
 }
 
-func newProgram(c *Config, logger log.Logger, parse Parse, duty Duty) (*program, error) {
+func newProgram(c *Config, logger log.Logger) (*program, error) {
 	keys, err := c.Keyring()
 	if err != nil {
 		return nil, err
@@ -141,7 +152,7 @@
 		return nil, err
 	}
 	data, err := New(Options{
-		Mesh: mesh, Transport: t, ServiceHost: c.ServiceHost, Parse: parse,
+		Mesh: mesh, Transport: t, Keys: keys, ServiceHost: c.ServiceHost,
 		Logger: logger, Decisions: logging.NewDecisions(logger), Metrics: set,
 	})
 	if err != nil {
@@ -159,10 +170,10 @@
 		func(ctx context.Context) error { return serve(ctx, c.RPC.Listen, rpc) },
 		func(ctx context.Context) error { return serve(ctx, c.Metrics, observability(set)) },
 	}
-	if duty == nil || c.Platform.URL == "" {
+	if c.Platform.URL == "" {
 		return p, nil
 	}
-	d, err := duty(mesh, c.Platform.URL, logger, set)
+	d, err := duty.New(duty.Options{Mesh: dutyMesh{mesh}, PlatformURL: c.Platform.URL, Logger: logger, Metrics: set})
 	if err != nil {
 		return nil, errors.Wrap(err, "control duty")
 	}
--- a/node/entry/route.go
+++ b/node/entry/route.go
@@ -18,7 +18,8 @@
 // route is an immutable picture of where a service's flows go.
 type route struct {
 	view         *view.View
-	destinations []destination // in the order of the view's members
+	destinations []destination           // in the order of the view's members
+	byAgent      map[ident.NodeID]uint16 // index of each agent; only for requests, whose connection ids name an agent
 }
 
 // newRoute builds the route of a pool. With a previous route only what changed is computed.
@@ -34,6 +35,12 @@
 		address, _ := netip.ParseAddrPort(n.UDPAddress)
 		r.destinations[i] = destination{n.ID, address}
 	}
+	if spec.Kind == settings.Request {
+		r.byAgent = make(map[ident.NodeID]uint16, len(r.destinations))
+		for i := range r.destinations {
+			r.byAgent[r.destinations[i].id] = uint16(i)
+		}
+	}
 	return r
 }
 
--- a/node/entry/service.go
+++ b/node/entry/service.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-faster/errors"
 
+	"lacewinglever.dev/node/connid"
 	"lacewinglever.dev/node/logging"
 	"lacewinglever.dev/node/wire"
 	"lacewinglever.dev/policy/ident"
@@ -98,7 +99,7 @@
 	}
 	key := ident.FlowKey{Service: s.id, Caller: ident.CallerFrom(from)}
 	r := s.route.Load()
-	to, ok := r.home(key)
+	to, ok := s.destination(r, key, payload)
 	if !ok {
 		return nil, s.entry.dropNoHome
 	}
@@ -112,3 +113,15 @@
 	}
 	return to, nil
 }
+
+// destination returns the agent that a connection ID names, if there is one of the pool, and the flow's home otherwise.
+func (s *service) destination(r *route, key ident.FlowKey, payload []byte) (*destination, bool) {
+	if r.byAgent != nil {
+		if id, ok := connid.FromDatagram(s.entry.options.Keys, payload); ok {
+			if i, ok := r.byAgent[id.Agent]; ok {
+				return &r.destinations[i], r.destinations[i].address.IsValid()
+			}
+		}
+	}
+	return r.home(key)
+}
