entry: EntryService explains forwarding and reports status

Cause: operators need to see where an entry sends a caller's datagrams and what it knows. Ruled out: a page on the metrics endpoint, which is not authenticated. Before: no answer to Explain and Status. After: both answer over signed RPC; the test compares the explanation with the forwarding.

--- a/node/entry/entry_test.go
+++ b/node/entry/entry_test.go
@@ -7,9 +7,11 @@
 	"net"
 	"net/netip"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-kit/log"
 	"gotest.tools/v3/assert"
@@ -17,7 +19,10 @@
 
 	"lacewinglever.dev/node/config"
 	"lacewinglever.dev/node/connid"
+	lacewingv1 "lacewinglever.dev/node/gen/lacewing/v1"
+	"lacewinglever.dev/node/gen/lacewing/v1/lacewingv1connect"
 	"lacewinglever.dev/node/peer"
+	"lacewinglever.dev/node/rpcauth"
 	"lacewinglever.dev/node/transport"
 	"lacewinglever.dev/node/wire"
 	"lacewinglever.dev/policy/ident"
@@ -86,7 +91,7 @@
 	poll.WaitOn(t, check, poll.WithTimeout(5*time.Second), poll.WithDelay(50*time.Millisecond))
 }
 
-// Guards against datagrams that don't come back from the service's own address, and against services whose sockets don't follow the
+// Guards against datagrams that don't come back from the service's own address, explanations that contradict the forwarding, and services whose sockets don't follow the
 // settings: appearing, changing address, being deleted.
 func TestServicesFollowSettings(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
@@ -111,6 +116,18 @@
 	}
 	publish(1, first, false)
 	waitAnswered(t, first, true)
+	key, _ := wire.ParseKey(keyText)
+	keys, err := wire.NewKeyring(map[byte]wire.Key{1: key}, 1)
+	assert.NilError(t, err)
+	rpc := lacewingv1connect.NewEntryServiceClient(rpcauth.Client(keys), "http://"+c.RPC.Listen)
+	explain := &lacewingv1.ExplainRequest{Service: service.String(), Caller: "127.0.0.1:5000"}
+	explained, err := rpc.Explain(ctx, connect.NewRequest(explain))
+	assert.NilError(t, err)
+	lines := strings.Join(explained.Msg.GetLines(), "\n")
+	assert.Assert(t, strings.Contains(lines, "revision 1 bound at "+first) && strings.Contains(lines, "home is agent "+agent.Self().ID.String()), lines)
+	status, err := rpc.Status(ctx, connect.NewRequest(&lacewingv1.StatusRequest{}))
+	assert.NilError(t, err)
+	assert.Equal(t, len(status.Msg.GetRecords()), 3)
 	publish(2, second, false)
 	waitAnswered(t, second, true)
 	waitAnswered(t, first, false)
--- a/node/entry/program.go
+++ b/node/entry/program.go
@@ -160,6 +160,7 @@
 	}
 	rpc := http.NewServeMux()
 	rpc.Handle(mesh.Handler())
+	rpc.Handle(data.Handler())
 	p := &program{mesh: mesh}
 	p.parts = []func(context.Context) error{
 		func(ctx context.Context) error {
