policy: property tests of requests, permits, limits and dispatch

Cause: the packages had no tests of their own.

A copy that arrives after not_after is no longer a firm "not run": an earlier copy may have run and be forgotten. It is now treated as a lost reply, which ends in a cancellation and, if that tells nothing, unknown.

Before: no tests.

--- a/node/request/executor.go
+++ b/node/request/executor.go
@@ -35,8 +35,8 @@
 	drainPoll = 20 * time.Millisecond
 )
 
-// errNotThisCopy means that this copy of an attempt was not run here. An earlier copy may have been.
-var errNotThisCopy = errors.New("attempt arrived after not_after")
+// errExpired means that this copy of an attempt was not run. An earlier copy may have run and be forgotten.
+var errExpired = errors.New("attempt arrived after not_after")
 
 // executor runs attempts on the local target, each at most once.
 type executor struct {
@@ -89,8 +89,8 @@
 	}
 }
 
-// execute runs an attempt, or returns the result of the first copy of it. It returns errNotThisCopy if this copy was refused without
-// knowledge of earlier ones, and the context's error if it ends first; the attempt then goes on.
+// execute runs an attempt, or returns the result of the first copy of it. It returns errExpired if this copy came too late,
+// and the context's error if it ends first; the attempt then goes on.
 func (e *executor) execute(ctx context.Context, id request.AttemptID, q *lacewingv1.Request, notAfter time.Time) (*lacewingv1.Response, error) {
 	f, result, err := e.admit(id, q, notAfter)
 	if f == nil {
@@ -116,7 +116,7 @@
 	case request.Recorded:
 		return nil, result, nil
 	case request.Expired:
-		return nil, nil, errNotThisCopy
+		return nil, nil, errExpired
 	case request.Cancelled:
 		return nil, e.notRun("cancelled"), nil
 	case request.Full:
--- a/node/request/rpc.go
+++ b/node/request/rpc.go
@@ -127,13 +127,10 @@
 
 func (s *Server) executeHere(ctx context.Context, id request.AttemptID, q *lacewingv1.Request, notAfter time.Time) (request.EventKind, *lacewingv1.Response) {
 	result, err := s.executor.execute(ctx, id, q, notAfter)
-	switch {
-	case err == nil:
-		return eventOf(result), result
-	case errors.Is(err, errNotThisCopy):
-		return request.NotSent, nil
+	if err != nil {
+		return request.Lost, nil
 	}
-	return request.Lost, nil
+	return eventOf(result), result
 }
 
 func eventOf(r *lacewingv1.Response) request.EventKind {
@@ -211,8 +208,8 @@
 		return nil, connect.NewError(connect.CodeFailedPrecondition, errNotAfter)
 	}
 	result, err := r.server.executor.execute(ctx, fromAttempt(m.Msg.GetAttempt()), m.Msg.GetRequest(), notAfter)
-	if errors.Is(err, errNotThisCopy) {
-		return nil, connect.NewError(connect.CodeFailedPrecondition, err)
+	if errors.Is(err, errExpired) {
+		return nil, connect.NewError(connect.CodeDeadlineExceeded, err)
 	}
 	if err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
--- /dev/null
+++ b/policy/permit/permit_test.go
@@ -0,0 +1,109 @@
+package permit
+
+import (
+	"hash/fnv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// sum is a tagger without a secret.
+type sum struct{}
+
+func (sum) Tag(b []byte) (byte, uint64) {
+	h := fnv.New64a()
+	_, _ = h.Write(b)
+	return 1, h.Sum64()
+}
+
+func (s sum) Check(keyID byte, tag uint64, b []byte) bool {
+	_, want := s.Tag(b)
+	return keyID == 1 && tag == want
+}
+
+func newBook(entries, bytes int) *Book[int] {
+	return NewBook(Options[int]{
+		Service: 1, Agent: 2, Incarnation: 3, Tagger: sum{}, Entries: entries, Bytes: bytes,
+		Shrink: func(result int) int { return -result },
+	})
+}
+
+func parse(t assert.TestingT, text string) Permit {
+	p, err := Parse(text, sum{})
+	assert.NilError(t, err)
+	return p
+}
+
+// Guards, with permits that are presented again, late and while the clock is set, against a permit that is admitted twice, one that is admitted
+// after its caller was told "not run", a changed outcome, and memory without bound.
+func TestAdmittedOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const entries = 3
+		b := newBook(entries, 1000)
+		now := time.Unix(1000, 0)
+		var permits []Permit
+		admitted, refused, finished := map[uint64]int{}, map[uint64]bool{}, map[uint64]bool{}
+		for range rapid.IntRange(0, 100).Draw(t, "steps") {
+			if len(permits) == 0 || rapid.IntRange(0, 3).Draw(t, "issue") == 0 {
+				permits = append(permits, parse(t, b.Issue(now)))
+			}
+			p := permits[rapid.IntRange(0, len(permits)-1).Draw(t, "permit")]
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				seconds := rapid.SampledFrom([]int{-100, -20, 20, 70, 700}).Draw(t, "seconds")
+				now = now.Add(time.Duration(seconds) * time.Second)
+			case 1:
+				if admitted[p.Number] > 0 {
+					b.Finish(p, int(p.Number), 1)
+					finished[p.Number] = true
+				}
+			default:
+				switch verdict, result := b.Admit(now, p, 7); verdict {
+				case Admitted:
+					admitted[p.Number]++
+					assert.Assert(t, !refused[p.Number], "admitted after not-run")
+				case Expired, Void:
+					refused[p.Number] = true
+					assert.Equal(t, admitted[p.Number], 0, "not-run after a run")
+				case Recorded:
+					assert.Equal(t, result, int(p.Number))
+				case InFlight:
+					assert.Assert(t, !finished[p.Number])
+				}
+			}
+			assert.Assert(t, admitted[p.Number] <= 1, "admitted %d times", admitted[p.Number])
+			assert.Assert(t, b.Len() <= entries)
+		}
+	})
+}
+
+// Guards against a forged or changed permit, one of another process, one used for another request, and results that outgrow their bound.
+func TestVerdicts(t *testing.T) {
+	now := time.Unix(1000, 0)
+	b := newBook(10, 100)
+	text := b.Issue(now)
+	p := parse(t, text)
+	for i := range text {
+		changed := []byte(text)
+		changed[i] ^= 1
+		_, err := Parse(string(changed), sum{})
+		assert.Assert(t, err != nil, "character %d", i)
+	}
+	_, err := Parse(text+"A", sum{})
+	assert.ErrorIs(t, err, ErrMalformed)
+	other := p
+	other.Incarnation++
+	verdict, _ := b.Admit(now, other, 7)
+	assert.Equal(t, verdict, Elsewhere)
+	verdict, _ = b.Admit(now, p, 7)
+	assert.Equal(t, verdict, Admitted)
+	verdict, _ = b.Admit(now, p, 8)
+	assert.Equal(t, verdict, Mismatch)
+	b.Finish(p, 5, 101)
+	_, result := b.Admit(now.Add(Validity+Retention-time.Second), p, 7)
+	assert.Equal(t, result, -5)
+	verdict, _ = b.Admit(now.Add(Validity+Retention), p, 7)
+	assert.Equal(t, verdict, Forgotten)
+}
--- a/policy/request/attempt.go
+++ b/policy/request/attempt.go
@@ -50,8 +50,8 @@
 	GotAnswer                       // the executor returned the target's answer
 	GotNotRun                       // the executor has not run the attempt and will not
 	GotUnknown                      // the executor does not know whether the target ran it
-	NotSent                         // no byte of this message reached the executor, or the named incarnation is gone
-	Lost                            // the executor's reply did not arrive
+	NotSent                         // no byte of this message was sent, or it reached another incarnation than the one it named
+	Lost                            // the executor's reply did not arrive, or tells only that this copy was too late
 	CancelNeverRan                  // the executor will never run the attempt
 	CancelFailed                    // the cancellation did not arrive, or the attempt had begun
 )
