--- a/policy/settings/parse.go
+++ b/policy/settings/parse.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/go-faster/errors"
-	"github.com/goccy/go-yaml/parser"
 
 	"lacewinglever.dev/policy/ident"
 	"lacewinglever.dev/policy/yamlfile"
@@ -37,7 +36,7 @@
 	MaxListLength  = 2300 // the largest pool that the design allows for
 )
 
-// maxNesting bounds the depth of brackets in a spec. The YAML parser recurses once per level.
+// maxNesting bounds the depth of brackets, and of list items begun on one line. A spec needs 2 levels.
 const maxNesting = 32
 
 type specFile struct {
@@ -82,29 +81,33 @@
 	return file.spec(service), nil
 }
 
-// checkText refuses what must not reach the decoder: texts that are too large or too deep, and texts with several documents, of which the
-// decoder would read only the first.
+// checkText refuses what must not reach the YAML parser: texts that are too large, and texts so deep that the parser's time, which grows
+// with the square of the depth, would hold up the caller.
 func checkText(name string, text []byte) error {
 	if len(text) > MaxSpecSize {
 		return errors.Errorf("%s: %d bytes, at most %d", name, len(text), MaxSpecSize)
 	}
-	depth := 0
-	for _, b := range text {
+	line, brackets, dashes := 1, 0, 0
+	for i, b := range text {
 		switch b {
 		case '[', '{':
-			depth++
+			brackets++
 		case ']', '}':
-			depth--
+			brackets--
+		case '-', '?':
+			if i+1 < len(text) && text[i+1] == ' ' { // begins an item; a row of dashes doesn't
+				dashes++
+			}
+		case '\n':
+			line, dashes = line+1, 0
+		case ' ', '\t':
+		default:
+			dashes = 0
 		}
-		if depth > maxNesting {
-			return errors.Errorf("%s: nested deeper than %d levels", name, maxNesting)
+		if brackets > maxNesting || dashes > maxNesting {
+			return errors.Errorf("%s:%d: $: nested deeper than %d levels", name, line, maxNesting)
 		}
 	}
-	tree, err := parser.ParseBytes(text, 0)
-	if err == nil && len(tree.Docs) > 1 {
-		line := tree.Docs[1].GetToken().Position.Line
-		return errors.Errorf("%s:%d: $: a second document starts here, want one", name, line)
-	}
 	return nil
 }
 
--- a/policy/settings/revision.go
+++ b/policy/settings/revision.go
@@ -19,6 +19,9 @@
 // maxMissing bounds the names of missing nodes in a status, so that a lost data centre does not make it large.
 const maxMissing = 16
 
+// maxReason bounds the reason of a refusal, in bytes. A spec can have thousands of faults.
+const maxReason = 4 << 10
+
 // SpecObject is the operator's spec as the object API holds it.
 type SpecObject struct {
 	Version uint64
@@ -194,7 +197,8 @@
 	}
 	spec, err := Parse(s.Service.String(), s.Service, s.Spec.Text)
 	if err != nil {
-		return Step{}, err.Error()
+		text := err.Error()
+		return Step{}, text[:min(len(text), maxReason)]
 	}
 	if s.Collision != nil {
 		return Step{}, fmt.Sprintf("the id %s is that of service %s, choose another name", s.Service.ID(), s.Collision)
@@ -209,13 +213,10 @@
 	}), ""
 }
 
-// addressReady tells whether the claim covers the spec. A claim made for an older spec counts only while the newest revision uses it:
-// otherwise a paused holder may be about to release it, and only a renewed claim makes that release fail.
+// addressReady tells whether the service holds the address. A claim that some holder may be about to release is older than the newest
+// revision and not used by it, and Next releases such a claim before it considers a spec.
 func (s *State) addressReady(a netip.AddrPort) bool {
-	if !s.Wanted.Held(s.Service) || s.Wanted.Address != a {
-		return false
-	}
-	return s.Wanted.Source == s.Spec.Version || s.newestAddress() == a
+	return s.Wanted.Held(s.Service) && s.Wanted.Address == a
 }
 
 func (s *State) newestAddress() netip.AddrPort {
--- /dev/null
+++ b/policy/settings/revision_test.go
@@ -0,0 +1,96 @@
+package settings
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lacewinglever.dev/policy/ident"
+	"lacewinglever.dev/policy/record"
+)
+
+func TestNext(t *testing.T) {
+	now := time.Unix(1000, 0)
+	at := netip.MustParseAddrPort("10.0.0.5:7001")
+	other := ident.ServiceName{Team: "team", Name: "other"}
+	spec := func(version uint64) *SpecObject {
+		return &SpecObject{Version: version, Text: []byte(full), Writer: "ana"}
+	}
+	mine := &AddressObject{Version: 6, Address: at, Service: service, Source: 5}
+	accepted := &record.Revision{Service: service, Number: 3, Spec: []byte(full), SourceVersion: 5}
+	deleted := &record.Revision{Service: service, Number: 4, SourceVersion: 9, Deleted: true}
+	inForce := Status{Version: 8, Accepted: 3, AcceptedVersion: 5}
+	cases := []struct {
+		name   string
+		state  State
+		kind   StepKind
+		number uint64 // of the revision to accept
+		reason string // of the refusal to write
+	}{
+		{name: "nothing known", state: State{ReadAt: 9}},
+		{name: "free address", state: State{ReadAt: 9, Spec: spec(5)}, kind: ClaimAddress},
+		{name: "claimed", state: State{ReadAt: 9, Spec: spec(5), Wanted: mine}, kind: AcceptRevision, number: 1},
+		{name: "next", state: State{ReadAt: 9, Spec: spec(7), Wanted: mine, Newest: accepted, Status: inForce}, kind: AcceptRevision, number: 4},
+		{name: "accepted", state: State{ReadAt: 9, Spec: spec(5), Wanted: mine, Newest: accepted, Status: inForce}},
+		{name: "stale spec", state: State{ReadAt: 9, Spec: spec(4), Wanted: mine, Newest: accepted, Status: inForce}},
+		{name: "status behind", state: State{ReadAt: 9, Spec: spec(5), Wanted: mine, Newest: accepted}, kind: WriteStatus},
+		{name: "not YAML", state: State{ReadAt: 9, Spec: &SpecObject{Version: 5, Text: []byte(":")}}, kind: WriteStatus, reason: "team/name"},
+		{name: "other team", state: State{ReadAt: 9, Spec: &SpecObject{Version: 5, Text: []byte(full), Writer: "x/y"}}, kind: WriteStatus, reason: "x/y"},
+		{name: "address of another", state: State{ReadAt: 9, Spec: spec(7), Newest: accepted, Status: inForce,
+			Wanted: &AddressObject{Version: 6, Address: at, Service: other}}, kind: WriteStatus, reason: "held by service team/other"},
+		{name: "id of another", state: State{ReadAt: 9, Spec: spec(5), Wanted: mine, Collision: &other}, kind: WriteStatus, reason: "team/other"},
+		{name: "refused already", state: State{ReadAt: 9, Spec: spec(5), Status: Status{Version: 6, RefusedVersion: 5}}},
+		{name: "quarantine", state: State{ReadAt: 9, Spec: spec(5),
+			Wanted: &AddressObject{Version: 6, Address: at, Service: other, Released: now.Add(-9 * time.Second)}}, kind: Wait},
+		{name: "after quarantine", state: State{ReadAt: 9, Spec: spec(5),
+			Wanted: &AddressObject{Version: 6, Address: at, Service: other, Released: now.Add(-AddressQuarantine)}}, kind: ClaimAddress},
+		{name: "deleted", state: State{ReadAt: 9, Newest: accepted, Status: inForce, Held: []AddressObject{*mine}}, kind: AcceptRevision, number: 4},
+		{name: "stale absence", state: State{ReadAt: 5, Newest: accepted, Status: inForce, Held: []AddressObject{*mine}}},
+		{name: "release", state: State{ReadAt: 9, Newest: deleted, Held: []AddressObject{*mine}}, kind: ReleaseAddress},
+		{name: "claim without revision", state: State{ReadAt: 9, Held: []AddressObject{*mine}}, kind: AcceptRevision, number: 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			c.state.Service, c.state.Now = service, now
+			step := Next(c.state)
+			assert.Equal(t, step.Kind.String(), c.kind.String())
+			assert.Equal(t, step.Revision.Number, c.number)
+			if c.reason != "" {
+				assert.Equal(t, step.Status.RefusedVersion, c.state.Spec.Version)
+				assert.Equal(t, step.Status.Accepted, c.state.Status.Accepted)
+				assert.ErrorContains(t, reasonError(step.Status.Reason), c.reason)
+			}
+		})
+	}
+}
+
+type reasonError string
+
+func (e reasonError) Error() string { return string(e) }
+
+// TestReaders guards that every entry names the same readers, two per data centre, whatever the order of its list.
+func TestReaders(t *testing.T) {
+	var entries []record.Node
+	for _, name := range []string{"a", "b", "c", "d"} {
+		for _, dc := range []ident.DataCentre{"dc1", "dc2"} {
+			id := ident.NewNodeID(string(dc) + name)
+			entries = append(entries, record.Node{ID: id, Entry: true, DataCentre: dc, State: record.Ready})
+		}
+	}
+	entries[0].State = record.Dead
+	readers := Readers(entries)
+	assert.Equal(t, len(readers), 4)
+	for i, j := 0, len(entries)-1; i < j; i, j = i+1, j-1 {
+		entries[i], entries[j] = entries[j], entries[i]
+	}
+	assert.DeepEqual(t, Readers(entries), readers)
+	ranks := map[int]bool{}
+	for _, r := range readers {
+		ranks[Rank(service.ID(), r, readers)] = true
+	}
+	assert.DeepEqual(t, ranks, map[int]bool{0: true, 1: true, 2: true, 3: true})
+	assert.Equal(t, Rank(service.ID(), 1, readers), -1)
+	assert.Equal(t, RankDelay(2), time.Second)
+}
--- a/policy/yamlfile/yamlfile.go
+++ b/policy/yamlfile/yamlfile.go
@@ -64,8 +64,15 @@
 }
 
 // Parse decodes text into a copy of defaults, then runs check on it. Unknown fields are faults. The name is used in
-// messages. The error is a *Faults where check found any.
-func Parse[T any](name string, text []byte, defaults T, check func(*T, *Faults)) (*T, error) {
+// messages. The error is a *Faults where check found any. A text with several documents is refused, as only the first would be read.
+func Parse[T any](name string, text []byte, defaults T, check func(*T, *Faults)) (result *T, err error) {
+	// The YAML library panics on some malformed texts, as FuzzParse of package settings found. Settings come from outside, so that is
+	// an error like any other.
+	defer func() {
+		if p := recover(); p != nil {
+			result, err = nil, errors.Errorf("%s: the text is not valid YAML: %v", name, p)
+		}
+	}()
 	if len(text) > maxFileSize {
 		return nil, errors.Errorf("%s: %d bytes, at most %d", name, len(text), maxFileSize)
 	}
@@ -74,6 +81,9 @@
 	if err != nil {
 		return nil, errors.Errorf("%s: %s", name, yaml.FormatError(err, false, false))
 	}
+	if len(tree.Docs) > 1 {
+		return nil, errors.Errorf("%s:%d: $: a second document starts here, want one", name, firstLine(tree.Docs[1]))
+	}
 	faults.tree = tree
 	value := defaults
 	decoder := yaml.NewDecoder(bytes.NewReader(text), yaml.Strict())
@@ -86,3 +96,14 @@
 	}
 	return &value, nil
 }
+
+// firstLine returns the line on which a document starts; 0 if it is empty and has no marker.
+func firstLine(d *ast.DocumentNode) int {
+	switch {
+	case d.Start != nil:
+		return d.Start.Position.Line
+	case d.Body != nil:
+		return d.Body.GetToken().Position.Line
+	}
+	return 0
+}
