duty: pace applied queries, look at a count only when it can have changed

Cause: a count copied the list of entries 20 times a second and sent a query to every node at once. With 7,000 entries the replies overflow the queue of events, and one node that never answers keeps the copies going for an hour. Ruled out: a larger queue, which only moves the limit. Before: a look every 50 ms, all queries in one burst. After: a look every 100 ms while replies arrive, every second otherwise, at most 500 queries each, with a backoff per node.

--- a/node/duty/count.go
+++ b/node/duty/count.go
@@ -15,10 +15,13 @@
 )
 
 const (
-	firstQuery  = 100 * time.Millisecond // after acceptance
-	maxQuery    = 30 * time.Second       // between queries to nodes that don't answer
+	firstQuery  = 100 * time.Millisecond // before a node that doesn't answer is asked again; doubles each time
+	maxQuery    = 30 * time.Second
 	reportEvery = 500 * time.Millisecond // between status writes while the count changes
+	lookEvery   = 100 * time.Millisecond // between looks at a count; a look copies the list of entries
+	idleLook    = time.Second            // the same while no replies arrive
 	countFor    = time.Hour              // after which a node that still doesn't answer is no longer asked
+	queryBurst  = 500                    // queries at one look, so that the replies fit into the queue of events
 )
 
 // count is how far one revision is in force. A node that has answered is not asked again, so that the load of a change is one query and
@@ -29,13 +32,21 @@
 	query    uint64
 	accepted time.Time
 	applied  map[ident.NodeID]bool
-	next     time.Time
-	interval time.Duration
+	asked    map[ident.NodeID]asked
+	next     time.Time // of the next look without a reply
+	looked   time.Time
+	replies  bool // since the last look
 	reported time.Time
 	shown    settings.Progress
 	complete bool
 }
 
+// asked is when a node may be asked again.
+type asked struct {
+	next     time.Time
+	interval time.Duration
+}
+
 // AnswerApplied makes a node answer which revision it has applied. Duty does it for entries; agents call it.
 func AnswerApplied(mesh peer.Mesh) {
 	mesh.HandleControl(func(c *lacewingv1.Control) {
@@ -70,7 +81,7 @@
 
 func (d *Duty) replied(from ident.NodeID, query, number uint64) {
 	if c := d.queries[query]; c != nil && number >= c.revision {
-		c.applied[from] = true
+		c.applied[from], c.replies = true, true
 	}
 }
 
@@ -90,7 +101,7 @@
 		query:    d.query,
 		accepted: r.Accepted,
 		applied:  map[ident.NodeID]bool{},
-		interval: firstQuery,
+		asked:    map[ident.NodeID]asked{},
 	}
 	d.counts[r.Service] = c
 	d.queries[c.query] = c
@@ -138,9 +149,11 @@
 
 // ask updates the progress of a count and queries those who are missing.
 func (d *Duty) ask(c *count, now time.Time) {
-	if c.complete {
+	due := !now.Before(c.next) || (c.replies && now.Sub(c.looked) >= lookEvery)
+	if c.complete || !due {
 		return
 	}
+	c.looked, c.replies = now, false
 	missing, total := d.missing(c)
 	progress := settings.Progress{Revision: c.revision, InForce: total - len(missing), Nodes: total}
 	for _, n := range missing {
@@ -156,14 +169,31 @@
 		c.shown, c.reported = progress, now
 		d.touch(c.service)
 	}
-	if c.complete || now.Before(c.next) {
-		return
+	c.next = now.Add(idleLook)
+	if d.sendQueries(c, missing, now) {
+		c.next = now.Add(lookEvery)
 	}
-	c.next = now.Add(c.interval)
-	c.interval = min(2*c.interval, maxQuery)
+}
+
+// sendQueries queries the nodes that are due. It returns true if some are due soon.
+func (d *Duty) sendQueries(c *count, missing []record.Node, now time.Time) (soon bool) {
+	sent := 0
 	for _, n := range missing {
+		a := c.asked[n.ID]
+		if now.Before(a.next) {
+			soon = soon || a.interval < 2*idleLook
+			continue
+		}
+		if sent == queryBurst {
+			return true
+		}
+		sent++
+		a.interval = min(max(2*a.interval, firstQuery), maxQuery)
+		a.next = now.Add(a.interval)
+		c.asked[n.ID] = a
 		d.sendQuery(c, n.ID)
 	}
+	return soon || sent > 0
 }
 
 func (d *Duty) sendQuery(c *count, to ident.NodeID) {
--- a/node/duty/duty.go
+++ b/node/duty/duty.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -50,6 +51,7 @@
 	query    uint64
 	readers  []ident.NodeID
 	reading  bool
+	reader   atomic.Bool // reading, for the metrics
 	counters counters
 }
 
@@ -104,6 +106,12 @@
 			elapsed:   o.Metrics.NewHistogram("lacewing_duty_in_force_seconds"),
 		},
 	}
+	o.Metrics.NewGauge("lacewing_duty_store_reader", func() float64 {
+		if d.reader.Load() {
+			return 1
+		}
+		return 0
+	})
 	d.reset()
 	AnswerApplied(o.Mesh)
 	o.Mesh.HandleControl(d.handleControl)
@@ -133,6 +141,7 @@
 			return
 		}
 		d.reading = reads
+		d.reader.Store(reads)
 		stopReading()
 		stopReading = func() {}
 		_ = level.Info(d.logger).Log(logging.KeyMessage, "store reader", logging.KeyState, reads)
