bench: fleet and demo

Cause: demo, scenarios and measurements need the same fleet of programs, and the demo has to show the guarantees in half a minute.

Before: no demo.

--- /dev/null
+++ b/bench/cmd/demo/main.go
@@ -0,0 +1,22 @@
+// Command demo runs both users' pools at today's sizes, disturbs them, and exits with 0 only if what must hold did.
+package main
+
+import (
+	"context"
+	"os"
+
+	"lacewinglever.dev/bench/demo"
+	"lacewinglever.dev/bench/program"
+)
+
+type options struct {
+	program.Common
+	Bin string `long:"bin" description:"folder of the binaries" default:"bin"`
+}
+
+func main() {
+	var o options
+	program.Main(&o, &o.Common, func(ctx context.Context) error {
+		return demo.Run(ctx, demo.Options{Bin: o.Bin, Out: os.Stdout})
+	})
+}
--- /dev/null
+++ b/bench/fleet/settings.go
@@ -0,0 +1,131 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+const applyWait = 15 * time.Second
+
+// writtenVersion finds the version in what lacewingctl apply prints.
+var writtenVersion = regexp.MustCompile(`version (\d+)`)
+
+// Status is the part of a service's status object that the fleet reads.
+type Status struct {
+	Accepted        uint64   `json:"accepted"`
+	AcceptedVersion uint64   `json:"accepted_version"`
+	RefusedVersion  uint64   `json:"refused_version"`
+	Reason          string   `json:"reason"`
+	InForce         int      `json:"in_force"`
+	Nodes           int      `json:"nodes"`
+	Missing         []string `json:"missing"`
+	ElapsedMs       int64    `json:"elapsed_ms"`
+}
+
+type object struct {
+	Value Status `json:"value"`
+}
+
+// Apply writes a service's settings with lacewingctl: the fleet's own, with further lines of YAML. It returns the version of
+// what was written.
+func (f *Fleet) Apply(ctx context.Context, service, more string) (uint64, error) {
+	i, err := f.serviceIndex(service)
+	if err != nil {
+		return 0, err
+	}
+	return f.ApplyText(ctx, service, f.spec(i, more))
+}
+
+// ApplyText writes settings as they are.
+func (f *Fleet) ApplyText(ctx context.Context, service, text string) (uint64, error) {
+	file := filepath.Join(f.Dir, strings.ReplaceAll(service, "/", "-")+".settings.yaml")
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		return 0, err
+	}
+	out, err := f.Control(ctx, "apply", service, file)
+	if err != nil {
+		return 0, err
+	}
+	match := writtenVersion.FindStringSubmatch(out)
+	if match == nil {
+		return 0, errors.Errorf("apply %s: no version in %q", service, out)
+	}
+	return strconv.ParseUint(match[1], 10, 64)
+}
+
+// Control runs lacewingctl and returns what it prints.
+func (f *Fleet) Control(ctx context.Context, args ...string) (string, error) {
+	ctx, cancel := context.WithTimeout(ctx, applyWait)
+	defer cancel()
+	args = append(args, "--platform", "http://"+f.platform(), "--as", "operator")
+	out, err := exec.CommandContext(ctx, f.binary("lacewingctl"), args...).CombinedOutput()
+	if err != nil {
+		return string(out), errors.Wrapf(err, "lacewingctl %s: %s", args[0], strings.TrimSpace(string(out)))
+	}
+	return string(out), nil
+}
+
+// Status reads the status of a service from the platform.
+func (f *Fleet) Status(ctx context.Context, service string) (Status, error) {
+	team, name, _ := strings.Cut(service, "/")
+	var o object
+	url := fmt.Sprintf("http://%s/v1/objects/teams/%s/status/%s", f.platform(), team, name)
+	err := f.call(ctx, http.MethodGet, url, nil, &o)
+	return o.Value, err
+}
+
+// WaitInForce waits until the settings of a version, or newer ones, are in force at all of at least so many nodes.
+func (f *Fleet) WaitInForce(ctx context.Context, service string, version uint64, nodes int, limit time.Duration) error {
+	return f.Until(ctx, limit, service+" is in force", func() error {
+		s, err := f.Status(ctx, service)
+		switch {
+		case err != nil:
+			return err
+		case s.RefusedVersion >= version:
+			return errors.Errorf("refused: %s", s.Reason)
+		case s.AcceptedVersion < version || s.InForce < s.Nodes || s.Nodes < nodes:
+			return errors.Errorf("status %+v, want version %d at %d nodes", s, version, nodes)
+		}
+		return nil
+	})
+}
+
+// NodesOf returns how many nodes a service's settings concern: all entries and its agents, as far as they run.
+func (f *Fleet) NodesOf(service string) int {
+	count := 0
+	for _, n := range f.nodes {
+		concerned := n.service < 0 || f.Services[n.service].FullName() == service
+		if p := f.Process(n.name); concerned && p != nil && p.Running() {
+			count++
+		}
+	}
+	return count
+}
+
+// ApplyAll writes the settings of all services and waits until they are in force everywhere.
+func (f *Fleet) ApplyAll(ctx context.Context, limit time.Duration) error {
+	versions := make([]uint64, len(f.Services))
+	for i := range f.Services {
+		var err error
+		if versions[i], err = f.Apply(ctx, f.Services[i].FullName(), ""); err != nil {
+			return err
+		}
+	}
+	for i := range f.Services {
+		name := f.Services[i].FullName()
+		if err := f.WaitInForce(ctx, name, versions[i], f.NodesOf(name), limit); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/bench/fleet/today.go
@@ -0,0 +1,71 @@
+package fleet
+
+import (
+	"fmt"
+	"time"
+
+	"lacewinglever.dev/bench/fabric"
+	"lacewinglever.dev/bench/load"
+)
+
+const jitter = 200 * time.Microsecond
+
+// Requests of the users' services.
+var (
+	Setpoint    = load.Request{Method: "POST", Path: "/setpoint", Size: 200, Permit: true}
+	Booking     = load.Request{Method: "POST", Path: "/booking", Size: 200, Permit: true}
+	Report      = load.Request{Method: "GET", Path: "/report", Size: 20_000}
+	Certificate = load.Request{Method: "GET", Path: "/certificate", Size: 50_000}
+)
+
+// Names of the users' services.
+const (
+	RoomFeed    = "maturacao/room-feed"
+	RoomControl = "maturacao/room-control"
+	Reports     = "maturacao/reports"
+	SlotFeed    = "bluestem/slot-feed"
+	SlotDesk    = "bluestem/slot-desk"
+	Records     = "bluestem/records"
+)
+
+// Today returns both users' pools at today's sizes. A service is of one kind, so room control and slot desk are two services
+// each, with an agent per target and service.
+func Today() []Service {
+	permits := func(path string) string {
+		return fmt.Sprintf("non_idempotent:\n  - {method: POST, path: %s}\n", path)
+	}
+	three, four := []int{1, 2, 3}, []int{1, 2, 3, 4}
+	const feeds, quick, slow = "idle_timeout: 60s\n", 20 * time.Millisecond, 50 * time.Millisecond
+	return []Service{
+		{Team: "maturacao", Name: "room-feed", Kind: "feed", Targets: 7, Slots: 3, DataCentres: three, Settings: feeds},
+		{Team: "maturacao", Name: "room-control", Kind: "request", Targets: 7, Slots: 3, DataCentres: three, ServiceTime: quick,
+			Settings: permits("/setpoint")},
+		{Team: "maturacao", Name: "reports", Kind: "request", Targets: 3, Slots: 3, DataCentres: three, ServiceTime: slow},
+		{Team: "bluestem", Name: "slot-feed", Kind: "feed", Targets: 7, Slots: 2, DataCentres: four, Settings: feeds},
+		{Team: "bluestem", Name: "slot-desk", Kind: "request", Targets: 7, Slots: 2, DataCentres: four, ServiceTime: quick,
+			Settings: permits("/booking")},
+		{Team: "bluestem", Name: "records", Kind: "request", Targets: 4, Slots: 2, DataCentres: four, ServiceTime: slow},
+	}
+}
+
+// TodaysLinks returns the delays between data centres and between callers and entries.
+func TodaysLinks() []fabric.Link {
+	links := []fabric.Link{
+		{From: "dc1", To: "dc2", Delay: 4 * time.Millisecond},
+		{From: "dc1", To: "dc3", Delay: 4500 * time.Microsecond},
+		{From: "dc2", To: "dc3", Delay: 5 * time.Millisecond},
+		{From: "dc1", To: "dc4", Delay: 3 * time.Millisecond},
+		{From: "dc2", To: "dc4", Delay: 3500 * time.Microsecond},
+		{From: "dc3", To: "dc4", Delay: 4 * time.Millisecond},
+	}
+	for _, name := range []string{RoomFeed, RoomControl, Reports} {
+		links = append(links, fabric.Link{From: name, To: fabric.Any, Delay: time.Millisecond})
+	}
+	for _, name := range []string{SlotFeed, SlotDesk, Records} {
+		links = append(links, fabric.Link{From: name, To: fabric.Any, Delay: 3 * time.Millisecond})
+	}
+	for i := range links {
+		links[i].Jitter = jitter
+	}
+	return links
+}
