--- /dev/null
+++ b/bench/scenario/scenario_test.go
@@ -0,0 +1,472 @@
+package scenario
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/goccy/go-yaml"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"lacewinglever.dev/bench/fabric"
+	"lacewinglever.dev/bench/fleet"
+	"lacewinglever.dev/bench/load"
+)
+
+const (
+	firstPort   = 20000 // of the first scenario; below the range of ephemeral ports
+	startLimit  = 45 * time.Second
+	stopLimit   = 70 * time.Second // longer than the drain timeout of the fleet's agents
+	defaultWait = 10 * time.Second
+	maxSleep    = time.Minute
+)
+
+// state is what the commands of one script share.
+type state struct {
+	ctx   context.Context
+	bin   string
+	ports int
+	fleet *fleet.Fleet
+	begin time.Time // of the last apply
+}
+
+type stateKey struct{}
+
+type command func(s *state, ts *testscript.TestScript, args []string) error
+
+// Guards against every failure that a script describes, with the real programs.
+func TestScenarios(t *testing.T) {
+	bin := os.Getenv("LACEWING_BIN")
+	if bin == "" {
+		t.Skip("LACEWING_BIN is not set; make scenarios sets it")
+	}
+	files, err := filepath.Glob("testdata/*.txtar")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no scripts: %v", err)
+	}
+	slices.Sort(files)
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata",
+		Setup: func(env *testscript.Env) error {
+			name := strings.TrimPrefix(filepath.Base(env.WorkDir), "script-")
+			index := slices.Index(files, filepath.Join("testdata", name+".txtar"))
+			if index < 0 {
+				return errors.Errorf("no script is called %q", name)
+			}
+			ctx, cancel := context.WithCancel(context.Background())
+			s := &state{ctx: ctx, bin: bin, ports: firstPort + index*fleet.PortsPerFleet}
+			env.Values[stateKey{}] = s
+			env.Defer(func() {
+				cancel()
+				s.close(env.T())
+			})
+			return nil
+		},
+		Cmds: commands(),
+	})
+}
+
+// close kills the fleet and keeps its logs if the scenario failed.
+func (s *state) close(t testscript.T) {
+	if s.fleet == nil {
+		return
+	}
+	failed := true
+	if f, ok := t.(interface{ Failed() bool }); ok {
+		failed = f.Failed()
+	}
+	if failed {
+		t.Log("logs of all programs: " + s.fleet.Dir)
+	}
+	if err := s.fleet.Close(failed); err != nil {
+		t.Log(err)
+	}
+}
+
+func commands() map[string]func(*testscript.TestScript, bool, []string) {
+	all := map[string]command{
+		"fleet": startFleet, "process": process, "ended": ended, "link": link, "rotation": rotation, "platform": platform, "mode": mode, "apply": apply, "inforce": inForce,
+		"ctl": control, "load": loads, "expect": expect, "stats": stats, "now": now, "sleep": sleep,
+	}
+	cmds := map[string]func(*testscript.TestScript, bool, []string){}
+	for name, run := range all {
+		cmds[name] = func(ts *testscript.TestScript, neg bool, args []string) {
+			s := ts.Value(stateKey{}).(*state)
+			if s.fleet == nil && name != "fleet" && name != "sleep" && name != "now" {
+				ts.Fatalf("%s: there is no fleet yet", name)
+			}
+			err := run(s, ts, args)
+			switch {
+			case neg && err == nil:
+				ts.Fatalf("%s %q succeeded, want a failure", name, args)
+			case !neg && err != nil:
+				ts.Fatalf("%s %q: %v", name, args, err)
+			}
+		}
+	}
+	return cmds
+}
+
+// process does something to processes. The names kill and stop are testscript's own.
+func process(s *state, _ *testscript.TestScript, args []string) error {
+	if len(args) < 2 {
+		return errors.New("usage: process start|kill|pause|continue|stop NAME...")
+	}
+	do, ok := map[string]func(string) error{
+		"start": s.fleet.StartProcess, "kill": s.fleet.Kill, "pause": s.fleet.Pause, "continue": s.fleet.Continue,
+		"stop": func(name string) error { return s.fleet.Stop(name, stopLimit) },
+	}[args[0]]
+	if !ok {
+		return errors.Errorf("process %s is not known", args[0])
+	}
+	for _, name := range args[1:] {
+		if err := do(name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func readYAML(ts *testscript.TestScript, file string, into any) error {
+	return yaml.NewDecoder(strings.NewReader(ts.ReadFile(file)), yaml.Strict()).Decode(into)
+}
+
+type fleetFile struct {
+	Entries  []int           `yaml:"entries"`
+	Direct   bool            `yaml:"direct"`
+	Services []fleet.Service `yaml:"services"`
+	Links    []fabric.Link   `yaml:"links"`
+}
+
+func startFleet(s *state, ts *testscript.TestScript, args []string) error {
+	if len(args) == 0 || s.fleet != nil {
+		return errors.New("usage: fleet FILE [noapply], once")
+	}
+	var file fleetFile
+	if err := readYAML(ts, args[0], &file); err != nil {
+		return err
+	}
+	f, err := fleet.New(fleet.Options{
+		Bin: s.bin, PortBase: s.ports, Seed: 1, Entries: file.Entries, Services: file.Services, Links: file.Links, Direct: file.Direct,
+	})
+	if err != nil {
+		return err
+	}
+	s.fleet = f
+	if err := f.Start(s.ctx); err != nil || file.Direct || len(args) > 1 {
+		return err
+	}
+	return f.ApplyAll(s.ctx, startLimit)
+}
+
+// duration reads an optional bound.
+func duration(args []string) (time.Duration, error) {
+	if len(args) == 0 {
+		return defaultWait, nil
+	}
+	return time.ParseDuration(args[0])
+}
+
+func ended(s *state, _ *testscript.TestScript, args []string) error {
+	got := s.fleet.Ended()
+	slices.Sort(got)
+	slices.Sort(args)
+	if !slices.Equal(got, args) {
+		return errors.Errorf("ended: %q", got)
+	}
+	return nil
+}
+
+// pairs turns KEY=VALUE into YAML, which the settings of links, modes and faults are.
+func pairs(args []string) string {
+	var b strings.Builder
+	b.WriteString("{")
+	for _, a := range args {
+		key, value, _ := strings.Cut(a, "=")
+		fmt.Fprintf(&b, "%s: %s, ", key, value)
+	}
+	return b.String() + "}"
+}
+
+func link(s *state, _ *testscript.TestScript, args []string) error {
+	if len(args) < 2 {
+		return errors.New("usage: link FROM TO [KEY=VALUE...]")
+	}
+	var l fabric.Link
+	if err := yaml.UnmarshalWithOptions([]byte(pairs(args[2:])), &l, yaml.Strict()); err != nil {
+		return err
+	}
+	l.From, l.To = args[0], args[1]
+	return s.fleet.SetLink(s.ctx, l)
+}
+
+func rotation(s *state, _ *testscript.TestScript, args []string) error {
+	return s.fleet.SetEntries(s.ctx, args...)
+}
+
+// toJSON turns KEY=VALUE into a JSON object. Durations become nanoseconds.
+func toJSON(args []string) (string, error) {
+	values := map[string]any{}
+	for _, a := range args {
+		key, text, _ := strings.Cut(a, "=")
+		if d, err := time.ParseDuration(text); err == nil && text != "0" {
+			values[key] = d
+			continue
+		}
+		var value any
+		if err := json.Unmarshal([]byte(text), &value); err != nil {
+			return "", errors.Wrap(err, a)
+		}
+		values[key] = value
+	}
+	b, err := json.Marshal(values)
+	return string(b), err
+}
+
+func platform(s *state, _ *testscript.TestScript, args []string) error {
+	faults, err := toJSON(args)
+	if err != nil {
+		return err
+	}
+	return s.fleet.SetFaults(s.ctx, faults)
+}
+
+func mode(s *state, _ *testscript.TestScript, args []string) error {
+	if len(args) < 2 {
+		return errors.New("usage: mode TARGET KEY=VALUE...")
+	}
+	change, err := toJSON(args[1:])
+	if err != nil {
+		return err
+	}
+	return s.fleet.SetMode(s.ctx, args[0], change)
+}
+
+func apply(s *state, ts *testscript.TestScript, args []string) error {
+	if len(args) == 0 {
+		return errors.New("usage: apply SERVICE [FILE]")
+	}
+	more := ""
+	if len(args) > 1 {
+		more = ts.ReadFile(args[1])
+	}
+	s.begin = time.Now()
+	version, err := s.fleet.Apply(s.ctx, args[0], more)
+	if err != nil {
+		return err
+	}
+	ts.Setenv("VERSION", strconv.FormatUint(version, 10))
+	return nil
+}
+
+func inForce(s *state, ts *testscript.TestScript, args []string) error {
+	if len(args) == 0 {
+		return errors.New("usage: inforce SERVICE [WITHIN]")
+	}
+	limit, err := duration(args[1:])
+	if err != nil {
+		return err
+	}
+	version, err := strconv.ParseUint(ts.Getenv("VERSION"), 10, 64)
+	if err != nil {
+		return err
+	}
+	err = s.fleet.WaitInForce(s.ctx, args[0], version, s.fleet.NodesOf(args[0]), limit)
+	ts.Setenv("TOOK_MS", strconv.FormatInt(time.Since(s.begin).Milliseconds(), 10))
+	return err
+}
+
+func control(s *state, ts *testscript.TestScript, args []string) error {
+	out, err := s.fleet.Control(s.ctx, args...)
+	_, _ = ts.Stdout().Write([]byte(out))
+	return err
+}
+
+// loadFile is a load without addresses: the fleet knows them.
+type loadFile struct {
+	Duration time.Duration   `yaml:"duration"`
+	Seed     uint64          `yaml:"seed"`
+	Feeds    []load.Feeds    `yaml:"feeds"`
+	Requests []load.Requests `yaml:"requests"`
+}
+
+func loads(s *state, ts *testscript.TestScript, args []string) error {
+	if len(args) < 2 {
+		return errors.New("usage: load start|mark|stop|wait NAME [FILE]")
+	}
+	var err error
+	switch args[0] {
+	case "start":
+		if len(args) < 3 {
+			return errors.New("load start: no file")
+		}
+		return startLoad(s, ts, args[1], args[2])
+	case "mark":
+		return s.fleet.MarkLoad(s.ctx, args[1])
+	case "stop":
+		_, err = s.fleet.StopLoad(s.ctx, args[1], startLimit)
+	case "wait":
+		_, err = s.fleet.WaitLoad(s.ctx, args[1], maxSleep)
+	default:
+		err = errors.Errorf("load %s is not known", args[0])
+	}
+	return err
+}
+
+func startLoad(s *state, ts *testscript.TestScript, name, file string) error {
+	var l loadFile
+	if err := readYAML(ts, file, &l); err != nil {
+		return err
+	}
+	for i := range l.Feeds {
+		at, err := s.fleet.FeedLoad(l.Feeds[i].Service, 0)
+		if err != nil {
+			return err
+		}
+		l.Feeds[i].Address, l.Feeds[i].Targets = at.Address, at.Targets
+	}
+	for i := range l.Requests {
+		at, err := s.fleet.RequestLoad(l.Requests[i].Service, 0)
+		if err != nil {
+			return err
+		}
+		l.Requests[i].Address, l.Requests[i].Targets = at.Address, at.Targets
+	}
+	return s.fleet.StartLoad(s.ctx, name, load.Config{Duration: l.Duration, Seed: l.Seed, Feeds: l.Feeds, Requests: l.Requests})
+}
+
+// within splits off the bound of a wait; without one the condition must hold now.
+func within(args []string) (time.Duration, []string, error) {
+	if len(args) < 2 || args[0] != "-within" {
+		return 0, args, nil
+	}
+	d, err := time.ParseDuration(args[1])
+	return d, args[2:], err
+}
+
+func expect(s *state, _ *testscript.TestScript, args []string) error {
+	limit, args, err := within(args)
+	if err != nil || len(args) < 4 {
+		return errors.New("usage: expect [-within D] LOAD SERVICE FIELD OP VALUE, or LOAD faults == 0")
+	}
+	return s.fleet.Until(s.ctx, limit, strings.Join(args, " "), func() error {
+		r, err := s.fleet.LoadReport(s.ctx, args[0])
+		if err != nil {
+			return err
+		}
+		if args[1] == "faults" {
+			return compare(float64(len(r.Faults())), args[2:], fmt.Sprintf("%q", r.Faults()))
+		}
+		row, events, err := rowOf(r, args[1])
+		if err != nil {
+			return err
+		}
+		return compareField(row, args[2:], strings.Join(events, "\n"))
+	})
+}
+
+// rowOf finds the part of a report that is about a service.
+func rowOf(r *load.Report, service string) (any, []string, error) {
+	for _, f := range r.Feeds {
+		if f.Service == service {
+			return f, f.Events, nil
+		}
+	}
+	for _, q := range r.Requests {
+		if q.Service == service {
+			return q, q.Events, nil
+		}
+	}
+	return nil, nil, errors.Errorf("the report has no service %q", service)
+}
+
+func stats(s *state, _ *testscript.TestScript, args []string) error {
+	limit, args, err := within(args)
+	if err != nil || len(args) < 4 {
+		return errors.New("usage: stats [-within D] TARGET FIELD OP VALUE")
+	}
+	return s.fleet.Until(s.ctx, limit, strings.Join(args, " "), func() error {
+		got, err := s.fleet.Stats(s.ctx, args[0])
+		if err != nil {
+			return err
+		}
+		return compareField(got, args[1:], "")
+	})
+}
+
+// compareField compares a field, such as pool.busy_imbalance, of a value that JSON can hold.
+func compareField(value any, args []string, detail string) error {
+	text, err := json.Marshal(value)
+	if err != nil {
+		return err
+	}
+	var tree any
+	if err := json.NewDecoder(bytes.NewReader(text)).Decode(&tree); err != nil {
+		return err
+	}
+	for _, key := range strings.Split(args[0], ".") {
+		object, ok := tree.(map[string]any)
+		if !ok || object[key] == nil {
+			return errors.Errorf("no field %q in %s", args[0], text)
+		}
+		tree = object[key]
+	}
+	got, ok := tree.(float64)
+	if !ok {
+		return errors.Errorf("%s is not a number", args[0])
+	}
+	return compare(got, args[1:], detail)
+}
+
+func compare(got float64, args []string, detail string) error {
+	if len(args) != 2 {
+		return errors.New("want OP VALUE")
+	}
+	var want float64
+	for _, term := range strings.Split(args[1], "+") {
+		n, err := strconv.ParseFloat(term, 64)
+		if err != nil {
+			return err
+		}
+		want += n
+	}
+	holds, known := map[string]bool{
+		"==": got == want, "!=": got != want, "<": got < want, "<=": got <= want, ">": got > want, ">=": got >= want,
+	}[args[0]]
+	switch {
+	case !known:
+		return errors.Errorf("%s is not a comparison", args[0])
+	case !holds:
+		return errors.Errorf("is %v, want %s %v\n%s", got, args[0], want, detail)
+	}
+	return nil
+}
+
+func now(_ *state, ts *testscript.TestScript, args []string) error {
+	if len(args) != 1 {
+		return errors.New("usage: now VAR")
+	}
+	ts.Setenv(args[0], strconv.FormatInt(time.Now().UnixMilli(), 10))
+	return nil
+}
+
+func sleep(s *state, _ *testscript.TestScript, args []string) error {
+	d, err := duration(args)
+	if err != nil || d > maxSleep {
+		return errors.Errorf("want at most %v: %v", maxSleep, err)
+	}
+	select {
+	case <-time.After(d):
+	case <-s.ctx.Done():
+	}
+	return nil
+}
