--- a/bench/load/load.go
+++ b/bench/load/load.go
@@ -68,6 +68,9 @@
 	time.Sleep(settle)
 	for _, g := range l.requests {
 		g.pool.sample(context.WithoutCancel(ctx))
+		g.mu.Lock()
+		g.final = true
+		g.mu.Unlock()
 	}
 	report := l.Report()
 	report.Feeds = last
--- a/bench/load/pool.go
+++ b/bench/load/pool.go
@@ -42,6 +42,7 @@
 	runs     []target.Run
 	read     map[string]position // per URL
 	unread   map[string]bool     // URLs whose log could not be read the last time
+	lost     bool                // runs may be missing, because a log was out of reach or its process restarted
 }
 
 func newPool(urls []string) *pool {
@@ -125,6 +126,7 @@
 		err := p.readLog(ctx, url)
 		p.mu.Lock()
 		p.unread[url] = err != nil
+		p.lost = p.lost || err != nil
 		p.mu.Unlock()
 	}
 }
@@ -154,6 +156,7 @@
 	restarted := at.log != "" && at.log != log
 	if restarted {
 		p.read[url] = position{log: log}
+		p.lost = true
 	} else {
 		p.runs = append(p.runs, runs...)
 		p.read[url] = position{log, at.count + len(runs)}
--- a/bench/load/report.go
+++ b/bench/load/report.go
@@ -60,7 +60,7 @@
 	Misrouted          int        `json:"misrouted"`
 	Doubled            int        `json:"doubled"` // requests with a permit that ran more than once
 	RunAfterNotRun     int        `json:"run_after_not_run"`
-	AnsweredWithoutRun int        `json:"answered_without_run"` // judged only if all run logs were read to the end
+	AnsweredWithoutRun int        `json:"answered_without_run"` // judged at the end, and only if no run log was out of reach
 	UnreadLogs         int        `json:"unread_logs"`          // run logs that could not be read to the end
 	Latency            Latency    `json:"latency"`              // from the intended start to the whole answer
 	Pool               PoolReport `json:"pool"`
--- a/bench/load/requests.go
+++ b/bench/load/requests.go
@@ -32,9 +32,11 @@
 
 const (
 	// permitAge is how long a permit is kept for use; agents' permits are valid for 60 s.
-	permitAge   = 20 * time.Second
-	maxPermits  = 64
-	quicIdle    = 30 * time.Second
+	permitAge  = 20 * time.Second
+	maxPermits = 64
+	// quicIdle is how long a connection whose agent is gone is kept; until then its requests time out.
+	quicIdle    = 5 * time.Second
+	quicPing    = time.Second
 	maxReplies  = 3 // times that a request is sent again because a permit is required
 	maxBodySize = 17 << 20
 )
@@ -62,7 +64,8 @@
 	permits  []permit
 	once     map[string]bool // run ids of requests that may run once; true if answered
 	refused  map[string]bool // run ids that were not run
-	answered map[string]bool // run ids of the other requests that were answered
+	answered map[string]bool // run ids of all requests that were answered
+	final    bool            // all outcomes are known and the run logs were read afterwards
 }
 
 func newRequests(config Requests, seed uint64) *requests {
@@ -198,9 +201,6 @@
 	}
 	defer answer.Body.Close()
 	last.read(answer)
-	if last.err != nil {
-		c.drop()
-	}
 	if last.permit != "" && !last.required {
 		g.keepPermit(last.permit)
 	}
@@ -322,6 +322,7 @@
 			unread++
 		}
 	}
+	complete := !g.pool.lost && len(g.config.Targets) > 0
 	g.pool.mu.Unlock()
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -341,7 +342,7 @@
 		}
 	}
 	for id := range g.answered {
-		if runs[id] == 0 && unread == 0 && r.Pending == 0 && len(g.config.Targets) > 0 {
+		if runs[id] == 0 && complete && g.final {
 			r.AnsweredWithoutRun++
 		}
 	}
@@ -364,7 +365,8 @@
 		return nil, errors.Wrap(errUnsent, err.Error())
 	}
 	answer, err := client.RoundTrip(request)
-	if err != nil {
+	// A request that timed out must not take the others on its connection with it.
+	if err != nil && ctx.Err() == nil {
 		c.dropIf(client)
 	}
 	return answer, err
@@ -393,7 +395,7 @@
 	}
 	// The certificate is the stand-in fleet's own; what it proves is not under test here.
 	tlsConfig := &tls.Config{InsecureSkipVerify: true, NextProtos: []string{http3.NextProtoH3}}
-	c.quic, err = transport.Dial(ctx, to, tlsConfig, &quic.Config{MaxIdleTimeout: quicIdle})
+	c.quic, err = transport.Dial(ctx, to, tlsConfig, &quic.Config{MaxIdleTimeout: quicIdle, KeepAlivePeriod: quicPing})
 	if err != nil {
 		closer()
 		return nil, err
