bench: load program touches only the feeds that send

Cause: each millisecond the load program looked at every feed, so its work grew with the feeds held and not with the datagrams sent.

Feed i now sends at each tick that is i modulo the interval.

--- a/bench/load/feeds.go
+++ b/bench/load/feeds.go
@@ -31,7 +31,6 @@
 type open struct {
 	id        uint64
 	from      netip.Addr
-	nextSend  time.Time
 	calls     uint64
 	target    string // that served it last; empty until the first answer
 	lastHeard time.Time
@@ -51,7 +50,8 @@
 	start  time.Time
 
 	mu      sync.Mutex
-	order   []*open // in order of opening, replaced by churn in place
+	order   []*open // in order of opening, replaced by churn in place; feed i sends at each tick that is i modulo period
+	tick    int64   // last one whose feeds have sent
 	byID    map[uint64]*open
 	created uint64
 	stalls  int
@@ -95,8 +95,8 @@
 		if now.Sub(last) > stall {
 			g.forgive(now)
 		}
-		g.create(now, now.Sub(last))
-		for _, call := range g.due(now) {
+		calls := append(g.create(now, now.Sub(last)), g.due(now)...)
+		for _, call := range calls {
 			_ = g.conn.WriteFrom(call.datagram.Append(out[:0], g.config.Size), call.from, g.to)
 		}
 		last = now
@@ -113,27 +113,32 @@
 	}
 }
 
-// create opens the feeds that are due by the opening rate, then replaces feeds by the churn rate.
-func (g *feeds) create(now time.Time, elapsed time.Duration) {
+// create opens the feeds that are due by the opening rate, then replaces feeds by the churn rate. It returns their first
+// datagrams.
+func (g *feeds) create(now time.Time, elapsed time.Duration) []call {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	var calls []call
 	for len(g.order) < g.config.Count && float64(len(g.order)) < now.Sub(g.start).Seconds()*g.config.OpenRate {
 		g.order = append(g.order, g.fresh(now))
+		calls = append(calls, g.call(g.order[len(g.order)-1], now))
 	}
 	for n := g.config.Churn * elapsed.Seconds(); n > 0 && len(g.order) == g.config.Count; n-- {
 		if g.rand.Float64() < n {
 			i := g.rand.IntN(len(g.order))
 			delete(g.byID, g.order[i].id)
 			g.order[i] = g.fresh(now)
+			calls = append(calls, g.call(g.order[i], now))
 		}
 	}
+	return calls
 }
 
 func (g *feeds) fresh(now time.Time) *open {
 	g.created++
 	var b [4]byte
 	binary.BigEndian.PutUint32(b[:], firstCaller+1+uint32(g.created%(callerCount-2)))
-	f := &open{id: g.base + g.created, from: netip.AddrFrom4(b), nextSend: now, lastHeard: now}
+	f := &open{id: g.base + g.created, from: netip.AddrFrom4(b), lastHeard: now}
 	g.byID[f.id] = f
 	return f
 }
@@ -143,33 +148,43 @@
 	from     netip.Addr
 }
 
-// due returns the datagrams to send now and looks for feeds that fell silent.
+// due returns the datagrams to send now and looks for feeds that fell silent. It touches only the feeds that send.
 func (g *feeds) due(now time.Time) []call {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	period := max(1, int64(g.config.Interval/sendTick))
+	tick := int64(now.Sub(g.start) / sendTick)
+	// After a stall of more than a period each feed sends once.
+	g.tick = max(g.tick, tick-period)
 	var calls []call
-	for _, f := range g.order {
-		if now.Before(f.nextSend) {
-			continue
-		}
-		f.nextSend = f.nextSend.Add(g.config.Interval)
-		if f.nextSend.Before(now) {
-			f.nextSend = now.Add(g.config.Interval)
-		}
-		if f.target != "" && !f.silent && now.Sub(f.lastHeard) > silence {
-			f.silent = true
-			g.report.Silent++
-			g.breaks(f, now, "silent")
+	for g.tick < tick {
+		g.tick++
+		for i := g.tick % period; i < int64(len(g.order)); i += period {
+			g.judge(g.order[i], now)
+			calls = append(calls, g.call(g.order[i], now))
 		}
-		f.calls++
-		g.report.Calls++
-		calls = append(calls, call{feed.Datagram{
-			Kind: feed.Call, Flow: f.id, Number: f.calls, SentNs: now.UnixNano(), Service: g.config.Service,
-		}, f.from})
 	}
 	return calls
 }
 
+// judge looks whether a feed fell silent. The lock is held.
+func (g *feeds) judge(f *open, now time.Time) {
+	if f.target != "" && !f.silent && now.Sub(f.lastHeard) > silence {
+		f.silent = true
+		g.report.Silent++
+		g.breaks(f, now, "silent")
+	}
+}
+
+// call returns the next datagram of a feed. The lock is held.
+func (g *feeds) call(f *open, now time.Time) call {
+	f.calls++
+	g.report.Calls++
+	return call{feed.Datagram{
+		Kind: feed.Call, Flow: f.id, Number: f.calls, SentNs: now.UnixNano(), Service: g.config.Service,
+	}, f.from}
+}
+
 // breaks counts a broken feed once. The lock is held.
 func (g *feeds) breaks(f *open, now time.Time, why string) {
 	if len(g.report.Events) < maxEvents {
