--- a/bench/load/load.go
+++ b/bench/load/load.go
@@ -44,7 +44,7 @@
 	ctx, l.cancel = context.WithTimeout(ctx, l.config.Duration)
 	defer l.cancel()
 	if l.config.Admin != "" {
-		if err := program.Serve(context.WithoutCancel(ctx), l.config.Admin, l.handler()); err != nil {
+		if _, err := program.Serve(context.WithoutCancel(ctx), l.config.Admin, l.handler()); err != nil {
 			return nil, err
 		}
 	}
@@ -68,6 +68,9 @@
 	time.Sleep(settle)
 	for _, g := range l.requests {
 		g.pool.sample(context.WithoutCancel(ctx))
+		g.mu.Lock()
+		g.final = true
+		g.mu.Unlock()
 	}
 	report := l.Report()
 	report.Feeds = last
