--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -112,6 +112,7 @@
 	}
 	o.Mesh.SetLoad(a.Load)
 	o.Mesh.HandleControl(a.control)
+	peer.AnswerApplied(o.Mesh, a.applied)
 	o.Mesh.Subscribe(func(peer.Change) { a.wake() })
 	return a, nil
 }
@@ -247,10 +248,6 @@
 
 // control handles a control message that the peer passes on.
 func (a *Agent) control(c *lacewingv1.Control) {
-	if q := c.GetAppliedQuery(); q != nil {
-		a.answerApplied(ident.NodeID(c.GetSender()), q)
-		return
-	}
 	m, ok := fromControl(a.service, c)
 	if !ok {
 		return
@@ -262,12 +259,12 @@
 	a.perform(s)
 }
 
-func (a *Agent) answerApplied(to ident.NodeID, q *lacewingv1.AppliedQuery) {
-	if ident.ServiceID(q.GetService()) != a.service {
-		return
+// applied returns the revision in force for the own service, 0 for others.
+func (a *Agent) applied(id ident.ServiceID) uint64 {
+	if id != a.service {
+		return 0
 	}
-	reply := &lacewingv1.AppliedReply{Service: q.GetService(), Query: q.GetQuery(), Revision: a.pool.applied()}
-	_ = a.options.Mesh.SendControl(to, &lacewingv1.Control{Body: &lacewingv1.Control_AppliedReply{AppliedReply: reply}})
+	return a.pool.applied()
 }
 
 // tick lets the table do what time requires.
--- a/node/agent/agent_test.go
+++ b/node/agent/agent_test.go
@@ -115,7 +115,15 @@
 	return nil
 }
 
-func (m *fakeMesh) HandleControl(f func(*lacewingv1.Control)) { m.handler = f }
+func (m *fakeMesh) HandleControl(f func(*lacewingv1.Control)) {
+	before := m.handler
+	m.handler = func(c *lacewingv1.Control) {
+		if before != nil {
+			before(c)
+		}
+		f(c)
+	}
+}
 
 // bench is a pool with one entry.
 type bench struct {
