flow, placement: unsettled after a pause; homes allow for each other's placements

Cause: an agent that was frozen could open flows again that others had opened meanwhile; homes with the same load reports sent a burst between two reports to the same target.

--- a/policy/flow/flow.go
+++ b/policy/flow/flow.go
@@ -16,8 +16,10 @@
 	homeHops = 2
 
 	UnsettledWindow = 10 * time.Second
-	redirectTTL     = 2 * time.Second
-	slotReuseDelay  = 10 * time.Second
+	// pauseLimit is the time without Tick after which this agent may have been taken for dead, and its flows opened elsewhere.
+	pauseLimit     = time.Second
+	redirectTTL    = 2 * time.Second
+	slotReuseDelay = 10 * time.Second
 
 	claimSends    = 3
 	claimInterval = 80 * time.Millisecond
--- a/policy/flow/table.go
+++ b/policy/flow/table.go
@@ -30,6 +30,8 @@
 	known   atomic.Int64
 	claims  atomic.Int64
 	drain   atomic.Bool
+	ticked  atomic.Int64 // time of the last Tick
+	resumed atomic.Int64 // end of the unsettled time after a pause of this process
 	claimID atomic.Uint64
 	shards  [shards]shard
 	reg     registry
@@ -55,6 +57,7 @@
 	}
 	t.reg.init()
 	t.idle.Store(int64(idleTimeout))
+	t.ticked.Store(int64(now))
 	t.state.Store(&state{view: view.Build(nil, o.Service, 1, nil), settled: now + UnsettledWindow})
 	return t
 }
@@ -74,8 +77,12 @@
 // Directory returns the number of directory entries and redirects.
 func (t *Table) Directory() int { return int(t.known.Load()) }
 
-// Settled tells whether the pool's membership and this agent are old enough to place flows without claims.
-func (t *Table) Settled(now time.Duration) bool { return now >= t.state.Load().settled }
+// Settled tells whether flows may be placed without claims: the pool's membership has not changed, and this agent neither started nor was
+// paused, within UnsettledWindow.
+func (t *Table) Settled(now time.Duration) bool {
+	paused := now > time.Duration(t.ticked.Load())+pauseLimit
+	return !paused && now >= t.state.Load().settled && now >= time.Duration(t.resumed.Load())
+}
 
 // SetView replaces the view. The flows whose home changed are registered by the following calls of Tick.
 func (t *Table) SetView(now time.Duration, v *view.View) {
@@ -231,7 +238,7 @@
 	if home != 0 && !here && d.Hops < homeHops {
 		return forward(d, home, ToHome, false)
 	}
-	if x.now < x.st.settled {
+	if !x.t.Settled(x.now) {
 		return x.claim(d)
 	}
 	return x.place(d)
@@ -359,6 +366,9 @@
 
 // Tick does what time requires: repeats and ends claims, sends registrations, ends idle flows. It is called every 20 ms or so.
 func (t *Table) Tick(now time.Duration, out *Effects) {
+	if last := time.Duration(t.ticked.Swap(int64(now))); now > last+pauseLimit {
+		t.resumed.Store(int64(now + UnsettledWindow))
+	}
 	for i := 0; i < shards && t.claims.Load() > 0; i++ {
 		t.tickClaims(now, uint32(i), out)
 	}
--- a/policy/flow/table_test.go
+++ b/policy/flow/table_test.go
@@ -185,6 +185,27 @@
 	}
 }
 
+// Guards against an agent that was frozen, and taken for dead, opening flows a second time when it wakes.
+func TestUnsettledAfterPause(t *testing.T) {
+	table := single(t, 0)
+	table.SetView(0, view.Build(nil, testService, 256, members(2)))
+	var out Effects
+	var c ident.Caller
+	for i := 0; ; i++ {
+		c = caller(i)
+		if _, home := table.Explain(c); home == table.options.Self {
+			break
+		}
+	}
+	for now := time.Duration(0); now < 11*time.Second; now += 100 * time.Millisecond {
+		table.Tick(now, &out)
+	}
+	assert.Assert(t, table.Settled(11*time.Second))
+	assert.Equal(t, table.Datagram(15*time.Second, to(table, c), &out).Action, Hold)
+	table.Tick(15*time.Second, &out)
+	assert.Assert(t, !table.Settled(15*time.Second))
+}
+
 // Guards against a flow that costs more than the bound of 128 bytes.
 func TestMemoryPerFlow(t *testing.T) {
 	const flows = 100_000
--- a/policy/placement/placement.go
+++ b/policy/placement/placement.go
@@ -30,7 +30,7 @@
 // target is a report with what was placed since.
 type target struct {
 	Report
-	placed float64
+	placed float64 // by this home, and by the other homes as far as they can be taken to place alike
 	weight float64
 }
 
@@ -113,7 +113,8 @@
 	if best == nil {
 		return c.self, home
 	}
-	best.placed++
+	// The other homes have the same reports and place on the same target. Counting only the own flows lets all of them choose it at once.
+	best.placed += float64(len(c.eligible))
 	c.others++
 	return best.Node, true
 }
--- a/policy/placement/placement_test.go
+++ b/policy/placement/placement_test.go
@@ -56,7 +56,7 @@
 
 // Guards against homes that all send new flows to the target which was the least loaded one in the last report.
 func TestBalanceAtTwoThousandConnections(t *testing.T) {
-	for _, perRound := range []int{35, 350, 1400} {
+	for _, perRound := range []int{35, 350, 1400, 3500} {
 		for _, targets := range []int{3, 4, 7} {
 			r := rand.New(rand.NewPCG(3, uint64(perRound)))
 			p := newPool(targets)
