agent: build the view only for a change

Cause: the view was built ten times a second, which takes milliseconds for the largest pool; load reports of gone nodes were kept. Ruled out: building on notification only, because a change of state of the own record must take effect too. Conclusion: the cost at 2,300 members is not measured yet.

--- a/node/agent/pool.go
+++ b/node/agent/pool.go
@@ -1,7 +1,9 @@
 package agent
 
 import (
+	"cmp"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -44,6 +46,15 @@
 	p.spec = settings.Spec{HashSlots: view.DefaultSlots, IdleTimeout: defaultIdleTimeout}
 }
 
+// prune forgets the reports of nodes that are not in the view.
+func (p *pool) prune(v *view.View) {
+	for id := range p.reports {
+		if _, ok := v.Member(id); !ok {
+			delete(p.reports, id)
+		}
+	}
+}
+
 func (p *pool) settings() settings.Spec {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -104,8 +115,13 @@
 	members := a.members()
 	spec := a.pool.settings()
 	a.pool.mu.Lock()
-	v := view.Build(a.pool.view, a.service, spec.HashSlots, members)
-	a.pool.view = v
+	v := a.pool.view
+	// A view of the largest pool takes milliseconds to build, so it is built only for a change.
+	if v.Slots() != spec.HashSlots || !slices.Equal(v.Members, members) {
+		v = view.Build(v, a.service, spec.HashSlots, members)
+		a.pool.view = v
+		a.pool.prune(v)
+	}
 	a.pool.mu.Unlock()
 	a.setRoutes(v)
 	a.table.SetView(a.now(), v)
@@ -132,7 +148,7 @@
 	_ = level.Info(a.options.Logger).Log(logging.KeyMessage, "settings applied", logging.KeyRevision, revision.Number)
 }
 
-// members returns the pool with the weights that the settings give. Targets without weight are not in the pool.
+// members returns the pool, sorted by id, with the weights that the settings give. Targets without weight are not in the pool.
 func (a *Agent) members() []view.Member {
 	spec := a.pool.settings()
 	self := a.options.Mesh.Self()
@@ -146,6 +162,7 @@
 	if !present && self.Alive() {
 		out = appendMember(out, &spec, self)
 	}
+	slices.SortFunc(out, func(a, b view.Member) int { return cmp.Compare(a.Node.ID, b.Node.ID) })
 	return out
 }
 
