--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -40,7 +40,7 @@
 	DrainTimeout time.Duration
 	Parse        func(name string, service ident.ServiceName, text []byte) (*settings.Spec, error)
 	// NewLocal makes what serves the owned flows; nil for the UDP socket to the target.
-	NewLocal func(Return) (Local, error)
+	NewLocal func(*Agent) (Local, error)
 	Logger   log.Logger
 	Metrics  *metrics.Set
 }
@@ -81,6 +81,7 @@
 	unroutable *metrics.Counter
 	changed    chan struct{}
 	exiting    atomic.Bool
+	drained    atomic.Bool // by RPC
 	ready      atomic.Bool
 }
 
@@ -111,6 +112,7 @@
 	}
 	o.Mesh.SetLoad(a.Load)
 	o.Mesh.HandleControl(a.control)
+	peer.AnswerApplied(o.Mesh, a.applied)
 	o.Mesh.Subscribe(func(peer.Change) { a.wake() })
 	return a, nil
 }
@@ -124,7 +126,7 @@
 		a.feed, a.slots, a.local = f, f, f
 		return nil
 	}
-	local, err := a.options.NewLocal(a.Return)
+	local, err := a.options.NewLocal(a)
 	if err != nil {
 		return err
 	}
@@ -246,10 +248,6 @@
 
 // control handles a control message that the peer passes on.
 func (a *Agent) control(c *lacewingv1.Control) {
-	if q := c.GetAppliedQuery(); q != nil {
-		a.answerApplied(ident.NodeID(c.GetSender()), q)
-		return
-	}
 	m, ok := fromControl(a.service, c)
 	if !ok {
 		return
@@ -261,12 +259,12 @@
 	a.perform(s)
 }
 
-func (a *Agent) answerApplied(to ident.NodeID, q *lacewingv1.AppliedQuery) {
-	if ident.ServiceID(q.GetService()) != a.service {
-		return
+// applied returns the revision in force for the own service, 0 for others.
+func (a *Agent) applied(id ident.ServiceID) uint64 {
+	if id != a.service {
+		return 0
 	}
-	reply := &lacewingv1.AppliedReply{Service: q.GetService(), Query: q.GetQuery(), Revision: a.pool.applied()}
-	_ = a.options.Mesh.SendControl(to, &lacewingv1.Control{Body: &lacewingv1.Control_AppliedReply{AppliedReply: reply}})
+	return a.pool.applied()
 }
 
 // tick lets the table do what time requires.
@@ -308,7 +306,10 @@
 	s.data = wire.Data{Service: a.service, Destination: id, Caller: caller, Entry: id, Payload: payload}
 	frame, err := a.options.Transport.SendData(s.frame, to, wire.TypeReturn, &s.data)
 	s.frame = frame
-	return errors.Wrap(err, "send return datagram")
+	if err != nil {
+		return errors.Wrap(err, "send return datagram")
+	}
+	return nil
 }
 
 func (a *Agent) wake() {
