entry, spread: bounded memory with many services, settings not delayed by the token bucket

Cause: a reader of each of 13,000 services would hold a 64 KB buffer (850 MB), and one revision of 100 KB would have used up the push budget for more than a minute, in which no further setting is pushed. Ruled out: smaller buffers, which cut large datagrams; recvfrom without a borrowed buffer, which allocates an address per datagram. Before: 64 KB per service, settings delayed by debt. Settings and scopes are pushed at once, node records wait for tokens, the debt is bounded. The decision log samples one datagram in 16 per reader.

--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -34,6 +34,8 @@
 	// manyServices is the number of services from which each has one reader, to bound the number of goroutines.
 	manyServices = 64
 	readersEach  = 4
+	// decisionSample is the number of datagrams of a reader of which one is logged.
+	decisionSample = 16
 )
 
 // Options configure an Entry.
--- a/node/entry/entry_test.go
+++ b/node/entry/entry_test.go
@@ -21,6 +21,7 @@
 	"lacewinglever.dev/node/connid"
 	lacewingv1 "lacewinglever.dev/node/gen/lacewing/v1"
 	"lacewinglever.dev/node/gen/lacewing/v1/lacewingv1connect"
+	"lacewinglever.dev/node/logging"
 	"lacewinglever.dev/node/peer"
 	"lacewinglever.dev/node/rpcauth"
 	"lacewinglever.dev/node/transport"
@@ -146,6 +147,39 @@
 	assert.Equal(t, n.State, record.Left)
 }
 
+// Guards against a reader that borrows its buffers missing datagrams or outliving its socket.
+func TestSharedReader(t *testing.T) {
+	key, err := wire.ParseKey(keyText)
+	assert.NilError(t, err)
+	keys, err := wire.NewKeyring(map[byte]wire.Key{1: key}, 1)
+	assert.NilError(t, err)
+	set := metrics.NewSet()
+	tr, err := transport.Open(transport.Options{Self: 5, Listen: freePort(t), Keys: keys, Metrics: set})
+	assert.NilError(t, err)
+	e := &Entry{options: Options{Keys: keys, Transport: tr, Decisions: logging.NewDecisions(log.NewNopLogger())}}
+	e.addMetrics(set)
+	s := benchService(e, 0, 3, view.DefaultSlots)
+	opened, err := e.open(&applied{1, &settings.Spec{}}, netip.MustParseAddrPort("127.0.0.1:0"))
+	assert.NilError(t, err)
+	s.conn = opened.conn
+	s.start(1)
+	caller, err := net.Dial("udp", s.conn.LocalAddr().String())
+	assert.NilError(t, err)
+	for i := range uint64(50) {
+		_, _ = caller.Write([]byte("reading"))
+		if i%2 == 0 { // sometimes two wait
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				if e.forwarded.Get() > i {
+					return poll.Success()
+				}
+				return poll.Continue("datagram %d", i)
+			}, poll.WithTimeout(2*time.Second), poll.WithDelay(time.Millisecond))
+		}
+	}
+	_ = s.conn.Close()
+	e.readers.Wait()
+}
+
 // benchService makes a service without a socket.
 func benchService(e *Entry, number, targets, slots int) *service {
 	pool := make([]record.Node, targets)
--- a/node/entry/service.go
+++ b/node/entry/service.go
@@ -3,9 +3,11 @@
 import (
 	"net"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 
 	"github.com/go-faster/errors"
+	"golang.org/x/sys/unix"
 
 	"lacewinglever.dev/node/connid"
 	"lacewinglever.dev/node/logging"
@@ -44,52 +46,96 @@
 	return s, nil
 }
 
-// start starts the readers.
+// start starts the readers. A single reader borrows its buffers, because there are many services then.
 func (s *service) start(readers int) {
+	read := s.read
+	if readers == 1 {
+		read = s.readShared
+	}
 	for range readers {
 		s.entry.readers.Add(1)
 		go func() {
 			defer s.entry.readers.Done()
-			s.read()
+			read()
 		}()
 	}
 }
 
+// buffers is what a reader needs for one datagram.
+type buffers struct {
+	datagram  []byte
+	scratch   []byte
+	data      wire.Data
+	datagrams uint64 // forwarded
+}
+
+func newBuffers() *buffers {
+	return &buffers{datagram: make([]byte, wire.MaxFrame), scratch: make([]byte, 0, initialScratch)}
+}
+
+// bufferPool lends buffers to the readers of many services, most of which are idle at any time: 13,000 readers with buffers of their own
+// would take 850 MB.
+var bufferPool = sync.Pool{New: func() any { return newBuffers() }}
+
 // read forwards datagrams until the socket is closed.
 func (s *service) read() {
-	buffer := make([]byte, wire.MaxFrame)
-	scratch := make([]byte, 0, initialScratch)
-	var d wire.Data
-	for {
-		n, from, err := s.conn.ReadFromUDPAddrPort(buffer)
-		if errors.Is(err, net.ErrClosed) {
+	b := newBuffers()
+	for s.readOne(b) {
+	}
+}
+
+// readShared forwards datagrams until the socket is closed, and holds buffers only while datagrams wait.
+func (s *service) readShared() {
+	raw, err := s.conn.SyscallConn()
+	if err != nil {
+		return
+	}
+	poll := []unix.PollFd{{Events: unix.POLLIN}}
+	ready := func(fd uintptr) bool {
+		poll[0].Fd = int32(fd)
+		n, _ := unix.Poll(poll, 0)
+		return n > 0
+	}
+	// Read calls ready again each time the socket becomes readable, and fails when it is closed.
+	for raw.Read(ready) == nil {
+		b := bufferPool.Get().(*buffers)
+		open := s.readOne(b)
+		bufferPool.Put(b)
+		if !open {
 			return
 		}
-		if err != nil {
-			continue // ICMP errors of earlier sends are reported here
-		}
-		scratch = s.forward(scratch, &d, from, buffer[:n])
 	}
 }
 
+// readOne forwards one datagram. It returns false when the socket is closed.
+func (s *service) readOne(b *buffers) bool {
+	n, from, err := s.conn.ReadFromUDPAddrPort(b.datagram)
+	if err != nil {
+		return !errors.Is(err, net.ErrClosed) // ICMP errors of earlier sends are reported here
+	}
+	s.forward(b, from, b.datagram[:n])
+	return true
+}
+
 // forward sends a caller's datagram to the home of its flow.
-func (s *service) forward(scratch []byte, d *wire.Data, from netip.AddrPort, payload []byte) []byte {
+func (s *service) forward(b *buffers, from netip.AddrPort, payload []byte) {
 	e := s.entry
-	to, reason := s.decide(d, from, payload)
+	to, reason := s.decide(&b.data, from, payload)
 	if reason != nil {
 		reason.Inc()
-		return scratch
+		return
 	}
-	if e.options.Decisions.Allow() {
+	// The reader samples before it asks, because the limit is shared by all readers under a lock.
+	if b.datagrams++; b.datagrams%decisionSample == 1 && e.options.Decisions.Allow() {
 		e.options.Decisions.Log("forward", logging.KeyService, s.name, logging.KeyCaller, from, logging.KeyHome, to.id)
 	}
-	scratch, err := e.options.Transport.SendData(scratch, to.address, wire.TypeData, d)
+	var err error
+	b.scratch, err = e.options.Transport.SendData(b.scratch, to.address, wire.TypeData, &b.data)
 	if err != nil {
 		e.dropSend.Inc()
-		return scratch
+		return
 	}
 	e.forwarded.Inc()
-	return scratch
 }
 
 // decide fills in d and returns where it goes, or the counter of the reason why it is dropped.
--- a/policy/spread/queue.go
+++ b/policy/spread/queue.go
@@ -71,20 +71,23 @@
 // Len returns the number of records that wait.
 func (q *Queue) Len() int { return len(q.waiting) }
 
-// Spend takes bytes that were sent. The balance may become negative, which delays what follows.
-func (q *Queue) Spend(bytes int) { q.tokens -= float64(bytes) }
+// Spend takes bytes that were sent. The balance may become negative, which delays node records. The debt is bounded, so that one large
+// revision doesn't stop membership for minutes.
+func (q *Queue) Spend(bytes int) { q.tokens = max(q.tokens-float64(bytes), -PushBurst) }
 
-// Take returns the next records to push: at most limit bytes by size, and none while the token bucket is empty. A record that is larger
-// than limit is returned alone. The caller reports with Spend what was sent.
+// Take returns the next records to push: at most limit bytes by size. While the token bucket is empty, node records wait; settings and
+// scopes are taken nevertheless, because they have to be in force everywhere within seconds, and are paced by limit and the caller's
+// period. A record that is larger than limit is returned alone. The caller reports with Spend what was sent.
 func (q *Queue) Take(now time.Time, limit int, size func(*record.Record) int) []record.Record {
 	q.refill(now)
+	due := classes
 	if q.tokens <= 0 {
-		return nil
+		due = classNode
 	}
 	var batch []record.Record
 	var again []record.Record
 	total := 0
-	for c := range q.order {
+	for c := range due {
 		for len(q.order[c]) > 0 {
 			key := q.order[c][0]
 			p := q.waiting[key]
