peer: agents of data centres with few entries keep all entries

Cause: when the two entries of a data centre died together, the scope record went to agents that knew no other entry to refute it to, so that live targets stayed out of the pool. Ruled out: declaring no scope for data centres with few entries, which would leave their agents unwatched for 10 s when it is really lost. Before: by reading the code, such agents reached others only through seeds. The new test stops both entries of a data centre: its agent stays ready and in the pool, and learns a revision published elsewhere within 3 s. Conclusion: in fleets of that size agents can also answer through entries of other data centres.

--- a/node/peer/peer.go
+++ b/node/peer/peer.go
@@ -305,14 +305,17 @@
 	return err
 }
 
-// filter selects the records that this node keeps. An agent whose data centre has no live entry keeps all entries.
-func (p *Peer) filter() spread.Filter {
-	self := &p.options.Self
-	if self.Entry {
+// filter selects the records that this node keeps.
+func (p *Peer) filter() spread.Filter { return p.filterOf(&p.options.Self) }
+
+// filterOf selects the records that a node keeps. An agent keeps the entries of all data centres where its own has too few to watch it, so
+// that it can reach the watchers in others.
+func (p *Peer) filterOf(n *record.Node) spread.Filter {
+	if n.Entry {
 		return spread.Filter{}
 	}
-	f := spread.Filter{Service: self.Service, DataCentre: self.DataCentre}
-	if len(p.topology().byDC[self.DataCentre]) == 0 {
+	f := spread.Filter{Service: n.Service, DataCentre: n.DataCentre}
+	if len(p.topology().byDC[n.DataCentre]) <= membership.Watchers {
 		f.DataCentre = ""
 	}
 	return f
@@ -412,7 +415,7 @@
 		bytes += p.sendRecords(id, batch)
 	}
 	for _, n := range p.watchedAgents() {
-		f := spread.Filter{Service: n.Service, DataCentre: n.DataCentre}
+		f := p.filterOf(&n)
 		wanted := slices.DeleteFunc(slices.Clone(batch), func(r record.Record) bool { return !f.Match(&r) })
 		bytes += p.sendRecords(n.ID, wanted)
 	}
--- a/node/peer/peer_test.go
+++ b/node/peer/peer_test.go
@@ -221,6 +221,33 @@
 	}
 }
 
+// Guards against an agent being lost with the entries of its data centre: it must find entries elsewhere, stay in the pool and learn settings.
+func TestEntriesOfDataCentreDie(t *testing.T) {
+	w1 := startNode(t, record.Node{Name: "west-1", Entry: true, DataCentre: "west"})
+	w2 := startNode(t, record.Node{Name: "west-2", Entry: true, DataCentre: "west"}, w1.rpc)
+	e1 := startNode(t, record.Node{Name: "east-1", Entry: true, DataCentre: "east"}, w1.rpc)
+	e2 := startNode(t, record.Node{Name: "east-2", Entry: true, DataCentre: "east"}, w1.rpc)
+	agent := startNode(t, record.Node{Name: "agent", DataCentre: "east"}, e1.rpc)
+	for _, n := range []*testNode{w1, w2, agent} {
+		eventually(t, "joined", 5*time.Second, func() bool { return len(n.Entries()) == 4 && len(n.Pool(roomControl.ID())) == 1 })
+	}
+	time.Sleep(time.Second) // heartbeats in every direction
+	e1.stop()
+	e2.stop()
+	time.Sleep(4 * time.Second)
+	w2.Publish(record.ForRevision(record.Revision{Service: roomControl, Number: 4}))
+	eventually(t, "settings", 3*time.Second, func() bool {
+		r, _ := agent.Revision(roomControl.ID())
+		return r.Number == 4
+	})
+	eventually(t, "dead entries known", 5*time.Second, func() bool { return len(w1.Entries()) == 2 && len(agent.Entries()) == 2 })
+	for range 30 {
+		time.Sleep(100 * time.Millisecond)
+		assert.Equal(t, len(w1.Pool(roomControl.ID())), 1)
+		assert.Equal(t, stateOf(w1, agent), record.Ready)
+	}
+}
+
 // Guards against a peer's bytes making records that contradict their key or version, or stopping the process.
 func FuzzFromProto(f *testing.F) {
 	for _, r := range []record.Record{
