peer, entry: records wait for a first receiver; entry test on an address of its own

Cause: TestServicesFollowSettings failed once while other packages' tests ran: the service did not answer within 5 s after the first revision. The cause is not proven. Two were found by reading: records that were published before any peer was known left the queue unsent and waited for anti-entropy, and the test took ports of 127.0.0.1 that another test may take in between, also TCP ports that were only probed for UDP. Ruled out: a longer timeout. After: records wait until there is a receiver; the test uses its own loopback address, fails when the entry ends early and prints its log. Conclusion: to be watched; the log of the entry will tell if it comes back.

--- a/node/entry/entry_test.go
+++ b/node/entry/entry_test.go
@@ -1,9 +1,9 @@
 package entry
 
 import (
+	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"net"
 	"net/netip"
 	"slices"
@@ -34,13 +34,22 @@
 
 var keyText = "000102030405060708090a0b0c0d0e0f"
 
+// freePort returns a free UDP port of an address that only these tests use, so that no test of another package takes it in between.
 func freePort(t testing.TB) string {
-	c, err := net.ListenPacket("udp", "127.0.0.1:0")
+	c, err := net.ListenPacket("udp", "127.78.0.1:0")
 	assert.NilError(t, err)
 	defer func() { _ = c.Close() }()
 	return c.LocalAddr().String()
 }
 
+// freeTCPPort is freePort for TCP.
+func freeTCPPort(t testing.TB) string {
+	l, err := net.Listen("tcp", "127.78.0.1:0")
+	assert.NilError(t, err)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
 // echoAgent is a stand-in for an agent: a node that returns every datagram to its caller.
 func echoAgent(t *testing.T, ctx context.Context, name string, service ident.ServiceName, seed string) *peer.Peer {
 	key, err := wire.ParseKey(keyText)
@@ -49,7 +58,7 @@
 	assert.NilError(t, err)
 	address, set := freePort(t), metrics.NewSet()
 	self := record.Node{
-		ID: ident.NewNodeID(name), Name: name, DataCentre: "dc1", UDPAddress: address, RPCAddress: freePort(t),
+		ID: ident.NewNodeID(name), Name: name, DataCentre: "dc1", UDPAddress: address, RPCAddress: freeTCPPort(t),
 		Service: service.ID(), ServiceName: service, State: record.Ready, Weight: 1,
 	}
 	tr, err := transport.Open(transport.Options{Self: self.ID, Listen: address, Advertise: address, Keys: keys, Metrics: set})
@@ -98,14 +107,28 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	c := &Config{Node: config.Node{
-		Name: "entry-1", DataCentre: "dc1", Metrics: freePort(t),
-		UDP: config.Address{Listen: freePort(t)}, RPC: config.Address{Listen: freePort(t)},
+		Name: "entry-1", DataCentre: "dc1", Metrics: freeTCPPort(t),
+		UDP: config.Address{Listen: freePort(t)}, RPC: config.Address{Listen: freeTCPPort(t)},
 		Keys: []config.Key{{ID: 1, Value: keyText}}, SignWith: 1,
 	}}
 	c.UDP.Advertise, c.RPC.Advertise = c.UDP.Listen, c.RPC.Listen
 	program := make(chan error, 1)
 	entryCtx, terminate := context.WithCancel(ctx)
-	go func() { program <- Main(entryCtx, c, io.Discard) }()
+	var logs bytes.Buffer
+	go func() {
+		err := Main(entryCtx, c, &logs)
+		if entryCtx.Err() == nil {
+			t.Errorf("entry ended: %v", err)
+		}
+		program <- err
+	}()
+	t.Cleanup(func() {
+		if t.Failed() {
+			terminate()
+			<-program
+			t.Log(logs.String())
+		}
+	})
 
 	service := ident.ServiceName{Team: "maturacao", Name: "room-control"}
 	first, second := freePort(t), freePort(t)
@@ -142,7 +165,9 @@
 
 	terminate()
 	assert.Assert(t, answered(t, first), "forwards after SIGTERM")
-	assert.NilError(t, <-program)
+	ended := <-program
+	program <- ended // for the clean-up
+	assert.NilError(t, ended)
 	n, _ := agent.Node(ident.NewNodeID("entry-1"))
 	assert.Equal(t, n.State, record.Left)
 }
--- a/node/peer/peer.go
+++ b/node/peer/peer.go
@@ -404,6 +404,10 @@
 
 // push sends waiting records to random entries, and to the agents that are watched here and need them.
 func (p *Peer) push(now time.Time) {
+	entries, agents := p.randomEntries(fanout), p.watchedAgents()
+	if len(entries)+len(agents) == 0 {
+		return // records wait until there is somebody to send them to
+	}
 	p.queueMu.Lock()
 	batch := p.queue.Take(now, pushSize, func(r *record.Record) int { return proto.Size(ToProto(*r)) })
 	p.queueMu.Unlock()
@@ -411,10 +415,10 @@
 		return
 	}
 	bytes := 0
-	for _, id := range p.randomEntries(fanout) {
+	for _, id := range entries {
 		bytes += p.sendRecords(id, batch)
 	}
-	for _, n := range p.watchedAgents() {
+	for _, n := range agents {
 		f := p.filterOf(&n)
 		wanted := slices.DeleteFunc(slices.Clone(batch), func(r record.Record) bool { return !f.Match(&r) })
 		bytes += p.sendRecords(n.ID, wanted)
