--- a/node/peer/peer.go
+++ b/node/peer/peer.go
@@ -305,14 +305,17 @@
 	return err
 }
 
-// filter selects the records that this node keeps. An agent whose data centre has no live entry keeps all entries.
-func (p *Peer) filter() spread.Filter {
-	self := &p.options.Self
-	if self.Entry {
+// filter selects the records that this node keeps.
+func (p *Peer) filter() spread.Filter { return p.filterOf(&p.options.Self) }
+
+// filterOf selects the records that a node keeps. An agent keeps the entries of all data centres where its own has too few to watch it, so
+// that it can reach the watchers in others.
+func (p *Peer) filterOf(n *record.Node) spread.Filter {
+	if n.Entry {
 		return spread.Filter{}
 	}
-	f := spread.Filter{Service: self.Service, DataCentre: self.DataCentre}
-	if len(p.topology().byDC[self.DataCentre]) == 0 {
+	f := spread.Filter{Service: n.Service, DataCentre: n.DataCentre}
+	if len(p.topology().byDC[n.DataCentre]) <= membership.Watchers {
 		f.DataCentre = ""
 	}
 	return f
@@ -401,6 +404,10 @@
 
 // push sends waiting records to random entries, and to the agents that are watched here and need them.
 func (p *Peer) push(now time.Time) {
+	entries, agents := p.randomEntries(fanout), p.watchedAgents()
+	if len(entries)+len(agents) == 0 {
+		return // records wait until there is somebody to send them to
+	}
 	p.queueMu.Lock()
 	batch := p.queue.Take(now, pushSize, func(r *record.Record) int { return proto.Size(ToProto(*r)) })
 	p.queueMu.Unlock()
@@ -408,11 +415,11 @@
 		return
 	}
 	bytes := 0
-	for _, id := range p.randomEntries(fanout) {
+	for _, id := range entries {
 		bytes += p.sendRecords(id, batch)
 	}
-	for _, n := range p.watchedAgents() {
-		f := spread.Filter{Service: n.Service, DataCentre: n.DataCentre}
+	for _, n := range agents {
+		f := p.filterOf(&n)
 		wanted := slices.DeleteFunc(slices.Clone(batch), func(r record.Record) bool { return !f.Match(&r) })
 		bytes += p.sendRecords(n.ID, wanted)
 	}
