entry: run the control duty; count only what the data plane has applied

Cause: duty answered applied queries with the newest revision that the mesh knows, beside the entry's own answer, so that a revision counted as in force before the entry served it. Ruled out: asking the own data plane by a call, as the message to oneself takes the same path as all others. Before: two answers per entry; lacewing-entry had no control duty. After: one answer, from the data plane; lacewing-entry runs the duty and parses settings with package settings. Conclusion: duty.AnswerApplied is gone; agents call peer.AnswerApplied.

--- a/bench/platform/mesh_test.go
+++ b/bench/platform/mesh_test.go
@@ -134,3 +134,10 @@
 	})
 	return nil
 }
+
+func (m *fakeMesh) answer() {
+	peer.AnswerApplied(m, func(id ident.ServiceID) uint64 {
+		r, _ := m.Revision(id)
+		return r.Number
+	})
+}
--- a/bench/platform/session_test.go
+++ b/bench/platform/session_test.go
@@ -39,11 +39,12 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	agent := c.fabric.add(record.Node{Name: "agent-1", DataCentre: "dc1", Service: c.service.ID()})
-	duty.AnswerApplied(agent)
+	agent.answer()
 	var duties []*duty.Duty
 	for _, name := range entries {
 		dc := ident.DataCentre(strings.SplitN(name, "-", 2)[0])
 		mesh := c.fabric.add(record.Node{Name: name, DataCentre: dc, Entry: true})
+		mesh.answer()
 		d, err := duty.New(duty.Options{Mesh: mesh, PlatformURL: web.URL, Metrics: metrics.NewSet()})
 		assert.NilError(t, err)
 		duties = append(duties, d)
--- a/node/cmd/lacewing-entry/main.go
+++ b/node/cmd/lacewing-entry/main.go
@@ -10,9 +10,14 @@
 	"runtime/debug"
 	"syscall"
 
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-kit/log"
 	"github.com/jessevdk/go-flags"
 
+	"lacewinglever.dev/node/duty"
 	"lacewinglever.dev/node/entry"
+	"lacewinglever.dev/node/peer"
+	"lacewinglever.dev/policy/settings"
 )
 
 type options struct {
@@ -50,7 +55,11 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	return entry.Main(ctx, config, os.Stderr, entry.ParseAccepted, nil)
+	return entry.Main(ctx, config, os.Stderr, settings.Parse, newDuty)
+}
+
+func newDuty(mesh peer.Mesh, platformURL string, logger log.Logger, set *metrics.Set) (entry.Runner, error) {
+	return duty.New(duty.Options{Mesh: mesh, PlatformURL: platformURL, Logger: logger, Metrics: set})
 }
 
 // version returns the module's version, or the commit where the build has none.
--- a/node/duty/count.go
+++ b/node/duty/count.go
@@ -8,7 +8,6 @@
 
 	lacewingv1 "lacewinglever.dev/node/gen/lacewing/v1"
 	"lacewinglever.dev/node/logging"
-	"lacewinglever.dev/node/peer"
 	"lacewinglever.dev/policy/ident"
 	"lacewinglever.dev/policy/record"
 	"lacewinglever.dev/policy/settings"
@@ -47,24 +46,6 @@
 	interval time.Duration
 }
 
-// AnswerApplied makes a node answer which revision it has applied. Duty does it for entries; agents call it.
-func AnswerApplied(mesh peer.Mesh) {
-	mesh.HandleControl(func(c *lacewingv1.Control) {
-		query := c.GetAppliedQuery()
-		if query == nil {
-			return
-		}
-		r, _ := mesh.Revision(ident.ServiceID(query.GetService()))
-		_ = mesh.SendControl(ident.NodeID(c.GetSender()), &lacewingv1.Control{
-			Body: &lacewingv1.Control_AppliedReply{AppliedReply: &lacewingv1.AppliedReply{
-				Service:  query.GetService(),
-				Query:    query.GetQuery(),
-				Revision: r.Number,
-			}},
-		})
-	})
-}
-
 // handleControl passes replies on. A reply that finds the queue full is dropped: the node is asked again.
 func (d *Duty) handleControl(c *lacewingv1.Control) {
 	reply := c.GetAppliedReply()
@@ -208,15 +189,11 @@
 	}
 }
 
-// missing returns the live entries and the pool's agents that are not known to have applied the revision, and how many nodes there are.
+// missing returns the live entries, this one included, and the pool's agents that have not answered that they applied the revision, and
+// how many nodes there are. This entry is asked like the others, as only its data plane knows what it has applied.
 func (d *Duty) missing(c *count) (missing []record.Node, total int) {
 	nodes := append(d.entries(), d.mesh.Pool(c.service.ID())...)
-	self := d.mesh.Self().ID
 	for _, n := range nodes {
-		if n.ID == self {
-			r, _ := d.mesh.Revision(c.service.ID())
-			c.applied[self] = c.applied[self] || r.Number >= c.revision
-		}
 		if !c.applied[n.ID] {
 			missing = append(missing, n)
 		}
--- a/node/duty/duty.go
+++ b/node/duty/duty.go
@@ -75,7 +75,7 @@
 	running bool
 }
 
-// New returns a Duty. It answers applied queries from then on.
+// New returns a Duty.
 func New(o Options) (*Duty, error) {
 	if o.Mesh == nil {
 		return nil, errors.New("duty: a mesh is required")
@@ -113,7 +113,6 @@
 		return 0
 	})
 	d.reset()
-	AnswerApplied(o.Mesh)
 	o.Mesh.HandleControl(d.handleControl)
 	return d, nil
 }
