--- a/bench/platform/duty_test.go
+++ b/bench/platform/duty_test.go
@@ -133,9 +133,7 @@
 
 // TestAddressMove guards the quarantine: another service gets a released address only after 10 s.
 func TestAddressMove(t *testing.T) {
-	if testing.Short() {
-		t.Skip("takes as long as the quarantine")
-	}
+	t.Parallel() // takes as long as the quarantine
 	c := newCluster(t, "dc1-a", "dc1-b")
 	c.apply(30)
 	c.eventually("in force", func() bool { return c.status().Elapsed > 0 })
--- a/bench/platform/store.go
+++ b/bench/platform/store.go
@@ -3,6 +3,7 @@
 package platform
 
 import (
+	"cmp"
 	"encoding/json"
 	"slices"
 	"strings"
@@ -153,16 +154,14 @@
 func (s *Store) Changes(prefix string, since uint64, age time.Duration) (objectapi.Listing, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if age > 0 {
+		return s.oldChanges(prefix, since, age), s.wake
+	}
 	out := objectapi.Listing{Version: s.version, Objects: []objectapi.Object{}}
 	first, _ := slices.BinarySearchFunc(s.log, since+1, func(c change, v uint64) int {
-		return int(int64(c.object.Version) - int64(v))
+		return cmp.Compare(c.object.Version, v)
 	})
-	cutoff := s.now().Add(-age)
 	for _, c := range s.log[first:] {
-		if age > 0 && c.at.After(cutoff) {
-			out.Version = c.object.Version - 1
-			break
-		}
 		current := last(s.objects[c.object.Path]).object.Version == c.object.Version
 		if current && strings.HasPrefix(c.object.Path, prefix) {
 			out.Objects = append(out.Objects, c.object)
@@ -171,6 +170,18 @@
 	return out, s.wake
 }
 
+// oldChanges goes through all objects, as the log holds their newest states only.
+func (s *Store) oldChanges(prefix string, since uint64, age time.Duration) objectapi.Listing {
+	out := objectapi.Listing{Version: s.versionAt(age), Objects: []objectapi.Object{}}
+	for path := range s.objects {
+		if o := s.stateAt(path, age); o.Version > since && strings.HasPrefix(path, prefix) {
+			out.Objects = append(out.Objects, o)
+		}
+	}
+	slices.SortFunc(out.Objects, func(a, b objectapi.Object) int { return cmp.Compare(a.Version, b.Version) })
+	return out
+}
+
 func last(states []change) change {
 	if len(states) == 0 {
 		return change{}
--- a/node/duty/step.go
+++ b/node/duty/step.go
@@ -79,7 +79,7 @@
 		<-d.actions
 		d.post(ctx, func() {
 			if cache == d.cache {
-				d.finish(ctx, service, &next, &write, version, err, current)
+				d.finish(ctx, service, &next, version, err, current)
 			}
 		})
 	}()
@@ -113,7 +113,7 @@
 }
 
 // finish takes in the outcome of a step.
-func (d *Duty) finish(ctx context.Context, service ident.ServiceName, next *settings.Step, w *objectapi.Write, version uint64, err error,
+func (d *Duty) finish(ctx context.Context, service ident.ServiceName, next *settings.Step, version uint64, err error,
 	current *objectapi.Object) {
 	p := d.pending[service]
 	p.running = false
@@ -152,20 +152,20 @@
 			d.cache.hold(written.Address, &written, version)
 		}
 	case settings.AcceptRevision:
-		if settings.Forward(e.newest, &next.Revision) {
+		d.counters.accepted.Inc()
+		_ = level.Info(d.logger).Log(logging.KeyMessage, "revision accepted", logging.KeyService, service,
+			logging.KeyRevision, next.Revision.Number)
+		if settings.Forward(e.newest, &next.Revision) { // else the watch was faster than the answer
 			d.cache.adopt(e, &next.Revision)
-			d.counters.accepted.Inc()
-			_ = level.Info(d.logger).Log(logging.KeyMessage, "revision accepted", logging.KeyService, service,
-				logging.KeyRevision, next.Revision.Number)
 			d.publish(service)
 		}
 	case settings.WriteStatus:
+		if next.Refused {
+			d.counters.refused.Inc()
+			_ = level.Info(d.logger).Log(logging.KeyMessage, "spec refused", logging.KeyService, service,
+				logging.KeyReason, next.Status.Reason)
+		}
 		if e.statusVersion < version {
-			if next.Status.RefusedVersion != 0 && next.Status.RefusedVersion != e.status.RefusedVersion {
-				d.counters.refused.Inc()
-				_ = level.Info(d.logger).Log(logging.KeyMessage, "spec refused", logging.KeyService, service,
-					logging.KeyReason, next.Status.Reason)
-			}
 			e.status, e.statusVersion, e.statusWriter = next.Status, version, d.mesh.Self().Name
 			e.status.Version = version
 		}
--- a/policy/settings/revision.go
+++ b/policy/settings/revision.go
@@ -119,7 +119,8 @@
 	Address   AddressObject
 	Revision  record.Revision
 	Status    Status
-	Until     time.Time
+	Refused   bool      // the status refuses the spec
+	Until     time.Time // of Wait
 }
 
 // Next decides the next step for a service. It is deterministic.
@@ -142,7 +143,7 @@
 		reason = refusal
 	}
 	if want := s.wantedStatus(reason); !sameStatus(want, s.Status) {
-		return Step{Kind: WriteStatus, IfVersion: s.Status.Version, Status: want}
+		return Step{Kind: WriteStatus, IfVersion: s.Status.Version, Status: want, Refused: reason != ""}
 	}
 	return Step{}
 }
