bench: demo counts unanswered feeds and unknown outcomes as faults

A feed that gets nothing in its first 2 s is now counted, also when it ends later, and both counts make the demo fail.

--- a/bench/demo/demo.go
+++ b/bench/demo/demo.go
@@ -34,7 +34,6 @@
 
 	feedsPerService = 210
 	churn           = 10 // feeds a second that are replaced, so that there is new work to place
-	portBase        = 12000
 	loadName        = "demo"
 	killedEntry     = "entry-2"
 	drainedAgent    = "room-feed-3"
@@ -42,8 +41,9 @@
 
 // Options of the demo.
 type Options struct {
-	Bin string
-	Out io.Writer
+	Bin      string
+	PortBase int // of the fleet's ports; two demos at once need different ones
+	Out      io.Writer
 }
 
 // demo is one run.
@@ -58,7 +58,7 @@
 // Run runs the demo. The error lists what was broken. No process is left behind.
 func Run(ctx context.Context, o Options) (err error) {
 	f, err := fleet.New(fleet.Options{
-		Bin: o.Bin, PortBase: portBase, Seed: 1, Entries: []int{1, 2, 3}, Services: fleet.Today(), Links: fleet.TodaysLinks(),
+		Bin: o.Bin, PortBase: o.PortBase, Seed: 1, Entries: []int{1, 2, 3}, Services: fleet.Today(), Links: fleet.TodaysLinks(),
 	})
 	if err != nil {
 		return err
@@ -246,14 +246,18 @@
 		if f.Broken > 0 {
 			d.fault("%s: %d feeds broken", f.Service, f.Broken)
 		}
-		if f.Opened < f.Wanted {
-			d.fault("%s: %d feeds opened, want at least %d", f.Service, f.Opened, f.Wanted)
+		if f.Opened < f.Wanted || f.Unanswered > 0 {
+			d.fault("%s: %d feeds opened, want at least %d; %d not answered within 2 s", f.Service, f.Opened, f.Wanted, f.Unanswered)
 		}
 	}
 	for _, q := range r.Requests {
 		if q.Answered == 0 {
 			d.fault("%s: no request was answered", q.Service)
 		}
+		// No agent died, so every outcome is known.
+		if q.Unknown > 0 {
+			d.fault("%s: the outcome of %d requests is unknown", q.Service, q.Unknown)
+		}
 	}
 	for _, name := range d.Ended() {
 		if name != killedEntry {
--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -175,20 +175,23 @@
 	}
 	return f.Until(ctx, startWait, name+" answers", func() error {
 		if p := f.Process(name); !p.Running() {
-			return errors.Errorf("%s ended: %s", name, f.LogTail(name))
+			return errors.Wrapf(errHopeless, "%s: %s", name, f.LogTail(name))
 		}
 		return f.call(ctx, http.MethodGet, url+"/healthz", nil, nil)
 	})
 }
 
+// errHopeless in check's error ends a wait of Until early.
+var errHopeless = errors.New("process ended")
+
 // Until waits until check returns nil. The error names what was waited for and the last error of check.
 func (f *Fleet) Until(ctx context.Context, limit time.Duration, what string, check func() error) error {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	for {
 		err := check()
-		if err == nil {
-			return nil
+		if err == nil || errors.Is(err, errHopeless) {
+			return err
 		}
 		select {
 		case <-time.After(pollEvery):
--- a/bench/fleet/load.go
+++ b/bench/fleet/load.go
@@ -56,7 +56,7 @@
 	}
 	return f.Until(ctx, startWait, l.name+" answers", func() error {
 		if !l.process.Running() {
-			return errors.Errorf("%s ended: %s", l.name, f.LogTail(l.name))
+			return errors.Wrapf(errHopeless, "%s: %s", l.name, f.LogTail(l.name))
 		}
 		return f.call(ctx, http.MethodGet, "http://"+l.admin+"/healthz", nil, nil)
 	})
--- a/bench/fleet/plan.go
+++ b/bench/fleet/plan.go
@@ -217,6 +217,9 @@
 
 func (p *plan) agentFile(n node) agentFile {
 	t := p.targetConfig(n)
+	if p.Services[n.service].Kind == "request" {
+		t.UDP = "" // tells the agent to serve requests
+	}
 	return agentFile{p.common(n), t.Service, 1, time.Minute, targetFile{t.UDP, "http://" + t.HTTP, t.Slots}}
 }
 
--- a/bench/load/feeds.go
+++ b/bench/load/feeds.go
@@ -167,8 +167,13 @@
 	return calls
 }
 
-// judge looks whether a feed fell silent. The lock is held.
+// judge looks whether a feed fell silent or was never answered. The lock is held.
 func (g *feeds) judge(f *open, now time.Time) {
+	if f.target == "" && !f.silent && now.Sub(f.lastHeard) > silence {
+		f.silent = true
+		g.report.Unanswered++
+		g.event(f, now, "not answered")
+	}
 	if f.target != "" && !f.silent && now.Sub(f.lastHeard) > silence {
 		f.silent = true
 		g.report.Silent++
@@ -187,10 +192,7 @@
 
 // breaks counts a broken feed once. The lock is held.
 func (g *feeds) breaks(f *open, now time.Time, why string) {
-	if len(g.report.Events) < maxEvents {
-		g.report.Events = append(g.report.Events, fmt.Sprintf("%.3f s: feed %x of %s at %s: %s",
-			now.Sub(g.start).Seconds(), f.id, f.from, f.target, why))
-	}
+	g.event(f, now, why)
 	if !f.broken {
 		f.broken = true
 		g.report.Broken++
@@ -198,6 +200,14 @@
 	}
 }
 
+// event describes a fault. The lock is held.
+func (g *feeds) event(f *open, now time.Time, why string) {
+	if len(g.report.Events) < maxEvents {
+		g.report.Events = append(g.report.Events, fmt.Sprintf("%.3f s: feed %x of %s at %q: %s",
+			now.Sub(g.start).Seconds(), f.id, f.from, f.target, why))
+	}
+}
+
 func (g *feeds) receive(ctx context.Context) {
 	b := make([]byte, maxDatagram)
 	for {
--- a/bench/load/report.go
+++ b/bench/load/report.go
@@ -26,7 +26,8 @@
 	Open           int            `json:"open"`   // answered at least once and not ended
 	Opened         int            `json:"opened"` // answered at least once
 	Unopened       int            `json:"unopened"`
-	Broken         int            `json:"broken"` // feeds that moved or fell silent, once per feed
+	Unanswered     int            `json:"unanswered"` // feeds that got nothing in their first 2 s, ended ones included
+	Broken         int            `json:"broken"`     // feeds that moved or fell silent, once per feed
 	Moved          int            `json:"moved"`
 	Silent         int            `json:"silent"`
 	BrokenByTarget map[string]int `json:"broken_by_target"` // by the target that served the feed before
@@ -134,10 +135,10 @@
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
 	row := func(format string, args ...any) { fmt.Fprintf(t, format+"\t\n", args...) }
 	if len(r.Feeds) > 0 {
-		row("feeds\topened\tunopened\tbroken\tmoved\tsilent\tmisrouted\tgaps\tp50 ms\tp99 ms\tconnections max/mean\tnew max/mean")
+		row("feeds\topened\tunanswered\tbroken\tmoved\tsilent\tmisrouted\tgaps\tp50 ms\tp99 ms\tconnections max/mean\tnew max/mean")
 	}
 	for _, f := range r.Feeds {
-		row("%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.3f\t%.3f", f.Service, f.Opened, f.Unopened, f.Broken, f.Moved, f.Silent,
+		row("%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.3f\t%.3f", f.Service, f.Opened, f.Unanswered, f.Broken, f.Moved, f.Silent,
 			f.Misrouted, f.Gaps, ms(f.Latency.P50), ms(f.Latency.P99), f.Pool.ConnectionImbalance, f.Pool.NewFlowImbalance)
 	}
 	_ = t.Flush()
