request: sign the RPCs between agents

Cause: the agents check the signature of AgentService, and the clients of package request did not sign, so Execute and Admit at another agent got 401. Ruled out: the permits and the fabric's TCP relay; requests whose executor was the coordinator itself were answered. Conclusion: package request now signs and checks on its own, so that a program cannot mount one side without the other.

--- a/node/agent/program.go
+++ b/node/agent/program.go
@@ -212,14 +212,13 @@
 	}
 }
 
-// rpc returns the handler of the RPC address. PeerService checks signatures itself.
+// rpc returns the handler of the RPC address. PeerService and the server of requests check signatures themselves.
 func (p *program) rpc() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle(p.mesh.Handler())
 	rest := &service{agent: p.agent}
 	if p.requests != nil {
-		path, h := p.requests.Handler(rest)
-		mux.Handle(path, rpcauth.Handler(p.keys, h))
+		mux.Handle(p.requests.Handler(rest))
 		return mux
 	}
 	path, h := lacewingv1connect.NewAgentServiceHandler(rest, connect.WithReadMaxBytes(maxLoadBody))
--- a/node/request/rpc.go
+++ b/node/request/rpc.go
@@ -15,6 +15,8 @@
 
 	lacewingv1 "lacewinglever.dev/node/gen/lacewing/v1"
 	"lacewinglever.dev/node/gen/lacewing/v1/lacewingv1connect"
+	"lacewinglever.dev/node/rpcauth"
+	"lacewinglever.dev/node/wire"
 	"lacewinglever.dev/policy/ident"
 	"lacewinglever.dev/policy/record"
 	"lacewinglever.dev/policy/request"
@@ -45,7 +47,7 @@
 	byURL   map[string]lacewingv1connect.AgentServiceClient
 }
 
-func newClients(options []connect.ClientOption) *clients {
+func newClients(keys *wire.Keyring, options []connect.ClientOption) *clients {
 	transport := &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: rpcDialTimeout}).DialContext,
 		MaxIdleConnsPerHost: rpcIdlePerHost,
@@ -54,7 +56,7 @@
 	// Compression costs more processor time than the links between data centres need.
 	base := []connect.ClientOption{connect.WithAcceptCompression("gzip", nil, nil), connect.WithReadMaxBytes(maxMessage)}
 	return &clients{
-		http:    &http.Client{Transport: transport},
+		http:    &http.Client{Transport: &rpcauth.Transport{Keys: keys, Base: transport}},
 		options: append(base, options...),
 		byURL:   map[string]lacewingv1connect.AgentServiceClient{},
 	}
--- a/node/request/server.go
+++ b/node/request/server.go
@@ -24,6 +24,7 @@
 	"lacewinglever.dev/node/gen/lacewing/v1/lacewingv1connect"
 	"lacewinglever.dev/node/logging"
 	"lacewinglever.dev/node/peer"
+	"lacewinglever.dev/node/rpcauth"
 	"lacewinglever.dev/node/wire"
 	"lacewinglever.dev/policy/dispatch"
 	"lacewinglever.dev/policy/ident"
@@ -119,7 +120,7 @@
 	s.keys.Store(o.Keys)
 	s.decisions = logging.NewDecisions(o.Logger)
 	s.metrics = newCounters(o.Metrics)
-	s.clients = newClients(o.ClientOptions)
+	s.clients = newClients(o.Keys, o.ClientOptions)
 	s.executor = newExecutor(s.self.ID, target, o.Slots, defaultQueueLimit)
 	s.dispatch.dispatcher = dispatch.New(s.self.DataCentre, rand.IntN)
 	s.permits.flights = map[uint64]chan struct{}{}
@@ -170,7 +171,8 @@
 		rest = lacewingv1connect.UnimplementedAgentServiceHandler{}
 	}
 	options := append([]connect.HandlerOption{connect.WithReadMaxBytes(maxMessage)}, s.options.HandlerOptions...)
-	return lacewingv1connect.NewAgentServiceHandler(rpcs{AgentServiceHandler: rest, server: s}, options...)
+	path, handler := lacewingv1connect.NewAgentServiceHandler(rpcs{AgentServiceHandler: rest, server: s}, options...)
+	return path, rpcauth.Handler(s.keys.Load(), handler)
 }
 
 // Load returns the busy slots, the queue and the mean service time of the local target, for the heartbeat. Connections, shedding and warmth
