--- a/bench/scenario/scenario_test.go
+++ b/bench/scenario/scenario_test.go
@@ -47,7 +47,14 @@
 func TestScenarios(t *testing.T) {
 	bin := os.Getenv("LACEWING_BIN")
 	if bin == "" {
-		t.Skip("LACEWING_BIN is not set; make scenarios sets it")
+		t.Fatal("LACEWING_BIN is not set; make scenarios sets it")
+	}
+	base := firstPort
+	if text := os.Getenv("LACEWING_FIRST_PORT"); text != "" {
+		var err error
+		if base, err = strconv.Atoi(text); err != nil {
+			t.Fatalf("LACEWING_FIRST_PORT: %v", err)
+		}
 	}
 	files, err := filepath.Glob("testdata/*.txtar")
 	if err != nil || len(files) == 0 {
@@ -63,7 +70,7 @@
 				return errors.Errorf("no script is called %q", name)
 			}
 			ctx, cancel := context.WithCancel(context.Background())
-			s := &state{ctx: ctx, bin: bin, ports: firstPort + index*fleet.PortsPerFleet}
+			s := &state{ctx: ctx, bin: bin, ports: base + index*fleet.PortsPerFleet}
 			env.Values[stateKey{}] = s
 			env.Defer(func() {
 				cancel()
