request: tests of outcomes, permits, refusals, overload and drain

Cause: only the plain GET path was tested.

Several servers in one process, with datagrams passed directly and RPCs over loopback, show: retry only after a firm not-run, unknown after a cut or missing answer, one run per permit whoever presents it, unknown for a permit of a lost incarnation, copies and late copies of an attempt, an answer that crossed, shedding, drain, and a caller that leaves.

A first version of the test target that hangs never ended, because net/http notices a closed connection only once the body was read; this was a fault of the test target, not of the server.

--- a/node/request/server_test.go
+++ b/node/request/server_test.go
@@ -1,11 +1,22 @@
 package request
 
 import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"time"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
+	lacewingv1 "lacewinglever.dev/node/gen/lacewing/v1"
 	"lacewinglever.dev/policy/record"
+	"lacewinglever.dev/policy/request"
 )
 
 // Guards against a request failing because its coordinator's own target may not run it.
@@ -20,3 +31,268 @@
 	assert.Equal(t, got.body, "b GET /desk?day=1")
 	assert.Equal(t, got.header.Get(HeaderExecutor), "b")
 }
+
+// counting returns a target that counts its requests before it answers.
+func counting(runs *atomic.Int64, then http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		then(w, r)
+	}
+}
+
+// cut answers half of what it announces.
+func cut(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Length", "100")
+	_, _ = w.Write([]byte("half"))
+	panic(http.ErrAbortHandler)
+}
+
+func shed(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(HeaderNotRun, "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// hang reads the body first, because net/http notices only then that the client has gone.
+func hang(_ http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	<-r.Context().Done()
+}
+
+// Guards against a request being run again after it may have run, against its not being tried elsewhere after it certainly has not, and
+// against a cut answer being passed on or completed from another target.
+func TestOutcomes(t *testing.T) {
+	for name, c := range map[string]struct {
+		target  http.HandlerFunc // of the coordinator's own agent, which is tried first
+		line    string
+		status  int
+		outcome string
+		others  int64 // requests that reach the other target
+	}{
+		"shed by the target": {shed, "GET /", 200, "answered", 1},
+		"cut answer":         {cut, "GET /", 504, "unknown", 0},
+		"no answer":          {func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, "GET /", 504, "unknown", 0},
+		"too slow":           {hang, "GET /", 504, "unknown", 0},
+		"busy without sign": {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(503) },
+			"GET /", 503, "answered", 0},
+		"no content":       {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(204) }, "GET /", 204, "answered", 0},
+		"permit is needed": {named("a"), "POST /book", 428, "not-run", 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			cluster := newCluster(t)
+			cluster.spec.Deadline = time.Second
+			var others atomic.Int64
+			cluster.add("a", 1, c.target)
+			cluster.add("b", 1, counting(&others, named("b")))
+			got := cluster.do(cluster.client("a"), c.line)
+			assert.Equal(t, got.status, c.status, got.body)
+			assert.Equal(t, got.outcome, c.outcome)
+			assert.Equal(t, others.Load(), c.others)
+			assert.Assert(t, got.header.Get(HeaderPermit) != "")
+		})
+	}
+}
+
+// Guards against a target or an agent that refuses connections failing requests, which it certainly has not run.
+func TestRefusedConnections(t *testing.T) {
+	c := newCluster(t)
+	a, b := c.add("a", 1, named("a")), c.add("b", 1, named("b"))
+	c.add("c", 1, named("c"))
+	a.target.Close()
+	assert.Equal(t, c.do(c.client("a"), "GET /").outcome, "answered")
+	c.setState("a", record.Draining)
+	b.rpc.Close()
+	b.rpc.CloseClientConnections()
+	for range 3 {
+		got := c.do(c.client("c"), "GET /")
+		assert.Equal(t, got.outcome, "answered", got.body)
+		assert.Equal(t, got.header.Get(HeaderExecutor), "c")
+	}
+}
+
+// Guards against a permit that runs twice, whoever presents it and wherever, and against a changed outcome.
+func TestPermitRunsOnce(t *testing.T) {
+	c := newCluster(t)
+	var runs atomic.Int64
+	slow := counting(&runs, func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(100 * time.Millisecond)
+		_, _ = fmt.Fprintf(w, "run %d", runs.Load())
+	})
+	for _, name := range []string{"a", "b", "c"} {
+		c.add(name, 2, slow)
+	}
+	permit := c.do(c.client("a"), "POST /book").header.Get(HeaderPermit)
+	var wait sync.WaitGroup
+	for _, home := range []string{"a", "b", "c", "a", "b", "c"} {
+		client := c.client(home)
+		wait.Go(func() {
+			for range 2 {
+				got := c.do(client, "POST /book", HeaderPermit, permit)
+				assert.Check(t, got.outcome == "answered" && got.body == "run 1", "%d %s %s", got.status, got.outcome, got.body)
+			}
+		})
+	}
+	wait.Wait()
+	assert.Equal(t, runs.Load(), int64(1))
+	got := c.do(c.client("b"), "POST /book/other", HeaderPermit, permit)
+	assert.Equal(t, got.status, http.StatusUnprocessableEntity)
+	assert.Equal(t, runs.Load(), int64(1))
+	next := c.do(c.client("b"), "POST /book", HeaderPermit, got.header.Get(HeaderPermit))
+	assert.Equal(t, next.body, "run 2")
+}
+
+// Guards against "not run" for a permit whose issuer is gone or was restarted, since the issuer may have run the request.
+func TestPermitOfLostIncarnation(t *testing.T) {
+	c := newCluster(t)
+	a := c.add("a", 1, named("a"))
+	c.add("b", 1, named("b"))
+	client := c.client("b")
+	permit := c.do(c.client("a"), "POST /book").header.Get(HeaderPermit)
+	a.rpc.Close()
+	got := c.do(client, "POST /book", HeaderPermit, permit)
+	assert.Equal(t, got.status, 504, got.body)
+	assert.Equal(t, got.outcome, "unknown")
+	c.add("a", 1, named("a"))
+	assert.Equal(t, c.do(client, "POST /book", HeaderPermit, permit).outcome, "unknown")
+	assert.Equal(t, c.do(client, "POST /book", HeaderPermit, "nonsense").status, 428)
+}
+
+// Guards against a copy of an attempt that runs again, one that runs after its cancellation, and an executor that answers for an earlier
+// incarnation of itself.
+func TestExecutorRPC(t *testing.T) {
+	c := newCluster(t)
+	var runs atomic.Int64
+	b := c.add("b", 1, counting(&runs, named("b")))
+	a := c.add("a", 1, named("a"))
+	node := b.server.self
+	deadline := time.Now().Add(time.Second)
+	q := &lacewingv1.Request{Service: uint64(service.ID()), Method: "GET", Path: "/", DeadlineUnixMs: uint64(deadline.UnixMilli())}
+	id := request.AttemptID{Coordinator: a.server.self.ID, Request: 1, Number: 1}
+	ctx := context.Background()
+	for range 3 {
+		kind, response := a.server.sendExecute(ctx, &node, id, q, deadline)
+		assert.Equal(t, kind, request.GotAnswer)
+		assert.Equal(t, string(response.GetBody()), "b GET /")
+	}
+	id.Number++
+	kind, _ := a.server.sendCancel(ctx, &node, id, deadline)
+	assert.Equal(t, kind, request.CancelNeverRan)
+	kind, _ = a.server.sendExecute(ctx, &node, id, q, deadline)
+	assert.Equal(t, kind, request.GotNotRun)
+	id.Number++
+	kind, _ = a.server.sendExecute(ctx, &node, id, q, time.Now())
+	assert.Equal(t, kind, request.Lost)
+	node.Incarnation++
+	kind, _ = a.server.sendExecute(ctx, &node, id, q, deadline)
+	assert.Equal(t, kind, request.NotSent)
+	kind, _ = a.server.sendCancel(ctx, &node, id, deadline)
+	assert.Equal(t, kind, request.CancelFailed)
+	assert.Equal(t, runs.Load(), int64(1))
+}
+
+// Guards against an answer that crossed being given to another request.
+func TestCrossedAnswer(t *testing.T) {
+	c := newCluster(t)
+	a, b := c.add("a", 1, named("a")), c.add("b", 1, named("b"))
+	c.setState("a", record.Draining)
+	path, real := b.server.Handler(nil)
+	b.rpc.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !strings.HasSuffix(r.URL.Path, "/Execute") {
+			real.ServeHTTP(w, r)
+			return
+		}
+		reply, _ := proto.Marshal(&lacewingv1.ExecuteResponse{
+			Attempt:  &lacewingv1.Attempt{Coordinator: uint64(a.server.self.ID), Request: 99},
+			Response: &lacewingv1.Response{Outcome: lacewingv1.Outcome_OUTCOME_ANSWERED, Status: 200, Body: []byte("another's")},
+		})
+		w.Header().Set("Content-Type", "application/proto")
+		_, _ = w.Write(reply)
+	})
+	assert.Equal(t, path, "/lacewing.v1.AgentService/")
+	got := c.do(c.client("a"), "GET /")
+	assert.Equal(t, got.outcome, "not-run", "cancelled at the executor, which never saw it")
+	assert.Assert(t, !strings.Contains(got.body, "another's"))
+}
+
+// Guards against more requests at the target than it has slots, a queue without bound, and a shed request that is called unknown.
+func TestOverload(t *testing.T) {
+	c := newCluster(t)
+	c.spec.QueueLimit = 2
+	var busy, most atomic.Int64
+	c.add("a", 2, func(http.ResponseWriter, *http.Request) {
+		most.Store(max(most.Load(), busy.Add(1)))
+		time.Sleep(200 * time.Millisecond)
+		busy.Add(-1)
+	})
+	client := c.client("a")
+	outcomes := map[string]int{}
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	for range 10 {
+		wait.Go(func() {
+			got := c.do(client, "GET /")
+			mu.Lock()
+			defer mu.Unlock()
+			outcomes[got.outcome]++
+		})
+	}
+	wait.Wait()
+	assert.Assert(t, most.Load() <= 2)
+	assert.Assert(t, outcomes["answered"] >= 4 && outcomes["not-run"] >= 1 && outcomes["unknown"] == 0, "%v", outcomes)
+}
+
+// Guards against a planned stop that interrupts a request in progress, of its own callers or of other coordinators, and against new connections
+// to an agent that drains.
+func TestDrain(t *testing.T) {
+	c := newCluster(t)
+	a := c.add("a", 2, func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(1500 * time.Millisecond)
+		named("a")(w, r)
+	})
+	c.add("b", 1, named("b"))
+	c.setState("b", record.Draining)
+	answers := make(chan answer, 2)
+	for _, home := range []string{"a", "b"} {
+		client := c.client(home)
+		go func() { answers <- c.do(client, "GET /") }()
+	}
+	for a.server.Load().GetBusySlots() < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	drained := make(chan error)
+	go func() { drained <- a.server.Drain(t.Context()) }()
+	time.Sleep(100 * time.Millisecond)
+	late := c.client("a")
+	late.Timeout = 300 * time.Millisecond
+	_, err := late.Get("https://slot-desk.example/")
+	assert.Assert(t, err != nil)
+	assert.NilError(t, <-drained)
+	for range 2 {
+		got := <-answers
+		assert.Equal(t, got.outcome, "answered")
+		assert.Equal(t, got.body, "a GET /")
+	}
+}
+
+// Guards against a slot that stays taken after its caller has gone.
+func TestCallerLeaves(t *testing.T) {
+	c := newCluster(t)
+	c.add("a", 1, named("a"))
+	b := c.add("b", 1, hang)
+	c.setState("a", record.Draining)
+	ctx, cancel := context.WithCancel(t.Context())
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "https://slot-desk.example/", nil)
+	assert.NilError(t, err)
+	client := c.client("a")
+	go func() {
+		for b.server.Load().GetBusySlots() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		cancel()
+	}()
+	_, err = client.Do(r)
+	assert.ErrorIs(t, err, context.Canceled)
+	for left := time.Now().Add(time.Second); b.server.Load().GetBusySlots() > 0; time.Sleep(time.Millisecond) {
+		assert.Assert(t, time.Now().Before(left), "slot still taken")
+	}
+}
