--- a/node/request/cluster_test.go
+++ b/node/request/cluster_test.go
@@ -22,6 +22,7 @@
 	"lacewinglever.dev/node/connid"
 	lacewingv1 "lacewinglever.dev/node/gen/lacewing/v1"
 	"lacewinglever.dev/node/peer"
+	"lacewinglever.dev/node/rpcauth"
 	"lacewinglever.dev/node/wire"
 	"lacewinglever.dev/policy/ident"
 	"lacewinglever.dev/policy/record"
@@ -124,7 +125,8 @@
 		Target:   m.target.URL, Slots: slots, Return: c.toClient, Logger: log.NewNopLogger(), Metrics: metrics.NewSet(),
 	})
 	assert.NilError(t, err)
-	mux.Handle(server.Handler(nil))
+	path, rpcs := server.Handler(nil)
+	mux.Handle(path, rpcauth.Handler(c.keys, rpcs))
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	m.server = server
--- a/node/request/rpc.go
+++ b/node/request/rpc.go
@@ -15,6 +15,8 @@
 
 	lacewingv1 "lacewinglever.dev/node/gen/lacewing/v1"
 	"lacewinglever.dev/node/gen/lacewing/v1/lacewingv1connect"
+	"lacewinglever.dev/node/rpcauth"
+	"lacewinglever.dev/node/wire"
 	"lacewinglever.dev/policy/ident"
 	"lacewinglever.dev/policy/record"
 	"lacewinglever.dev/policy/request"
@@ -37,29 +39,39 @@
 	replyGrace = 200 * time.Millisecond
 )
 
-// clients holds an RPC client per address.
+// clients holds an RPC client per address. They sign what they send and check the replies.
 type clients struct {
+	base    *http.Transport
 	http    *http.Client
 	options []connect.ClientOption
 	mu      sync.Mutex
 	byURL   map[string]lacewingv1connect.AgentServiceClient
 }
 
-func newClients(options []connect.ClientOption) *clients {
-	transport := &http.Transport{
+func newClients(keys *wire.Keyring, options []connect.ClientOption) *clients {
+	base := &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: rpcDialTimeout}).DialContext,
 		MaxIdleConnsPerHost: rpcIdlePerHost,
 		IdleConnTimeout:     rpcIdleTimeout,
 	}
 	// Compression costs more processor time than the links between data centres need.
-	base := []connect.ClientOption{connect.WithAcceptCompression("gzip", nil, nil), connect.WithReadMaxBytes(maxMessage)}
+	defaults := []connect.ClientOption{connect.WithAcceptCompression("gzip", nil, nil), connect.WithReadMaxBytes(maxMessage)}
 	return &clients{
-		http:    &http.Client{Transport: transport},
-		options: append(base, options...),
+		base:    base,
+		http:    &http.Client{Transport: &rpcauth.Transport{Keys: keys, Base: base}},
+		options: append(defaults, options...),
 		byURL:   map[string]lacewingv1connect.AgentServiceClient{},
 	}
 }
 
+// setKeys replaces the keyring. Clients that are in use end their RPC with the old one.
+func (c *clients) setKeys(keys *wire.Keyring) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.http = &http.Client{Transport: &rpcauth.Transport{Keys: keys, Base: c.base}}
+	clear(c.byURL)
+}
+
 // maxClients bounds the clients that are kept. Addresses come from authentic records, but change with every restart of an agent.
 const maxClients = 4096
 
--- a/node/request/server.go
+++ b/node/request/server.go
@@ -64,8 +64,8 @@
 	Logger   log.Logger
 	Metrics  *metrics.Set
 
-	HandlerOptions []connect.HandlerOption // of the RPC handler: checks the caller's signature
-	ClientOptions  []connect.ClientOption  // of the RPC clients: sign
+	HandlerOptions []connect.HandlerOption // of the RPC handler
+	ClientOptions  []connect.ClientOption  // of the RPC clients, which sign in any case
 }
 
 // Server is the HTTP/3 server, the coordinator of the requests that it receives, and the executor at the local target. It implements
@@ -119,7 +119,7 @@
 	s.keys.Store(o.Keys)
 	s.decisions = logging.NewDecisions(o.Logger)
 	s.metrics = newCounters(o.Metrics)
-	s.clients = newClients(o.ClientOptions)
+	s.clients = newClients(o.Keys, o.ClientOptions)
 	s.executor = newExecutor(s.self.ID, target, o.Slots, defaultQueueLimit)
 	s.dispatch.dispatcher = dispatch.New(s.self.DataCentre, rand.IntN)
 	s.permits.flights = map[uint64]chan struct{}{}
@@ -164,7 +164,7 @@
 	}
 }
 
-// Handler returns the path and the handler of AgentService. rest serves Drain and Explain; nil leaves them unimplemented.
+// Handler returns the path and the handler of AgentService, which the program wraps in rpcauth.Handler. rest serves Drain and Explain; nil leaves them unimplemented.
 func (s *Server) Handler(rest lacewingv1connect.AgentServiceHandler) (string, http.Handler) {
 	if rest == nil {
 		rest = lacewingv1connect.UnimplementedAgentServiceHandler{}
@@ -181,6 +181,7 @@
 func (s *Server) SetKeys(k *wire.Keyring) {
 	s.keys.Store(k)
 	s.generator.SetKeys(k)
+	s.clients.setKeys(k)
 	s.permits.Lock()
 	defer s.permits.Unlock()
 	s.permits.book.SetTagger(k)
@@ -229,7 +230,7 @@
 	_ = s.http3.Close()
 	err := s.quic.Close()
 	_ = s.connection.Close()
-	s.clients.http.CloseIdleConnections()
+	s.clients.base.CloseIdleConnections()
 	s.executor.client.CloseIdleConnections()
 	return errors.Wrap(err, "close QUIC")
 }
--- a/node/request/server_test.go
+++ b/node/request/server_test.go
@@ -15,6 +15,7 @@
 	"gotest.tools/v3/assert"
 
 	lacewingv1 "lacewinglever.dev/node/gen/lacewing/v1"
+	"lacewinglever.dev/node/rpcauth"
 	"lacewinglever.dev/policy/record"
 	"lacewinglever.dev/policy/request"
 )
@@ -195,8 +196,8 @@
 	c := newCluster(t)
 	a, b := c.add("a", 1, named("a")), c.add("b", 1, named("b"))
 	c.setState("a", record.Draining)
-	path, real := b.server.Handler(nil)
-	b.rpc.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	_, real := b.server.Handler(nil)
+	b.rpc.Config.Handler = rpcauth.Handler(c.keys, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if !strings.HasSuffix(r.URL.Path, "/Execute") {
 			real.ServeHTTP(w, r)
 			return
@@ -207,8 +208,7 @@
 		})
 		w.Header().Set("Content-Type", "application/proto")
 		_, _ = w.Write(reply)
-	})
-	assert.Equal(t, path, "/lacewing.v1.AgentService/")
+	}))
 	got := c.do(c.client("a"), "GET /")
 	assert.Equal(t, got.outcome, "not-run", "cancelled at the executor, which never saw it")
 	assert.Assert(t, !strings.Contains(got.body, "another's"))
