--- a/node/request/server.go
+++ b/node/request/server.go
@@ -24,7 +24,6 @@
 	"lacewinglever.dev/node/gen/lacewing/v1/lacewingv1connect"
 	"lacewinglever.dev/node/logging"
 	"lacewinglever.dev/node/peer"
-	"lacewinglever.dev/node/rpcauth"
 	"lacewinglever.dev/node/wire"
 	"lacewinglever.dev/policy/dispatch"
 	"lacewinglever.dev/policy/ident"
@@ -65,8 +64,8 @@
 	Logger   log.Logger
 	Metrics  *metrics.Set
 
-	HandlerOptions []connect.HandlerOption // of the RPC handler: checks the caller's signature
-	ClientOptions  []connect.ClientOption  // of the RPC clients: sign
+	HandlerOptions []connect.HandlerOption // of the RPC handler
+	ClientOptions  []connect.ClientOption  // of the RPC clients, which sign in any case
 }
 
 // Server is the HTTP/3 server, the coordinator of the requests that it receives, and the executor at the local target. It implements
@@ -165,14 +164,13 @@
 	}
 }
 
-// Handler returns the path and the handler of AgentService. rest serves Drain and Explain; nil leaves them unimplemented.
+// Handler returns the path and the handler of AgentService, which the program wraps in rpcauth.Handler. rest serves Drain and Explain; nil leaves them unimplemented.
 func (s *Server) Handler(rest lacewingv1connect.AgentServiceHandler) (string, http.Handler) {
 	if rest == nil {
 		rest = lacewingv1connect.UnimplementedAgentServiceHandler{}
 	}
 	options := append([]connect.HandlerOption{connect.WithReadMaxBytes(maxMessage)}, s.options.HandlerOptions...)
-	path, handler := lacewingv1connect.NewAgentServiceHandler(rpcs{AgentServiceHandler: rest, server: s}, options...)
-	return path, rpcauth.Handler(s.keys.Load(), handler)
+	return lacewingv1connect.NewAgentServiceHandler(rpcs{AgentServiceHandler: rest, server: s}, options...)
 }
 
 // Load returns the busy slots, the queue and the mean service time of the local target, for the heartbeat. Connections, shedding and warmth
@@ -183,6 +181,7 @@
 func (s *Server) SetKeys(k *wire.Keyring) {
 	s.keys.Store(k)
 	s.generator.SetKeys(k)
+	s.clients.setKeys(k)
 	s.permits.Lock()
 	defer s.permits.Unlock()
 	s.permits.book.SetTagger(k)
@@ -231,7 +230,10 @@
 	_ = s.http3.Close()
 	err := s.quic.Close()
 	_ = s.connection.Close()
-	s.clients.http.CloseIdleConnections()
+	s.clients.base.CloseIdleConnections()
 	s.executor.client.CloseIdleConnections()
-	return errors.Wrap(err, "close QUIC")
+	if err != nil {
+		return errors.Wrap(err, "close QUIC")
+	}
+	return nil
 }
