--- a/bench/scenario/scenario_test.go
+++ b/bench/scenario/scenario_test.go
@@ -28,6 +28,7 @@
 	stopLimit   = 70 * time.Second // longer than the drain timeout of the fleet's agents
 	defaultWait = 10 * time.Second
 	maxSleep    = time.Minute
+	maxEvents   = 5 // that a failed expectation prints; the report has more
 )
 
 // state is what the commands of one script share.
@@ -370,7 +371,7 @@
 		if err != nil {
 			return err
 		}
-		return compareField(row, args[2:], strings.Join(events, "\n"))
+		return compareField(row, args[2:], strings.Join(events[:min(maxEvents, len(events))], "\n"))
 	})
 }
 
