agent: no division by zero in the load report; rpcauth: dial from the node's own address

The agent process ended. Ruled out: a data race; the lock was held for both accesses. After: TestSnapshotBeforePoll passes. RPC clients now connect from the address that the node listens on; before, the network stand-in could not tell which data centre an RPC came from, so RPCs passed through partitions. Conclusion: one fault of the agent, one of the connections between nodes.

--- a/node/agent/health.go
+++ b/node/agent/health.go
@@ -117,7 +117,8 @@
 	if !h.up || h.load.Draining {
 		return h.load, 0
 	}
-	age := now.Sub(h.upSince)
+	// A poll may have set upSince after the caller took now.
+	age := max(now.Sub(h.upSince), 0)
 	if h.upSince.IsZero() || age >= warmUp {
 		return h.load, fullyWarm
 	}
--- /dev/null
+++ b/node/agent/health_test.go
@@ -0,0 +1,19 @@
+package agent
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a division by zero when a poll finds the target up after the time of the snapshot was taken and the service has no
+// warm-up. It ended agents in the first second of their life.
+func TestSnapshotBeforePoll(t *testing.T) {
+	now := time.Now()
+	h := &health{up: true, upSince: now.Add(time.Millisecond)}
+	_, warm := h.snapshot(now, 0)
+	assert.Equal(t, warm, uint32(fullyWarm))
+	_, warm = h.snapshot(now, time.Second)
+	assert.Equal(t, warm, uint32(0))
+}
--- a/node/cmd/lacewing-agent/main.go
+++ b/node/cmd/lacewing-agent/main.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net/netip"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -56,9 +57,13 @@
 
 // newRequestServer makes the server of a service of requests.
 func newRequestServer(o agent.RequestOptions) (agent.RequestServer, error) {
+	listen, err := netip.ParseAddrPort(o.Config.RPC.Listen)
+	if err != nil {
+		return nil, err
+	}
 	return request.New(request.Options{
 		Mesh: o.Mesh, Keys: o.Keys, Service: o.Service, Settings: o.Settings, Target: o.Config.Target.URL,
-		Slots: int(o.Config.Target.Slots), Return: o.Return, Logger: o.Logger, Metrics: o.Metrics,
+		Slots: int(o.Config.Target.Slots), Local: listen.Addr(), Return: o.Return, Logger: o.Logger, Metrics: o.Metrics,
 	})
 }
 
--- a/node/entry/entry_test.go
+++ b/node/entry/entry_test.go
@@ -143,7 +143,7 @@
 	key, _ := wire.ParseKey(keyText)
 	keys, err := wire.NewKeyring(map[byte]wire.Key{1: key}, 1)
 	assert.NilError(t, err)
-	rpc := lacewingv1connect.NewEntryServiceClient(rpcauth.Client(keys), "http://"+c.RPC.Listen)
+	rpc := lacewingv1connect.NewEntryServiceClient(rpcauth.Client(keys, netip.Addr{}), "http://"+c.RPC.Listen)
 	explain := &lacewingv1.ExplainRequest{Service: service.String(), Caller: "127.0.0.1:5000"}
 	explained, err := rpc.Explain(ctx, connect.NewRequest(explain))
 	assert.NilError(t, err)
--- a/node/peer/peer.go
+++ b/node/peer/peer.go
@@ -109,7 +109,7 @@
 		store:   spread.NewStore(),
 		index:   newIndex(),
 		heard:   newHeardTable(),
-		client:  rpcauth.Client(o.Keys),
+		client:  rpcauth.Client(o.Keys, o.Transport.Local()),
 		self:    o.Self,
 		queue:   spread.NewQueue(),
 		tracker: membership.NewTracker(o.Self),
--- a/node/request/rpc.go
+++ b/node/request/rpc.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/netip"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -28,7 +28,6 @@
 
 // Limits of RPCs between agents.
 const (
-	rpcDialTimeout = 500 * time.Millisecond
 	rpcIdlePerHost = 64
 	rpcIdleTimeout = 90 * time.Second
 	// maxMessage is the largest message that is read, in bytes: a response with its headers.
@@ -48,9 +47,9 @@
 	byURL   map[string]lacewingv1connect.AgentServiceClient
 }
 
-func newClients(keys *wire.Keyring, options []connect.ClientOption) *clients {
+func newClients(keys *wire.Keyring, local netip.Addr, options []connect.ClientOption) *clients {
 	base := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: rpcDialTimeout}).DialContext,
+		DialContext:         rpcauth.Dialer(local).DialContext,
 		MaxIdleConnsPerHost: rpcIdlePerHost,
 		IdleConnTimeout:     rpcIdleTimeout,
 	}
--- a/node/request/server.go
+++ b/node/request/server.go
@@ -6,6 +6,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"net/url"
 	"sync"
 	"sync/atomic"
@@ -59,6 +60,7 @@
 	Settings func() *settings.Spec // newest accepted settings of the service; nil while none are known
 	Target   string                // URL of the target, http only
 	Slots    int                   // of the target
+	Local    netip.Addr            // from which RPCs to other agents are made; unspecified: the system chooses
 	TLS      TLS
 	Return   agent.Return
 	Logger   log.Logger
@@ -119,7 +121,7 @@
 	s.keys.Store(o.Keys)
 	s.decisions = logging.NewDecisions(o.Logger)
 	s.metrics = newCounters(o.Metrics)
-	s.clients = newClients(o.Keys, o.ClientOptions)
+	s.clients = newClients(o.Keys, o.Local, o.ClientOptions)
 	s.executor = newExecutor(s.self.ID, target, o.Slots, defaultQueueLimit)
 	s.dispatch.dispatcher = dispatch.New(s.self.DataCentre, rand.IntN)
 	s.permits.flights = map[uint64]chan struct{}{}
--- a/node/rpcauth/rpcauth.go
+++ b/node/rpcauth/rpcauth.go
@@ -5,7 +5,9 @@
 	"bytes"
 	"encoding/binary"
 	"io"
+	"net"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"time"
 
@@ -156,9 +158,23 @@
 	return resp, nil
 }
 
-// Client returns an HTTP client for RPCs to other nodes.
-func Client(keys *wire.Keyring) *http.Client {
-	return &http.Client{Transport: &Transport{Keys: keys, Base: &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}}}
+// dialTimeout bounds a connection to another node, so that an unreachable one is known before a caller's deadline.
+const dialTimeout = 500 * time.Millisecond
+
+// Dialer connects from the node's own address, which instances with several addresses need for their firewall rules. An unspecified
+// address leaves the choice to the system.
+func Dialer(local netip.Addr) *net.Dialer {
+	d := &net.Dialer{Timeout: dialTimeout}
+	if local.IsValid() && !local.IsUnspecified() {
+		d.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(local, 0))
+	}
+	return d
+}
+
+// Client returns an HTTP client for RPCs to other nodes from the address local.
+func Client(keys *wire.Keyring, local netip.Addr) *http.Client {
+	base := &http.Transport{DialContext: Dialer(local).DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}
+	return &http.Client{Transport: &Transport{Keys: keys, Base: base}}
 }
 
 func nowMs() uint64 { return uint64(time.Now().UnixMilli()) }
--- a/node/rpcauth/rpcauth_test.go
+++ b/node/rpcauth/rpcauth_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"strconv"
 	"testing"
 	"time"
@@ -36,15 +37,15 @@
 	plain := httptest.NewServer(echo)
 	defer plain.Close()
 
-	resp, err := Client(ours).Post(server.URL+"/x", "text/plain", bytes.NewReader([]byte("hello")))
+	resp, err := Client(ours, netip.Addr{}).Post(server.URL+"/x", "text/plain", bytes.NewReader([]byte("hello")))
 	assert.NilError(t, err)
 	body, _ := io.ReadAll(resp.Body)
 	assert.Equal(t, string(body), "hello")
 	assert.Equal(t, served, 1)
 
-	_, err = Client(theirs).Post(server.URL+"/x", "text/plain", nil)
+	_, err = Client(theirs, netip.Addr{}).Post(server.URL+"/x", "text/plain", nil)
 	assert.ErrorContains(t, err, "401")
-	_, err = Client(ours).Post(plain.URL, "text/plain", nil)
+	_, err = Client(ours, netip.Addr{}).Post(plain.URL, "text/plain", nil)
 	assert.ErrorIs(t, err, ErrUnsigned)
 	served = 0
 
--- a/node/transport/transport.go
+++ b/node/transport/transport.go
@@ -81,6 +81,11 @@
 // Self returns the id of this node.
 func (t *Transport) Self() ident.NodeID { return t.options.Self }
 
+// Local returns the address that the socket is bound to.
+func (t *Transport) Local() netip.Addr {
+	return t.conn.LocalAddr().(*net.UDPAddr).AddrPort().Addr().Unmap()
+}
+
 // Run reads until the context ends, then closes the socket.
 func (t *Transport) Run(ctx context.Context, h Handlers) error {
 	stop := context.AfterFunc(ctx, func() { _ = t.conn.Close() })
