dispatch: stop new work at once for an agent that refuses connections

Cause: TestRefusedConnections failed once in five runs on a busy machine with "not-run: no connection to the executor". A coordinator whose own target had a mean latency above the default assumed for an unknown target chose the unreachable agent again and again, and spent its retry budget.

A test in policy/dispatch guards it.

--- a/node/request/coordinator.go
+++ b/node/request/coordinator.go
@@ -133,6 +133,8 @@
 		result = answerResult(response)
 	case request.GotNotRun, request.CancelNeverRan:
 		result = dispatch.Refused
+	case request.NotSent:
+		result = dispatch.Unreachable
 	default:
 		result = dispatch.Failure
 	}
--- a/policy/dispatch/dispatch.go
+++ b/policy/dispatch/dispatch.go
@@ -243,9 +243,10 @@
 
 // Results of an attempt.
 const (
-	Success Result = iota // the target answered
-	Refused               // the target or its agent has not run it: too busy, draining, cancelled before it began
-	Failure               // no answer, or no connection
+	Success     Result = iota // the target answered
+	Refused                   // the target or its agent has not run it: too busy, draining, cancelled before it began
+	Failure                   // no answer
+	Unreachable               // no connection to its agent: new work stops at once
 )
 
 // Finished takes the result of a dispatched attempt.
--- a/policy/dispatch/dispatch_test.go
+++ b/policy/dispatch/dispatch_test.go
@@ -142,3 +142,12 @@
 	_, reason := d.Choose(start, targets, nil, 10*time.Millisecond)
 	assert.Equal(t, reason, TooLate)
 }
+
+// Guards against an agent that refuses connections being chosen again, which spends the retry budget on it.
+func TestUnreachableLosesWorkAtOnce(t *testing.T) {
+	p := newPool(2)
+	ticket, _ := p.d.Choose(start, p.targets, nil, time.Second)
+	p.d.Finished(start, ticket, Unreachable)
+	_ = p.run(start, firstEjection)
+	assert.Equal(t, p.chosen[ticket.Target], 0)
+}
--- a/policy/dispatch/outlier.go
+++ b/policy/dispatch/outlier.go
@@ -102,6 +102,8 @@
 		return // says nothing about latency
 	case Failure:
 		h.failed(now)
+	case Unreachable:
+		h.eject(now)
 	case Success:
 		h.succeeded(now, latency)
 	}
