daemon: one place for command lines, version and HTTP endpoints

Cause: lacewing-entry and lacewing-agent had the same command line, version, metrics endpoint and server twice. Before: four copies of the same code.

--- a/bench/program/program.go
+++ b/bench/program/program.go
@@ -10,12 +10,13 @@
 	"net/http"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/jessevdk/go-flags"
+
+	"lacewinglever.dev/node/daemon"
 )
 
 const (
@@ -38,7 +39,7 @@
 		os.Exit(2)
 	}
 	if common.Version {
-		fmt.Println(version())
+		fmt.Println(daemon.Version())
 		return
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
@@ -50,19 +51,6 @@
 	}
 }
 
-func version() string {
-	info, ok := debug.ReadBuildInfo()
-	if !ok {
-		return "unknown"
-	}
-	for _, s := range info.Settings {
-		if s.Key == "vcs.revision" {
-			return s.Value
-		}
-	}
-	return info.Main.Version
-}
-
 // Serve serves HTTP on the address until the context ends or the server is closed. It returns once the address is bound.
 func Serve(ctx context.Context, address string, handler http.Handler) (io.Closer, error) {
 	listener, err := net.Listen("tcp", address)
--- a/node/agent/program.go
+++ b/node/agent/program.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"time"
@@ -16,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"lacewinglever.dev/node/config"
+	"lacewinglever.dev/node/daemon"
 	"lacewinglever.dev/node/gen/lacewing/v1/lacewingv1connect"
 	"lacewinglever.dev/node/logging"
 	"lacewinglever.dev/node/peer"
@@ -31,8 +31,6 @@
 const (
 	defaultDrainTimeout = time.Minute
 	nodeReaders         = 4
-	headerTimeout       = 5 * time.Second
-	closeGrace          = time.Second
 )
 
 // Target is the target beside the agent.
@@ -133,8 +131,10 @@
 		return p.transport.Run(running, transport.Handlers{Data: p.agent.Data, Control: p.mesh.Control})
 	})
 	g.Go(func() error { return p.mesh.Run(running) })
-	g.Go(func() error { return serve(running, c.RPC.Listen, p.rpc()) })
-	g.Go(func() error { return serve(running, c.Metrics, p.observability()) })
+	g.Go(func() error { return daemon.Serve(running, c.RPC.Listen, p.rpc()) })
+	g.Go(func() error {
+		return daemon.Serve(running, c.Metrics, daemon.Observability(p.set, func() string { return p.mesh.Self().State.String() }))
+	})
 	g.Go(func() error {
 		defer stop()
 		return p.agent.Run(ctx, running)
@@ -226,36 +226,3 @@
 	mux.Handle(path, rpcauth.Handler(p.keys, h))
 	return mux
 }
-
-// observability answers /metrics and /healthz.
-func (p *program) observability() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
-		p.set.WritePrometheus(w)
-		metrics.WriteProcessMetrics(w)
-	})
-	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
-		_, _ = io.WriteString(w, p.mesh.Self().State.String()+"\n")
-	})
-	return mux
-}
-
-func serve(ctx context.Context, address string, h http.Handler) error {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return errors.Wrap(err, "listen")
-	}
-	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
-	stop := context.AfterFunc(ctx, func() {
-		closing, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeGrace)
-		defer cancel()
-		if server.Shutdown(closing) != nil {
-			_ = server.Close()
-		}
-	})
-	defer stop()
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		return errors.Wrapf(err, "serve %s", address)
-	}
-	return nil
-}
--- a/node/cmd/lacewingctl/main.go
+++ b/node/cmd/lacewingctl/main.go
@@ -7,14 +7,13 @@
 	"os/signal"
 	"syscall"
 
+	"lacewinglever.dev/node/daemon"
 	"lacewinglever.dev/node/operator"
 )
 
-var version = "dev"
-
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	code := operator.Main(ctx, os.Args[1:], os.Stdout, os.Stderr, version)
+	code := operator.Main(ctx, os.Args[1:], os.Stdout, os.Stderr, daemon.Version())
 	stop()
 	os.Exit(code)
 }
--- a/node/entry/program.go
+++ b/node/entry/program.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"lacewinglever.dev/node/config"
+	"lacewinglever.dev/node/daemon"
 	"lacewinglever.dev/node/duty"
 	lacewingv1 "lacewinglever.dev/node/gen/lacewing/v1"
 	"lacewinglever.dev/node/logging"
@@ -29,10 +30,6 @@
 const (
 	// forwardGrace is how long an entry goes on forwarding after it announced that it leaves, for datagrams that are on the way.
 	forwardGrace = 2 * time.Second
-	// closeGrace is how long RPCs in progress may take after that.
-	closeGrace = time.Second
-	// headerTimeout bounds how long a connection may take to send its request headers.
-	headerTimeout = 5 * time.Second
 )
 
 // nodeReaders is the number of goroutines that read the node's socket.
@@ -168,8 +165,10 @@
 		},
 		mesh.Run,
 		data.Run,
-		func(ctx context.Context) error { return serve(ctx, c.RPC.Listen, rpc) },
-		func(ctx context.Context) error { return serve(ctx, c.Metrics, observability(set)) },
+		func(ctx context.Context) error { return daemon.Serve(ctx, c.RPC.Listen, rpc) },
+		func(ctx context.Context) error {
+			return daemon.Serve(ctx, c.Metrics, daemon.Observability(set, func() string { return "ok" }))
+		},
 	}
 	if c.Platform.URL == "" {
 		return p, nil
@@ -181,34 +180,3 @@
 	p.parts = append(p.parts, d.Run)
 	return p, nil
 }
-
-// observability answers /metrics and /healthz.
-func observability(set *metrics.Set) http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
-		set.WritePrometheus(w)
-		metrics.WriteProcessMetrics(w)
-	})
-	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
-	return mux
-}
-
-func serve(ctx context.Context, address string, h http.Handler) error {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return errors.Wrap(err, "listen")
-	}
-	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
-	stop := context.AfterFunc(ctx, func() {
-		closing, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeGrace)
-		defer cancel()
-		if server.Shutdown(closing) != nil {
-			_ = server.Close()
-		}
-	})
-	defer stop()
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		return errors.Wrapf(err, "serve %s", address)
-	}
-	return nil
-}
