--- a/node/cmd/lacewing-entry/main.go
+++ b/node/cmd/lacewing-entry/main.go
@@ -5,8 +5,8 @@
 	"context"
 	"os"
 
-	"lacewinglever.dev/node/entry"
 	"lacewinglever.dev/node/daemon"
+	"lacewinglever.dev/node/entry"
 )
 
 func main() {
--- a/node/daemon/daemon.go
+++ b/node/daemon/daemon.go
@@ -61,18 +61,21 @@
 	os.Exit(code)
 }
 
-// Version returns the module's version, and the commit where the build knows it.
+// release is the version of all programs, which are released together.
+const release = "0.1.0"
+
+// Version returns the release, and the commit where the build knows it.
 func Version() string {
 	info, ok := debug.ReadBuildInfo()
 	if !ok {
-		return "unknown"
+		return release
 	}
 	for _, s := range info.Settings {
 		if s.Key == "vcs.revision" {
-			return info.Main.Version + " " + s.Value
+			return release + " " + s.Value
 		}
 	}
-	return info.Main.Version
+	return release
 }
 
 // Observability answers /metrics, and /healthz with the text that health returns.
