scenario: commands for metrics, forged frames and moved agents

Proofs of the guarantees about feeds need to count drops at nodes, to send frames that no node sends, and to put an agent of one service at the address of another.

--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -21,6 +22,7 @@
 
 	"lacewinglever.dev/bench/fabric"
 	"lacewinglever.dev/bench/target"
+	"lacewinglever.dev/node/config"
 )
 
 // Bounds of waits.
@@ -378,6 +380,73 @@
 	return node{}, errors.Errorf("no target is called %q", name)
 }
 
+// TakeAddress gives a service the address that the fleet planned for another one. It applies to settings and loads from now on.
+func (f *Fleet) TakeAddress(service, from string) error {
+	i, err := f.serviceIndex(service)
+	if err != nil {
+		return err
+	}
+	f.taken[i], err = f.serviceIndex(from)
+	return err
+}
+
+// MoveAgent has an agent that does not run start next at the addresses of another one, which does not run either.
+func (f *Fleet) MoveAgent(name, place string) error {
+	to, err := f.node(place)
+	if err != nil {
+		return err
+	}
+	for i := range f.nodes {
+		if f.nodes[i].name == name {
+			f.nodes[i].place = to.host
+			return nil
+		}
+	}
+	return errors.Errorf("no agent is called %q", name)
+}
+
+// Metric returns the value of a metric of a node, labels included in the name.
+func (f *Fleet) Metric(ctx context.Context, name, metric string) (float64, error) {
+	n, err := f.anyNode(name)
+	if err != nil {
+		return 0, err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+f.common(n).Metrics+"/metrics", nil)
+	if err != nil {
+		return 0, err
+	}
+	answer, err := f.client.Do(request)
+	if err != nil {
+		return 0, err
+	}
+	defer answer.Body.Close()
+	text, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return 0, err
+	}
+	for line := range strings.Lines(string(text)) {
+		if value, ok := strings.CutPrefix(line, metric+" "); ok {
+			return strconv.ParseFloat(strings.TrimSpace(value), 64)
+		}
+	}
+	return 0, errors.Errorf("%s has no metric %s", name, metric)
+}
+
+// NodeConfig returns the settings that a node shares with all others, the fleet's key included.
+func (f *Fleet) NodeConfig(name string) (config.Node, error) {
+	n, err := f.anyNode(name)
+	return f.common(n), err
+}
+
+func (f *Fleet) anyNode(name string) (node, error) {
+	for _, n := range f.nodes {
+		if n.name == name {
+			return n, nil
+		}
+	}
+	return node{}, errors.Errorf("no node is called %q", name)
+}
+
 func (f *Fleet) serviceIndex(full string) (int, error) {
 	for i := range f.Services {
 		if f.Services[i].FullName() == full {
--- a/bench/fleet/plan.go
+++ b/bench/fleet/plan.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"crypto/rand"
 	"encoding/hex"
 	"fmt"
@@ -59,6 +60,8 @@
 	ServiceTime time.Duration `yaml:"service_time"`
 	DataCentres []int         `yaml:"data_centres"` // of the targets, in turn
 	Settings    string        `yaml:"settings"`     // lines of YAML besides kind and address
+	// DrainTimeout is how long an agent waits at its end for its feeds; 0: a minute.
+	DrainTimeout time.Duration `yaml:"drain_timeout"`
 }
 
 // FullName returns "team/name".
@@ -71,6 +74,7 @@
 	dc      int
 	host    string
 	target  string // name; empty for an entry
+	place   string // host of the agent, if it is not that of the target
 }
 
 // plan is where everything of a fleet is.
@@ -78,10 +82,11 @@
 	Options
 	key   string
 	nodes []node
+	taken map[int]int // service whose address another service has taken over
 }
 
 func newPlan(o Options) (*plan, error) {
-	p := &plan{Options: o}
+	p := &plan{Options: o, taken: map[int]int{}}
 	if len(o.Services) > maxServices {
 		return nil, fmt.Errorf("%d services, at most %d", len(o.Services), maxServices)
 	}
@@ -89,7 +94,7 @@
 	_, _ = rand.Read(key[:])
 	p.key = hex.EncodeToString(key[:])
 	for i, dc := range o.Entries {
-		p.nodes = append(p.nodes, node{fmt.Sprint("entry-", i+1), -1, dc, fmt.Sprintf("127.%d.0.%d", dc, firstEntry+i), ""})
+		p.nodes = append(p.nodes, node{fmt.Sprint("entry-", i+1), -1, dc, fmt.Sprintf("127.%d.0.%d", dc, firstEntry+i), "", ""})
 	}
 	next := map[int]int{}
 	for i, s := range o.Services {
@@ -101,7 +106,7 @@
 				return nil, fmt.Errorf("too many targets in data centre %d", dc)
 			}
 			name := fmt.Sprintf("%s-%d", s.Name, n+1)
-			p.nodes = append(p.nodes, node{name, i, dc, fmt.Sprintf("127.%d.0.%d", dc, host), "target-" + name})
+			p.nodes = append(p.nodes, node{name, i, dc, fmt.Sprintf("127.%d.0.%d", dc, host), "target-" + name, ""})
 		}
 	}
 	return p, nil
@@ -116,12 +121,16 @@
 
 // serviceAddress is where callers reach the service.
 func (p *plan) serviceAddress(i int) string {
+	if from, ok := p.taken[i]; ok {
+		i = from
+	}
 	return p.at(fmt.Sprintf("127.250.0.%d", i+1), portService+i)
 }
 
 func dcName(n int) string { return fmt.Sprint("dc", n) }
 
 func (p *plan) address(n node, offset int) config.Address {
+	n.host = cmp.Or(n.place, n.host)
 	fabricHost := fmt.Sprintf("127.%d%s", 200+n.dc, n.host[len(fmt.Sprint("127.", n.dc)):])
 	return config.Address{Listen: p.at(n.host, offset), Advertise: p.at(fabricHost, offset)}
 }
@@ -201,7 +210,7 @@
 func (p *plan) common(n node) config.Node {
 	c := config.Node{
 		Name: n.name, DataCentre: dcName(n.dc), UDP: p.address(n, portUDP), RPC: p.address(n, portRPC),
-		Metrics: p.at(n.host, portMetrics), Keys: []config.Key{{ID: 1, Value: p.key}}, SignWith: 1, LogLevel: "info",
+		Metrics: p.at(cmp.Or(n.place, n.host), portMetrics), Keys: []config.Key{{ID: 1, Value: p.key}}, SignWith: 1, LogLevel: "info",
 	}
 	for _, seed := range p.nodes {
 		if seed.service < 0 {
@@ -220,7 +229,8 @@
 	if p.Services[n.service].Kind == "request" {
 		t.UDP = "" // tells the agent to serve requests
 	}
-	return agentFile{p.common(n), t.Service, 1, time.Minute, targetFile{t.UDP, "http://" + t.HTTP, t.Slots}}
+	drain := cmp.Or(p.Services[n.service].DrainTimeout, time.Minute)
+	return agentFile{p.common(n), t.Service, 1, drain, targetFile{t.UDP, "http://" + t.HTTP, t.Slots}}
 }
 
 // Spec returns the settings of a service as an operator writes them, with further lines of YAML.
--- a/bench/scenario/scenario_test.go
+++ b/bench/scenario/scenario_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
 	"slices"
@@ -104,6 +105,7 @@
 		"fleet": startFleet, "process": process, "ended": ended, "link": link, "rotation": rotation, "platform": platform, "mode": mode, "apply": apply, "inforce": inForce,
 		"ctl": control, "load": loads, "expect": expect, "stats": stats, "now": now, "sleep": sleep,
 	}
+	maps.Copy(all, feedCommands())
 	cmds := map[string]func(*testscript.TestScript, bool, []string){}
 	for name, run := range all {
 		cmds[name] = func(ts *testscript.TestScript, neg bool, args []string) {
@@ -412,26 +414,35 @@
 
 // compareField compares a field, such as pool.busy_imbalance, of a value that JSON can hold.
 func compareField(value any, args []string, detail string) error {
-	text, err := json.Marshal(value)
+	got, err := fieldOf(value, args[0])
 	if err != nil {
 		return err
 	}
+	return compare(got, args[1:], detail)
+}
+
+// fieldOf returns a number of a value that JSON can hold.
+func fieldOf(value any, name string) (float64, error) {
+	text, err := json.Marshal(value)
+	if err != nil {
+		return 0, err
+	}
 	var tree any
 	if err := json.NewDecoder(bytes.NewReader(text)).Decode(&tree); err != nil {
-		return err
+		return 0, err
 	}
-	for _, key := range strings.Split(args[0], ".") {
+	for _, key := range strings.Split(name, ".") {
 		object, ok := tree.(map[string]any)
 		if !ok || object[key] == nil {
-			return errors.Errorf("no field %q in %s", args[0], text)
+			return 0, errors.Errorf("no field %q in %s", name, text)
 		}
 		tree = object[key]
 	}
 	got, ok := tree.(float64)
 	if !ok {
-		return errors.Errorf("%s is not a number", args[0])
+		return 0, errors.Errorf("%s is not a number", name)
 	}
-	return compare(got, args[1:], detail)
+	return got, nil
 }
 
 func compare(got float64, args []string, detail string) error {
