agent: place no flow on a target that the settings drain, whatever its agent says

Cause: a target's eligibility was judged by its agent's state alone. An agent that does not get the settings, because every link from the entries to it is cut, stays ready, and the rest of the pool, which has the settings, kept placing flows on its target. Ruled out: the draining agent itself, which cannot know; the entries, which no longer reach it. Conclusion: whoever places a flow applies the drain list itself, as the entries do for the view.

--- a/node/agent/agent_test.go
+++ b/node/agent/agent_test.go
@@ -331,3 +331,16 @@
 	b.agents[1].health.note(time.Now(), targetLoad{}, nil)
 	assert.Equal(t, b.agents[1].Load().GetWarmPerMille(), uint32(0))
 }
+
+// Guards against a target getting new flows because its agent has not yet heard that it is set to drain, as the others have.
+func TestDrainingTargetThatSaysReady(t *testing.T) {
+	b := newBench(t, 2, "")
+	a := b.agents[1]
+	a.pool.mu.Lock()
+	a.pool.spec.Drain = []string{"agent-a"}
+	v := a.pool.view
+	a.pool.mu.Unlock()
+	for _, r := range a.reports(v) {
+		assert.Equal(t, r.Eligible, r.Node == a.self)
+	}
+}
--- a/node/agent/pool.go
+++ b/node/agent/pool.go
@@ -204,11 +204,12 @@
 // reports returns the load reports of the pool's targets.
 func (a *Agent) reports(v *view.View) []placement.Report {
 	out := make([]placement.Report, 0, len(v.Members))
-	now := a.now()
+	spec, now := a.pool.settings(), a.now()
 	for i := range v.Members {
 		m := &v.Members[i]
 		r := placement.Report{Node: m.Node.ID, Weight: m.Weight}
-		ready := m.Node.State == record.Ready
+		// The settings may arrive here before they reach the agent that is set to drain, which still says that it is ready.
+		ready := m.Node.State == record.Ready && !spec.Drains(m.Node.Name)
 		if m.Node.ID == a.self {
 			load := a.Load()
 			r.Connections, r.WarmPerMille = load.GetConnections(), load.GetWarmPerMille()
