agent: return by entries that are heard, even if they are held dead

Cause: entries that are cut off from each other each declare the other side dead. Agents that hear both sides take in all of these records, had no entry left, and dropped all return traffic as unroutable until the links were back. Ruled out: loss in the stand-in fabric (its counters show only the cut links), the flow table (all datagrams reached their owners). An agent that starts after the records have spread still depends on their refutation.

--- a/node/agent/agent_test.go
+++ b/node/agent/agent_test.go
@@ -344,3 +344,18 @@
 		assert.Equal(t, r.Eligible, r.Node == a.self)
 	}
 }
+
+// Guards against answers being dropped for want of an entry when entries that are cut off from each other declare one another dead.
+func TestReturnByEntryThatIsHeldDead(t *testing.T) {
+	b := newBench(t, 1, "")
+	assert.Assert(t, b.exchange(b.agents[0], testCaller(1), "reading") != "")
+	for _, state := range []record.State{record.Dead, record.Left} {
+		b.mu.Lock()
+		entry := b.nodes[b.entry.Self()]
+		entry.State = state
+		b.nodes[entry.ID] = entry
+		b.mu.Unlock()
+		b.agents[0].refresh()
+		assert.Equal(t, b.exchange(b.agents[0], testCaller(1), "reading") != "", state == record.Dead)
+	}
+}
--- a/node/agent/pool.go
+++ b/node/agent/pool.go
@@ -89,7 +89,7 @@
 	digest  uint64
 	agents  map[ident.NodeID]netip.AddrPort
 	entries map[ident.NodeID]netip.AddrPort
-	order   []ident.NodeID // live entries; those before local are of the own data centre
+	order   []ident.NodeID // usable entries; those before local are of the own data centre
 	local   int
 }
 
@@ -180,18 +180,40 @@
 		addRoute(r.agents, &v.Members[i].Node)
 	}
 	dc := a.options.Mesh.Self().DataCentre
-	for _, n := range a.options.Mesh.Entries() {
-		if age, ok := a.options.Mesh.Heard(n.ID); !ok || age > entryTimeout || !addRoute(r.entries, &n) {
-			continue
+	entries := a.entries()
+	for _, local := range []bool{true, false} {
+		for i := range entries {
+			if n := &entries[i]; (n.DataCentre == dc) == local && addRoute(r.entries, n) {
+				r.order = append(r.order, n.ID)
+			}
 		}
-		r.order = append(r.order, n.ID)
-		if n.DataCentre == dc {
+		if local {
 			r.local = len(r.order)
 		}
 	}
 	a.routes.Store(r)
 }
 
+// entries returns the entries that were heard within entryTimeout. An entry that was usable stays so while it is heard, even if it is held
+// dead: when the entries are cut off from each other, each side declares the other one dead, and the agents that hear both sides would be
+// left without any entry.
+func (a *Agent) entries() []record.Node {
+	out := a.options.Mesh.Entries()
+	live := map[ident.NodeID]bool{}
+	for i := range out {
+		live[out[i].ID] = true
+	}
+	for id := range a.routes.Load().entries {
+		if n, ok := a.options.Mesh.Node(id); ok && !live[id] && n.State != record.Left {
+			out = append(out, n)
+		}
+	}
+	return slices.DeleteFunc(out, func(n record.Node) bool {
+		age, ok := a.options.Mesh.Heard(n.ID)
+		return !ok || age > entryTimeout
+	})
+}
+
 func addRoute(to map[ident.NodeID]netip.AddrPort, n *record.Node) bool {
 	address, err := netip.ParseAddrPort(n.UDPAddress)
 	if err != nil {
