--- a/node/agent/agent_test.go
+++ b/node/agent/agent_test.go
@@ -331,3 +331,44 @@
 	b.agents[1].health.note(time.Now(), targetLoad{}, nil)
 	assert.Equal(t, b.agents[1].Load().GetWarmPerMille(), uint32(0))
 }
+
+// Guards against a target getting new flows because its agent has not yet heard that it is set to drain, as the others have.
+func TestDrainingTargetThatSaysReady(t *testing.T) {
+	b := newBench(t, 2, "")
+	a := b.agents[1]
+	a.pool.mu.Lock()
+	a.pool.spec.Drain = []string{"agent-a"}
+	v := a.pool.view
+	a.pool.mu.Unlock()
+	for _, r := range a.reports(v) {
+		assert.Equal(t, r.Eligible, r.Node == a.self)
+	}
+}
+
+// Guards against answers being dropped for want of an entry when entries that are cut off from each other declare one another dead.
+func TestReturnByEntryThatIsHeldDead(t *testing.T) {
+	b := newBench(t, 1, "")
+	assert.Assert(t, b.exchange(b.agents[0], testCaller(1), "reading") != "")
+	for _, state := range []record.State{record.Dead, record.Left} {
+		b.mu.Lock()
+		entry := b.nodes[b.entry.Self()]
+		entry.State = state
+		b.nodes[entry.ID] = entry
+		b.mu.Unlock()
+		b.agents[0].refresh()
+		assert.Equal(t, b.exchange(b.agents[0], testCaller(1), "reading") != "", state == record.Dead)
+	}
+}
+
+// Guards against a deleted service taking datagrams from an entry that does not know of the deletion, and answering through it.
+func TestDeletedServiceTakesNothing(t *testing.T) {
+	b := newBench(t, 1, "")
+	for i, deleted := range []bool{false, true, false} {
+		b.mu.Lock()
+		b.revision.Number, b.revision.Deleted = uint64(i+2), deleted
+		b.mu.Unlock()
+		b.agents[0].refresh()
+		assert.Equal(t, b.exchange(b.agents[0], testCaller(1), "reading") != "", !deleted)
+		assert.Equal(t, b.agents[0].applied(testService.ID()), uint64(i+2))
+	}
+}
--- a/node/agent/pool.go
+++ b/node/agent/pool.go
@@ -89,7 +89,7 @@
 	digest  uint64
 	agents  map[ident.NodeID]netip.AddrPort
 	entries map[ident.NodeID]netip.AddrPort
-	order   []ident.NodeID // live entries; those before local are of the own data centre
+	order   []ident.NodeID // usable entries; those before local are of the own data centre
 	local   int
 }
 
@@ -131,7 +131,15 @@
 // applySettings applies the newest accepted revision. Revisions only go forwards.
 func (a *Agent) applySettings() {
 	revision, ok := a.options.Mesh.Revision(a.service)
-	if !ok || revision.Number <= a.pool.applied() || revision.Deleted {
+	if !ok || revision.Number <= a.pool.applied() {
+		return
+	}
+	a.deleted.Store(revision.Deleted)
+	if revision.Deleted {
+		a.pool.mu.Lock()
+		a.pool.revision = revision.Number
+		a.pool.mu.Unlock()
+		_ = level.Info(a.options.Logger).Log(logging.KeyMessage, "service deleted", logging.KeyRevision, revision.Number)
 		return
 	}
 	spec, err := a.options.Parse("revision", a.options.Service, revision.Spec)
@@ -180,18 +188,40 @@
 		addRoute(r.agents, &v.Members[i].Node)
 	}
 	dc := a.options.Mesh.Self().DataCentre
-	for _, n := range a.options.Mesh.Entries() {
-		if age, ok := a.options.Mesh.Heard(n.ID); !ok || age > entryTimeout || !addRoute(r.entries, &n) {
-			continue
+	entries := a.entries()
+	for _, local := range []bool{true, false} {
+		for i := range entries {
+			if n := &entries[i]; (n.DataCentre == dc) == local && addRoute(r.entries, n) {
+				r.order = append(r.order, n.ID)
+			}
 		}
-		r.order = append(r.order, n.ID)
-		if n.DataCentre == dc {
+		if local {
 			r.local = len(r.order)
 		}
 	}
 	a.routes.Store(r)
 }
 
+// entries returns the entries that were heard within entryTimeout. An entry that was usable stays so while it is heard, even if it is held
+// dead: when the entries are cut off from each other, each side declares the other one dead, and the agents that hear both sides would be
+// left without any entry.
+func (a *Agent) entries() []record.Node {
+	out := a.options.Mesh.Entries()
+	live := map[ident.NodeID]bool{}
+	for i := range out {
+		live[out[i].ID] = true
+	}
+	for id := range a.routes.Load().entries {
+		if n, ok := a.options.Mesh.Node(id); ok && !live[id] && n.State != record.Left {
+			out = append(out, n)
+		}
+	}
+	return slices.DeleteFunc(out, func(n record.Node) bool {
+		age, ok := a.options.Mesh.Heard(n.ID)
+		return !ok || age > entryTimeout
+	})
+}
+
 func addRoute(to map[ident.NodeID]netip.AddrPort, n *record.Node) bool {
 	address, err := netip.ParseAddrPort(n.UDPAddress)
 	if err != nil {
@@ -204,11 +234,12 @@
 // reports returns the load reports of the pool's targets.
 func (a *Agent) reports(v *view.View) []placement.Report {
 	out := make([]placement.Report, 0, len(v.Members))
-	now := a.now()
+	spec, now := a.pool.settings(), a.now()
 	for i := range v.Members {
 		m := &v.Members[i]
 		r := placement.Report{Node: m.Node.ID, Weight: m.Weight}
-		ready := m.Node.State == record.Ready
+		// The settings may arrive here before they reach the agent that is set to drain, which still says that it is ready.
+		ready := m.Node.State == record.Ready && !spec.Drains(m.Node.Name)
 		if m.Node.ID == a.self {
 			load := a.Load()
 			r.Connections, r.WarmPerMille = load.GetConnections(), load.GetWarmPerMille()
