measure: slopes of the libraries and of control traffic

docs/CAPACITY.md needs slopes that anyone can repeat. The program drives one library at a time with fixed input, and small fleets of real processes only for control bytes, processor time, resident memory and store calls. Each figure goes to a CSV file.

--- /dev/null
+++ b/bench/cmd/measure/main.go
@@ -0,0 +1,25 @@
+// Command measure measures the slopes of docs/CAPACITY.md, compares the design with its alternatives, and measures load on a fleet.
+package main
+
+import (
+	"context"
+	"os"
+
+	"lacewinglever.dev/bench/measure"
+	"lacewinglever.dev/bench/program"
+)
+
+type options struct {
+	program.Common
+	Bin      string   `long:"bin" description:"folder of the binaries" default:"bin"`
+	Out      string   `long:"out" description:"folder for the results" default:"measure-out"`
+	Only     []string `long:"only" description:"part to run, may be repeated: libraries, control, choice, load; all by default"`
+	PortBase int      `long:"port-base" description:"first of the ports that fleets use" default:"26000"`
+}
+
+func main() {
+	var o options
+	program.Main(&o, &o.Common, func(ctx context.Context) error {
+		return measure.Run(ctx, measure.Options{Bin: o.Bin, Out: o.Out, Only: o.Only, PortBase: o.PortBase, Log: os.Stdout})
+	})
+}
--- /dev/null
+++ b/bench/fleet/metrics.go
@@ -0,0 +1,62 @@
+package fleet
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/go-faster/errors"
+)
+
+// Metrics returns the metrics of an entry or an agent, by name with labels.
+func (f *Fleet) Metrics(ctx context.Context, name string) (map[string]float64, error) {
+	for _, n := range f.nodes {
+		if n.name == name {
+			return f.metrics(ctx, "http://"+f.at(n.host, portMetrics)+"/metrics")
+		}
+	}
+	return nil, errors.Errorf("no node is called %q", name)
+}
+
+func (f *Fleet) metrics(ctx context.Context, url string) (map[string]float64, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	answer, err := f.client.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer answer.Body.Close()
+	text, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return nil, err
+	}
+	values := map[string]float64{}
+	lines := bufio.NewScanner(bytes.NewReader(text))
+	for lines.Scan() {
+		i := strings.LastIndexByte(lines.Text(), ' ')
+		if i < 0 {
+			continue
+		}
+		if v, err := strconv.ParseFloat(lines.Text()[i+1:], 64); err == nil {
+			values[lines.Text()[:i]] = v
+		}
+	}
+	return values, lines.Err()
+}
+
+// Entries returns the names of the entries.
+func (f *Fleet) Entries() []string {
+	var names []string
+	for _, n := range f.nodes {
+		if n.service < 0 {
+			names = append(names, n.name)
+		}
+	}
+	return names
+}
