entry: one reader per service also when all are learnt at once

Cause: the number of readers was decided by the services that were bound before the round. An entry that joins a fleet learns all services in one Sync, so each got four readers with 64 KB buffers of their own: the extrapolation to 13,000 services is 3.6 GB against a budget of 256 MB. Ruled out: the socket buffers, which are the kernel's, and the views (7 KB at seven targets).

--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -237,7 +237,7 @@
 	}
 	s := services[id]
 	if s == nil || s.settings.Load().number < r.Number {
-		s = e.update(s, &r)
+		s = e.update(s, &r, len(services))
 		if s == nil {
 			return
 		}
@@ -248,7 +248,8 @@
 }
 
 // update returns the service at revision r: the same with new settings, or a new one if its address changed. It returns nil if it failed.
-func (e *Entry) update(old *service, r *record.Revision) *service {
+// bound is the number of services that are bound, those of the same round included: an entry that joins a fleet learns all at once.
+func (e *Entry) update(old *service, r *record.Revision, bound int) *service {
 	spec, err := settings.Parse(r.Service.String(), r.Service, r.Spec)
 	if err != nil {
 		e.badSpecs.Inc()
@@ -279,7 +280,7 @@
 	}
 	s.route.Store(next)
 	readers := readersEach
-	if len(*e.services.Load()) >= manyServices {
+	if bound >= manyServices {
 		readers = 1
 	}
 	s.start(readers)
--- a/node/entry/entry_test.go
+++ b/node/entry/entry_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"runtime"
 	"slices"
 	"strings"
 	"testing"
@@ -298,3 +299,37 @@
 		assert.Equal(t, d.Destination, home.id)
 	}
 }
+
+// Guards against four readers with buffers of their own for each of the thousands of services that a joining entry learns in one round.
+func TestReadersOfServicesLearntAtOnce(t *testing.T) {
+	const count = 3 * manyServices
+	key, err := wire.ParseKey(keyText)
+	assert.NilError(t, err)
+	keys, err := wire.NewKeyring(map[byte]wire.Key{1: key}, 1)
+	assert.NilError(t, err)
+	set := metrics.NewSet()
+	self := record.Node{Name: "entry-many", Entry: true, DataCentre: "dc1"}
+	p, err := peer.New(peer.Options{Self: self, Keys: keys, Logger: log.NewNopLogger(), Metrics: set})
+	assert.NilError(t, err)
+	for i := range count {
+		name := ident.ServiceName{Team: "t", Name: fmt.Sprint("s", i)}
+		text := fmt.Sprintf("kind: feed\naddress: 127.79.0.%d:7001\nidle_timeout: 60s\n", 1+i)
+		p.Publish(record.ForRevision(record.Revision{Service: name, Number: 1, Spec: []byte(text)}))
+	}
+	e, err := New(Options{
+		Mesh: p, Keys: keys, Logger: log.NewNopLogger(), Decisions: logging.NewDecisions(log.NewNopLogger()), Metrics: set,
+	})
+	assert.NilError(t, err)
+	before := runtime.NumGoroutine()
+	e.reconcile()
+	defer func() {
+		for _, s := range *e.services.Load() {
+			_ = s.conn.Close()
+		}
+		e.readers.Wait()
+	}()
+	assert.Equal(t, len(*e.services.Load()), count)
+	want := manyServices*readersEach + (count - manyServices)
+	const others = 20 // goroutines of tests that end
+	assert.Assert(t, runtime.NumGoroutine()-before <= want+others, "%d goroutines, want %d", runtime.NumGoroutine()-before, want)
+}
