peer: acknowledge heartbeats only on demand

Cause: an entry acknowledged each heartbeat. With the 18 agents and 3 entries that an entry watches at the target scale, it sent 5.9 KB/s against a budget of 4 KB/s. Heartbeats now say whether the sender heard the receiver within 300 ms; an entry answers those that did not, and any whose sender's record it holds in an older state. Agents ask at 500 ms and again at 750 ms, so that an entry stays usable for return traffic (1 s) when an acknowledgement is lost. Entries never need one. The reply address in every control message was never read and is gone.

Ruled out: acknowledging every fourth heartbeat, which leaves no room for a loss within 1 s.

--- a/node/peer/liveness.go
+++ b/node/peer/liveness.go
@@ -81,9 +81,25 @@
 	if pool := p.somePool(); len(pool) <= smallPool || round%2 == 0 {
 		targets = append(targets, pool...)
 	}
+	asking := proto.CloneOf(h)
+	h.Heard = true
 	for _, id := range targets {
-		_ = p.SendControl(id, &lacewingv1.Control{Body: &lacewingv1.Control_Heartbeat{Heartbeat: h}})
+		body := h
+		if p.needsAck(id) {
+			body = asking
+		}
+		_ = p.SendControl(id, &lacewingv1.Control{Body: &lacewingv1.Control_Heartbeat{Heartbeat: body}})
+	}
+}
+
+// needsAck tells whether a heartbeat must be answered by the entry that it goes to. Only agents need that, to know which entries return
+// traffic may go to, and only while the entry sends them nothing else.
+func (p *Peer) needsAck(entry ident.NodeID) bool {
+	if p.options.Self.Entry {
+		return false
 	}
+	at, ok := p.heard.at(entry)
+	return !ok || time.Since(at) >= ackAfter
 }
 
 // Control takes a control message that the transport authenticated.
@@ -111,7 +127,7 @@
 	}
 }
 
-// answerHeartbeat tells the sender what is known of it. Entries answer every heartbeat; agents only one from a node that they hold dead,
+// answerHeartbeat tells the sender what is known of it. Entries answer when the sender asks; every node does when it holds the sender dead
 // or in an older state.
 func (p *Peer) answerHeartbeat(sender ident.NodeID, h *lacewingv1.Heartbeat) {
 	n, ok := p.index.node(sender)
@@ -120,7 +136,7 @@
 	}
 	known := n.node
 	current := uint64(known.Incarnation) == h.GetIncarnation() && known.Sequence == h.GetRecordSequence() && known.Alive()
-	if current && !p.options.Self.Entry {
+	if current && (h.GetHeard() || !p.options.Self.Entry) {
 		return
 	}
 	ack := &lacewingv1.HeartbeatAck{RecordSequence: known.Sequence, KnownState: uint32(known.State)}
--- a/node/peer/peer.go
+++ b/node/peer/peer.go
@@ -30,10 +30,13 @@
 // Limits and times of a peer.
 const (
 	fanout         = 3
-	poolHeartbeats = 16   // pool members per round of heartbeats
-	smallPool      = 8    // members, see sendHeartbeats
-	pushSize       = 1200 // bytes of records per datagram, below the smallest usual MTU
-	tickEvery      = 100 * time.Millisecond
+	poolHeartbeats = 16 // pool members per round of heartbeats
+	smallPool      = 8  // members, see sendHeartbeats
+	// ackAfter is the silence of an entry after which an agent asks it to answer. Agents use an entry for return traffic for 1 s after
+	// they heard it; with a heartbeat every 250 ms they ask at 500 ms and again at 750 ms, so that one answer may be lost.
+	ackAfter  = 300 * time.Millisecond
+	pushSize  = 1200 // bytes of records per datagram, below the smallest usual MTU
+	tickEvery = 100 * time.Millisecond
 	// watchEvery bounds how often the watched nodes are computed, which costs a rendezvous hash per agent and entry of the data centre.
 	watchEvery  = 500 * time.Millisecond
 	forgetAfter = 10 * time.Minute
--- a/node/peer/peer_test.go
+++ b/node/peer/peer_test.go
@@ -29,9 +29,14 @@
 	rpc  string
 	stop func()
 	cut  atomic.Bool // drops what other data centres send, and all RPCs
+	acks atomic.Int64
+	lose atomic.Bool // drops every second heartbeat acknowledgement
 }
 
 func (n *testNode) control(c *lacewingv1.Control) {
+	if c.GetHeartbeatAck() != nil && n.acks.Add(1)%2 == 0 && n.lose.Load() {
+		return
+	}
 	sender, _ := n.Node(ident.NodeID(c.GetSender()))
 	if !n.cut.Load() || sender.DataCentre == n.Self().DataCentre {
 		n.Control(c)
@@ -171,6 +176,31 @@
 	eventually(t, "draining", time.Second, func() bool { return stateOf(e1, a1) == record.Draining })
 }
 
+// Guards against acknowledgements of every heartbeat, which with 18 watched agents exceed the control budget of an entry, and against an
+// agent that takes a live entry for silent when an acknowledgement is lost.
+func TestAcknowledgements(t *testing.T) {
+	const watch = 4 * time.Second
+	e1 := startNode(t, record.Node{Name: "entry-1", Entry: true, DataCentre: "dc1"})
+	a1 := startNode(t, record.Node{Name: "agent-1", DataCentre: "dc1"}, e1.rpc)
+	heard := func() bool {
+		age, ok := a1.Heard(e1.Self().ID)
+		return ok && age < time.Second
+	}
+	eventually(t, "heard", 5*time.Second, heard)
+	for _, lose := range []bool{false, true} {
+		a1.lose.Store(lose)
+		time.Sleep(time.Second)
+		before := a1.acks.Load()
+		for end := time.Now().Add(watch); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+			age, _ := a1.Heard(e1.Self().ID)
+			assert.Assert(t, heard(), "entry not heard for %v, every second acknowledgement lost: %v", age, lose)
+		}
+		if acks := a1.acks.Load() - before; !lose {
+			assert.Assert(t, acks <= int64(watch/(500*time.Millisecond))+2, "%d acknowledgements in %v", acks, watch)
+		}
+	}
+}
+
 // Guards against a partition between data centres ending in one dead record per node, and against the sides not finding each other after
 // it: the settings that one side accepted must be in force on the other within 3 s.
 func TestPartitionHeals(t *testing.T) {
--- a/node/transport/transport.go
+++ b/node/transport/transport.go
@@ -174,12 +174,11 @@
 	return scratch, err
 }
 
-// SendControl signs and sends c. It fills in sender, sequence, time and reply address, and returns the size of the datagram in bytes.
+// SendControl signs and sends c. It fills in sender, sequence and time, and returns the size of the datagram in bytes.
 func (t *Transport) SendControl(to netip.AddrPort, c *lacewingv1.Control) (int, error) {
 	c.Sender = uint64(t.options.Self)
 	c.Sequence = t.sequence.Add(1)
 	c.SentUnixMs = nowMs()
-	c.ReplyAddress = t.options.Advertise
 	frame, err := t.keys.Load().AppendControl(nil, c)
 	if err != nil {
 		return 0, errors.Wrap(err, "encode control message")
