record: remove the records of nodes that ended an hour ago

A record now carries the time at which its node left or was found dead. Every node removes it an hour later, which is longer than any partition, at a minute of the clock: digests of nodes that remove at different times differ, and each Sync would exchange buckets. Against resurrection: a removed record that comes back from a peer is refused; one that replaces an older, live record is taken in first and removed in the next step; a stale live record is marked dead again by its watchers after 10 s.

Ruled out: a local age of each record, as nodes that joined later would remove later and differ from all others for up to an hour.

--- a/bench/measure/fixture.go
+++ b/bench/measure/fixture.go
@@ -19,6 +19,7 @@
 	scaleDataCentres = 18
 	lostTargets      = 2300
 	lostEntries      = 390
+	endedPerDay      = 11099
 	specBytes        = 300 // of a service's settings, as in section 13 with two rules
 )
 
--- a/bench/measure/libraries.go
+++ b/bench/measure/libraries.go
@@ -33,7 +33,7 @@
 // libraries measures slopes that need no other process.
 func libraries(ctx context.Context, r *report) error {
 	for _, measure := range []func(context.Context, *report) error{
-		messageSizes, pushBurst, syncBytes, recordCost, watchCost, viewCost, flowCost, placementCost, serviceCost,
+		messageSizes, pushBurst, syncBytes, endedRecords, recordCost, watchCost, viewCost, flowCost, placementCost, serviceCost,
 	} {
 		if err := measure(ctx, r); err != nil {
 			return err
@@ -146,6 +146,27 @@
 	return nil
 }
 
+// endedRecords gives how many records of ended nodes a node holds after days of restarts under new names, in virtual time.
+func endedRecords(_ context.Context, r *report) error {
+	start := time.UnixMilli(1_700_000_000_000)
+	for _, days := range []int{1, 3} {
+		s := spread.NewStore()
+		most := 0
+		for i := range days * endedPerDay {
+			now := start.Add(time.Duration(i) * 24 * time.Hour / endedPerDay)
+			n := agentNode(i, scaleServices)
+			n.State, n.Ended = record.Left, now
+			s.Merge(record.ForNode(n))
+			if i%100 == 0 {
+				s.Expire(now)
+			}
+			most = max(most, s.Len())
+		}
+		r.add("most records of ended nodes", float64(days), "days", float64(most), "records")
+	}
+	return nil
+}
+
 // testPeer is a peer with its RPC server. It takes no part in a fleet.
 type testPeer struct {
 	*peer.Peer
--- a/node/peer/convert.go
+++ b/node/peer/convert.go
@@ -61,9 +61,17 @@
 		Incarnation: uint64(n.Incarnation),
 		State:       lacewingv1.State(n.State),
 		Weight:      n.Weight,
+		EndedUnixMs: endedMs(n),
 	}
 }
 
+func endedMs(n *record.Node) uint64 {
+	if n.Ended.IsZero() {
+		return 0
+	}
+	return uint64(n.Ended.UnixMilli())
+}
+
 // FromProto converts a message to a record. Key and version must be those that the body gives.
 func FromProto(p *lacewingv1.Record) (record.Record, error) {
 	var r record.Record
@@ -110,7 +118,12 @@
 }
 
 func nodeFromProto(n *lacewingv1.Node) record.Node {
+	var ended time.Time
+	if ms := n.GetEndedUnixMs(); ms != 0 {
+		ended = time.UnixMilli(int64(ms))
+	}
 	return record.Node{
+		Ended:       ended,
 		ID:          ident.NodeID(n.GetId()),
 		Name:        n.GetName(),
 		Entry:       n.GetEntry(),
--- a/node/peer/index.go
+++ b/node/peer/index.go
@@ -86,6 +86,16 @@
 	}
 }
 
+// remove forgets the node of a record, unless a newer one came in between.
+func (x *index) remove(r *record.Record) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if n := x.nodes[r.Node.ID]; record.ForNode(n.node).Version != r.Version {
+		return
+	}
+	delete(x.nodes, r.Node.ID)
+}
+
 func addTo[K comparable](sets map[K]map[ident.NodeID]struct{}, key K, id ident.NodeID) {
 	if sets[key] == nil {
 		sets[key] = map[ident.NodeID]struct{}{}
--- a/node/peer/liveness.go
+++ b/node/peer/liveness.go
@@ -206,7 +206,7 @@
 			return
 		}
 		_ = level.Warn(p.options.Logger).Log(logging.KeyMessage, "node is silent, marking it dead", "peer", n.Name)
-		n.State = record.Dead
+		n.State, n.Ended = record.Dead, time.Now()
 		p.Publish(record.ForNode(n))
 	case membership.ScopeDown, membership.ScopeUp:
 		p.publishScope(e.Scope, e.Kind == membership.ScopeDown, p.scopeIssued(e.Scope))
--- a/node/peer/peer.go
+++ b/node/peer/peer.go
@@ -40,6 +40,8 @@
 	// watchEvery bounds how often the watched nodes are computed, which costs a rendezvous hash per agent and entry of the data centre.
 	watchEvery  = 500 * time.Millisecond
 	forgetAfter = 10 * time.Minute
+	// expireEvery is short against the step in which records expire, so that all nodes remove them at nearly the same time.
+	expireEvery = time.Second
 	// bulkRecords is the number of records in one Sync message above which they are taken for a join or a healed partition. Pushing
 	// them on would fill the queue with what others know already.
 	bulkRecords = 16
@@ -80,6 +82,8 @@
 	watched time.Time // when it was computed
 	chosen  choices
 
+	expired time.Time // step of the last removal; only expire uses it
+
 	topologyCache atomic.Pointer[topology]
 
 	handlersMu  sync.RWMutex
@@ -149,6 +153,7 @@
 	g.Go(func() error { return every(ctx, tickEvery, p.tick) })
 	g.Go(func() error { return every(ctx, tickEvery/2, p.push) })
 	g.Go(func() error { return every(ctx, forgetAfter, func(time.Time) { p.heard.forget(forgetAfter) }) })
+	g.Go(func() error { return every(ctx, expireEvery, p.expire) })
 	g.Go(func() error { return p.join(ctx) })
 	g.Go(func() error { return p.antiEntropy(ctx) })
 	g.Go(func() error { return p.reconnect(ctx) })
@@ -184,6 +189,9 @@
 	}
 	p.self.State = s
 	p.self.Sequence++
+	if !p.self.Alive() {
+		p.self.Ended = time.Now()
+	}
 	own := p.self
 	p.selfMu.Unlock()
 	p.announce(own)
@@ -329,7 +337,7 @@
 	if p.refute(r) {
 		return false
 	}
-	if !p.store.Merge(r) {
+	if p.outlived(&r) || !p.store.Merge(r) {
 		return false
 	}
 	p.index.add(&r)
@@ -348,6 +356,28 @@
 	return true
 }
 
+// outlived tells whether a record of an ended node was removed here, and comes back from a peer that still holds it. One that replaces an
+// older record is taken in, and removed later: otherwise a node that ended would stay alive here.
+func (p *Peer) outlived(r *record.Record) bool {
+	if r.Node == nil || !r.Node.Expired(time.Now()) {
+		return false
+	}
+	_, known := p.store.Get(r.Key)
+	return !known
+}
+
+// expire removes the records of nodes that ended long ago, once in each step of the clock.
+func (p *Peer) expire(now time.Time) {
+	step := now.Truncate(record.ExpiryStep)
+	if step.Equal(p.expired) {
+		return
+	}
+	p.expired = step
+	for _, r := range p.store.Expire(now) {
+		p.index.remove(&r)
+	}
+}
+
 func (p *Peer) logNode(n *record.Node) {
 	_ = level.Debug(p.options.Logger).Log(logging.KeyMessage, "node record", "peer", n.Name, logging.KeyState, n.State)
 }
--- a/node/peer/peer_test.go
+++ b/node/peer/peer_test.go
@@ -201,6 +201,30 @@
 	}
 }
 
+// Guards against the record of a node that ended long ago coming back from a peer that still holds it, against such a record being refused
+// where an older one holds the node alive, and against a node of the same name that cannot return.
+func TestExpiredRecords(t *testing.T) {
+	e := startNode(t, record.Node{Name: "entry-1", Entry: true, DataCentre: "dc1"})
+	ended := record.Node{
+		ID: 7, Name: "gone", DataCentre: "dc2", Service: roomControl.ID(), State: record.Left, Incarnation: 5, Sequence: 3,
+		Ended: time.Now().Add(-record.Retention - 2*record.ExpiryStep),
+	}
+	sent, err := FromProto(ToProto(record.ForNode(ended)))
+	assert.NilError(t, err)
+	known := func() bool { _, ok := e.Node(7); return ok }
+	assert.Assert(t, !e.Publish(sent) && !known())
+	alive := ended
+	alive.State, alive.Sequence, alive.Ended = record.Ready, 2, time.Time{}
+	assert.Assert(t, e.Publish(record.ForNode(alive)) && len(e.Pool(roomControl.ID())) == 1)
+	assert.Assert(t, e.Publish(sent) && len(e.Pool(roomControl.ID())) == 0)
+	for _, r := range e.store.Expire(time.Now()) {
+		e.index.remove(&r)
+	}
+	assert.Assert(t, !known() && !e.Publish(sent))
+	alive.Incarnation = 6
+	assert.Assert(t, e.Publish(record.ForNode(alive)) && known())
+}
+
 // Guards against a partition between data centres ending in one dead record per node, and against the sides not finding each other after
 // it: the settings that one side accepted must be in force on the other within 3 s.
 func TestPartitionHeals(t *testing.T) {
--- a/policy/record/record.go
+++ b/policy/record/record.go
@@ -63,12 +63,27 @@
 	Incarnation ident.Incarnation
 	Sequence    uint64
 	State       State
-	Weight      float64 // of the target, relative to others of the pool
+	Weight      float64   // of the target, relative to others of the pool
+	Ended       time.Time // when the node left or was found dead; zero while it lives, and from a node that doesn't tell
 }
 
 // Alive tells whether the node is neither dead nor left.
 func (n *Node) Alive() bool { return n.State == Joining || n.State == Ready || n.State == Draining }
 
+// Times of the removal of records of nodes that have ended.
+const (
+	// Retention is longer than any partition that is expected, so that no part of the fleet still holds such a node to be alive.
+	Retention = time.Hour
+	// ExpiryStep aligns removals to the clock. Nodes that remove a record at different times hold different digests until then, and
+	// exchange buckets in every Sync.
+	ExpiryStep = time.Minute
+)
+
+// Expired tells whether the node ended longer than Retention ago.
+func (n *Node) Expired(now time.Time) bool {
+	return !n.Alive() && !n.Ended.IsZero() && now.Truncate(ExpiryStep).Sub(n.Ended) > Retention
+}
+
 // Revision is an accepted revision of a service's settings.
 type Revision struct {
 	Service       ident.ServiceName
--- a/policy/spread/spread_test.go
+++ b/policy/spread/spread_test.go
@@ -117,6 +117,32 @@
 	})
 }
 
+// Guards against records of ended nodes that are kept for ever, against the removal of others, and against digests that then differ from
+// those of a store that never held the removed ones.
+func TestExpire(t *testing.T) {
+	now := time.UnixMilli(1_700_000_000_000)
+	all, kept := NewStore(), NewStore()
+	removed := 0
+	for i := range 60 {
+		n := record.Node{ID: ident.NodeID(i + 1), Entry: i%2 == 0, State: record.State(1 + i%5)}
+		if !n.Alive() && i%7 != 0 { // some don't tell when they ended
+			n.Ended = now.Add(-time.Duration(i) * 3 * time.Minute)
+		}
+		r := record.ForNode(n)
+		all.Merge(r)
+		if !n.Ended.IsZero() && now.Sub(n.Ended) > record.Retention+record.ExpiryStep {
+			removed++
+			continue
+		}
+		kept.Merge(r)
+	}
+	assert.Assert(t, removed > 0)
+	assert.Equal(t, len(all.Expire(now)), removed)
+	for _, f := range []Filter{{}, {DataCentre: "dc1"}} {
+		assert.Equal(t, all.Digests(f).Root(), kept.Digests(f).Root())
+	}
+}
+
 // Guards against node records pushed above the control budget, batches above the limit, records that are never pushed, and settings that
 // wait behind node records or for tokens.
 func TestQueuePacing(t *testing.T) {
--- a/policy/spread/store.go
+++ b/policy/spread/store.go
@@ -4,6 +4,7 @@
 import (
 	"encoding/binary"
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -178,6 +179,30 @@
 	}
 }
 
+// Expire removes the records of nodes that have expired, and returns them.
+func (s *Store) Expire(now time.Time) []record.Record {
+	var out []record.Record
+	for i := range s.shards {
+		out = s.shards[i].expire(now, out)
+	}
+	return out
+}
+
+func (sh *shard) expire(now time.Time, out []record.Record) []record.Record {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	for key, r := range sh.records {
+		if r.record.Node == nil || !r.record.Node.Expired(now) {
+			continue
+		}
+		sh.digests[Bucket(key)/shardCount] ^= r.digest
+		sh.leaveGroup(r)
+		delete(sh.records, key)
+		out = append(out, r.record)
+	}
+	return out
+}
+
 // Get returns the newest record of a key.
 func (s *Store) Get(key string) (record.Record, bool) {
 	sh := &s.shards[Bucket(key)%shardCount]
