peer: exchange digests of records, not records, to find a difference

Cause: in the second round of Sync the caller sent all its records of each differing bucket. At the target scale (61,000 records) that is 50 KB for one record that differs, every 2 s per node, and about one in six exchanges finds a difference: 0.6 records change a second, and one push with fan-out 3 misses 6% of the entries. That alone is some 4 KB/s.

The caller now sends the 8-byte digests of its records in those buckets; the answer has the records that it lacks and the digests of those that the answerer wants, which the caller brings in the next round. A caller ends when what it was asked for is still wanted, because it was refused.

Ruled out: more buckets, whose digests are sent for each difference.

--- a/bench/measure/libraries.go
+++ b/bench/measure/libraries.go
@@ -136,8 +136,10 @@
 			a.Merge(record.ForNode(n))
 		}
 		buckets := a.Digests(spread.Filter{}).Differing(b.Digests(spread.Filter{}))
-		bytes := 2 * 8 * spread.Buckets
-		for _, x := range a.Delta(spread.Filter{}, buckets, nil) {
+		held := a.Held(spread.Filter{}, buckets)
+		missing, wanted := b.Missing(spread.Filter{}, buckets, held)
+		bytes := 8 * (2*spread.Buckets + len(held) + len(wanted))
+		for _, x := range append(missing, a.Find(spread.Filter{}, buckets, wanted)...) {
 			bytes += proto.Size(peer.ToProto(x))
 		}
 		r.add("exchange with one record that differs", float64(len(records)), "records", float64(bytes), "bytes")
--- a/node/peer/peer_test.go
+++ b/node/peer/peer_test.go
@@ -223,6 +223,18 @@
 	assert.Assert(t, !known() && !e.Publish(sent))
 	alive.Incarnation = 6
 	assert.Assert(t, e.Publish(record.ForNode(alive)) && known())
+
+	// A peer that still holds such a record ends the exchange once it was refused.
+	late := startNode(t, record.Node{Name: "entry-2", Entry: true, DataCentre: "dc1"})
+	ended.ID, ended.Name = 8, "gone-2"
+	older := ended
+	older.State, older.Sequence, older.Ended = record.Ready, 2, time.Time{}
+	late.Publish(record.ForNode(older))
+	late.Publish(record.ForNode(ended))
+	before := late.syncs.Get()
+	assert.NilError(t, late.syncWith(t.Context(), e.rpc))
+	assert.Assert(t, late.syncs.Get()-before <= 5, "%d messages", late.syncs.Get()-before)
+	assert.Equal(t, len(late.Pool(roomControl.ID())), 1)
 }
 
 // Guards against a partition between data centres ending in one dead record per node, and against the sides not finding each other after
--- a/node/peer/sync.go
+++ b/node/peer/sync.go
@@ -41,13 +41,14 @@
 
 type syncService struct{ peer *Peer }
 
-// Sync compares digests in the first round. In the second it merges the caller's records and returns those that the caller lacks.
+// Sync compares digests of buckets in the first round and digests of records in the second, and returns the records that the caller lacks
+// and the digests of those that it wants. The caller brings these in the next round.
 func (s *syncService) Sync(_ context.Context, req *connect.Request[lacewingv1.SyncRequest]) (*connect.Response[lacewingv1.SyncResponse], error) {
 	p, in := s.peer, req.Msg
 	p.received.Add(proto.Size(in))
 	p.heard.touch(ident.NodeID(in.GetSender()))
 	f := filterFromProto(in.GetFilter())
-	held, _ := p.mergeProto(in.GetRecords(), p.pushesOn(in.GetRecords()))
+	p.mergeProto(in.GetRecords(), p.pushesOn(in.GetRecords()))
 	own := p.store.Digests(f)
 	out := &lacewingv1.SyncResponse{Equal: own.Root() == in.GetRoot()}
 	switch {
@@ -59,7 +60,8 @@
 			errors.Errorf("sync: %d bucket digests, want %d", len(in.GetBuckets()), spread.Buckets))
 	default:
 		theirs := spread.Digests(in.GetBuckets())
-		out.Records = bounded(p.store.Delta(f, own.Differing(&theirs), held))
+		missing, wanted := p.store.Missing(f, own.Differing(&theirs), in.GetHeld())
+		out.Records, out.Wanted = bounded(missing), wanted
 	}
 	p.sent.Add(proto.Size(out))
 	return connect.NewResponse(out), nil
@@ -89,10 +91,8 @@
 	return p.options.Self.Entry && len(records) <= bulkRecords
 }
 
-// mergeProto merges records from a peer. It returns the versions that the peer holds and how many records were new here. An agent keeps
-// only what its filter selects.
-func (p *Peer) mergeProto(records []*lacewingv1.Record, push bool) (held map[string]record.Version, changed int) {
-	held = make(map[string]record.Version, len(records))
+// mergeProto merges records from a peer and returns how many were new here. An agent keeps only what its filter selects.
+func (p *Peer) mergeProto(records []*lacewingv1.Record, push bool) (changed int) {
 	f := p.filter()
 	for _, m := range records {
 		r, err := FromProto(m)
@@ -101,21 +101,20 @@
 			_ = level.Debug(p.options.Logger).Log(logging.KeyMessage, "record dropped", logging.KeyError, err)
 			continue
 		}
-		held[r.Key] = r.Version
 		if f.Match(&r) && p.merge(r, push) {
 			changed++
 		}
 	}
-	return held, changed
+	return changed
 }
 
 // syncWith exchanges records with the node at an rpc address until both hold the same.
 func (p *Peer) syncWith(ctx context.Context, address string) error {
 	client := lacewingv1connect.NewPeerServiceClient(p.client, "http://"+address)
-	buckets := []uint64(nil)
 	var differing *spread.BucketSet
+	var wanted []uint64
 	for range maxSyncTurns {
-		req, own := p.syncRequest(buckets != nil, differing)
+		req, own := p.syncRequest(differing, wanted)
 		resp, err := p.call(ctx, client, req)
 		if err != nil {
 			return err
@@ -123,22 +122,25 @@
 		if resp.GetEqual() {
 			return nil
 		}
-		_, changed := p.mergeProto(resp.GetRecords(), p.pushesOn(resp.GetRecords()))
+		changed := p.mergeProto(resp.GetRecords(), p.pushesOn(resp.GetRecords()))
 		if len(resp.GetBuckets()) == spread.Buckets {
-			buckets = resp.GetBuckets()
-			theirs := spread.Digests(buckets)
+			theirs := spread.Digests(resp.GetBuckets())
 			differing = own.Differing(&theirs)
 			continue
 		}
-		if changed == 0 {
+		// What the other node still wants after it was sent, it refuses.
+		refused := len(wanted) > 0 && len(resp.GetWanted()) >= len(wanted)
+		wanted = resp.GetWanted()
+		if changed == 0 && (len(wanted) == 0 || refused) {
 			return nil
 		}
 	}
 	return nil
 }
 
-// syncRequest makes a message. In the second round it holds the bucket digests and the own records of the differing buckets.
-func (p *Peer) syncRequest(second bool, differing *spread.BucketSet) (*lacewingv1.SyncRequest, *spread.Digests) {
+// syncRequest makes a message. From the second round, when the differing buckets are known, it holds the digests of the buckets and of the
+// own records in those, and the records that the other node wants.
+func (p *Peer) syncRequest(differing *spread.BucketSet, wanted []uint64) (*lacewingv1.SyncRequest, *spread.Digests) {
 	f := p.filter()
 	own := p.store.Digests(f)
 	req := &lacewingv1.SyncRequest{
@@ -146,9 +148,12 @@
 		Filter: &lacewingv1.Filter{Service: uint64(f.Service), DataCentre: string(f.DataCentre)},
 		Root:   own.Root(),
 	}
-	if second {
+	if differing != nil {
 		req.Buckets = own[:]
-		req.Records = bounded(p.store.Delta(f, differing, nil))
+		req.Held = p.store.Held(f, differing)
+	}
+	if len(wanted) > 0 {
+		req.Records = bounded(p.store.Find(f, differing, wanted))
 	}
 	return req, own
 }
@@ -174,7 +179,7 @@
 		return
 	}
 	client := lacewingv1connect.NewPeerServiceClient(p.client, "http://"+n.RPCAddress)
-	req, _ := p.syncRequest(false, nil)
+	req, _ := p.syncRequest(nil, nil)
 	req.Records = records
 	_, _ = p.call(context.Background(), client, req)
 }
--- a/policy/spread/spread_test.go
+++ b/policy/spread/spread_test.go
@@ -33,14 +33,13 @@
 // exchange is one Sync in which a calls b.
 func exchange(a, b *Store, f Filter) {
 	differing := a.Digests(f).Differing(b.Digests(f))
-	held := map[string]record.Version{}
-	for _, r := range a.Delta(f, differing, nil) {
-		held[r.Key] = r.Version
-		b.Merge(r)
-	}
-	for _, r := range b.Delta(f, differing, held) {
+	records, wanted := b.Missing(f, differing, a.Held(f, differing))
+	for _, r := range records {
 		a.Merge(r)
 	}
+	for _, r := range a.Find(f, differing, wanted) {
+		b.Merge(r)
+	}
 }
 
 // Guards against records that go back to an older version, and against nodes that stay different when messages are reordered, doubled and
--- a/policy/spread/store.go
+++ b/policy/spread/store.go
@@ -265,20 +265,54 @@
 	return out
 }
 
-// Delta returns the records in these buckets that are newer than what the peer said it holds, those of settings first.
-func (s *Store) Delta(f Filter, buckets *BucketSet, held map[string]record.Version) []record.Record {
-	var settings, others []record.Record
+// Held returns the digests of the records that the filter selects in these buckets. A digest stands for a key with its version and takes
+// 8 bytes, where a record takes about 200.
+func (s *Store) Held(f Filter, buckets *BucketSet) []uint64 {
+	var out []uint64
+	s.Each(f, buckets, func(r record.Record) { out = append(out, digestOf(&r)) })
+	return out
+}
+
+// Missing compares the records in these buckets with those whose digests a peer sent. It returns the ones that the peer doesn't hold, those
+// of settings first, and the digests that are unknown here.
+func (s *Store) Missing(f Filter, buckets *BucketSet, held []uint64) (records []record.Record, unknown []uint64) {
+	theirs := setOf(held)
+	var others []record.Record
 	s.Each(f, buckets, func(r record.Record) {
-		if v, ok := held[r.Key]; ok && r.Version.Compare(v) <= 0 {
-			return
-		}
-		if r.Service != nil {
-			settings = append(settings, r)
-		} else {
+		d := digestOf(&r)
+		switch {
+		case theirs[d]:
+			delete(theirs, d)
+		case r.Service != nil:
+			records = append(records, r)
+		default:
 			others = append(others, r)
 		}
 	})
-	return append(settings, others...)
+	for d := range theirs {
+		unknown = append(unknown, d)
+	}
+	return append(records, others...), unknown
+}
+
+// Find returns the records in these buckets that have one of the digests.
+func (s *Store) Find(f Filter, buckets *BucketSet, digests []uint64) []record.Record {
+	wanted := setOf(digests)
+	var out []record.Record
+	s.Each(f, buckets, func(r record.Record) {
+		if wanted[digestOf(&r)] {
+			out = append(out, r)
+		}
+	})
+	return out
+}
+
+func setOf(digests []uint64) map[uint64]bool {
+	set := make(map[uint64]bool, len(digests))
+	for _, d := range digests {
+		set[d] = true
+	}
+	return set
 }
 
 // Bucket returns the bucket of a key.
