peer: keep the sorted list of live entries

Cause: each call of Entries copied and sorted the records of all live entries. The control duty asks four times a second, and ten times a second for each revision that it counts: 7.5 ms a call at 7,000 entries, 3% of a core when idle and 10% during a change, against a budget of 4%. The list is now kept until the record of an entry or a scope changes, and callers get a copy; the duty no longer copies it again.

List of the live entries (make measure, part libraries) at 437, 1,750, 7,000 entries: before 328, 1,288, 7,473 us; after 74, 163, 1,160 us.

--- a/node/duty/count.go
+++ b/node/duty/count.go
@@ -207,10 +207,10 @@
 	entries := d.mesh.Entries()
 	for _, e := range entries {
 		if e.ID == self.ID {
-			return slices.Clone(entries)
+			return entries
 		}
 	}
-	return append(slices.Clone(entries), self)
+	return append(entries, self)
 }
 
 func (c *count) progress() *settings.Progress {
--- a/node/peer/index.go
+++ b/node/peer/index.go
@@ -21,6 +21,7 @@
 type index struct {
 	mu       sync.RWMutex
 	changes  uint64 // of the set of live entries or of scopes
+	entryAt  uint64 // changes of entries' records or of scopes
 	nodes    map[ident.NodeID]known
 	entries  map[ident.NodeID]struct{}                      // live ones
 	pools    map[ident.ServiceID]map[ident.NodeID]struct{}  // live ones
@@ -74,6 +75,9 @@
 	} else if n.Entry {
 		x.changes++
 	}
+	if n.Entry || x.nodes[n.ID].node.Entry {
+		x.entryAt++
+	}
 	address, _ := netip.ParseAddrPort(n.UDPAddress)
 	x.nodes[n.ID] = known{*n, address}
 	switch {
@@ -111,6 +115,7 @@
 	}
 	x.scopes[name] = *s
 	x.changes++
+	x.entryAt++
 	if s.Down {
 		x.down[name] = struct{}{}
 	} else {
@@ -170,10 +175,20 @@
 	return out
 }
 
-func (x *index) allEntries() []record.Node {
+// entryList is the live entries at a state of the index. It is not changed.
+type entryList struct {
+	at    uint64
+	nodes []record.Node
+}
+
+// allEntries returns the live entries, and the same list while it holds.
+func (x *index) allEntries(old *entryList) *entryList {
 	x.mu.RLock()
 	defer x.mu.RUnlock()
-	return x.live(x.entries)
+	if old != nil && old.at == x.entryAt {
+		return old
+	}
+	return &entryList{x.entryAt, x.live(x.entries)}
 }
 
 // agents returns the live agents of these data centres, also those of scopes that are down.
--- a/node/peer/peer.go
+++ b/node/peer/peer.go
@@ -85,6 +85,7 @@
 	expired time.Time // step of the last removal; only expire uses it
 
 	topologyCache atomic.Pointer[topology]
+	entries       atomic.Pointer[entryList]
 
 	handlersMu  sync.RWMutex
 	subscribers []func(Change)
@@ -227,9 +228,18 @@
 
 // Entries returns the live entries, those of the own data centre first.
 func (p *Peer) Entries() []record.Node {
-	all := p.index.allEntries()
-	own := p.options.Self.DataCentre
-	slices.SortStableFunc(all, func(a, b record.Node) int {
+	cached := p.entries.Load()
+	list := p.index.allEntries(cached)
+	if list != cached {
+		ownFirst(list.nodes, p.options.Self.DataCentre)
+		p.entries.Store(list)
+	}
+	return slices.Clone(list.nodes)
+}
+
+// ownFirst puts the nodes of a data centre before the others.
+func ownFirst(nodes []record.Node, own ident.DataCentre) {
+	slices.SortStableFunc(nodes, func(a, b record.Node) int {
 		switch {
 		case a.DataCentre == own && b.DataCentre != own:
 			return -1
@@ -238,7 +248,6 @@
 		}
 		return 0
 	})
-	return all
 }
 
 // Pool returns the service's agents that are joining, ready or draining and not in a scope that is down.
--- a/node/peer/peer_test.go
+++ b/node/peer/peer_test.go
@@ -237,6 +237,23 @@
 	assert.Equal(t, len(late.Pool(roomControl.ID())), 1)
 }
 
+// Guards against a list of the live entries that is kept although a record of one or a scope changed, or that callers change for others.
+func TestEntriesFollowRecords(t *testing.T) {
+	e := startNode(t, record.Node{Name: "entry-1", Entry: true, DataCentre: "dc1"})
+	other := record.Node{ID: 9, Name: "other", Entry: true, DataCentre: "dc2", State: record.Ready, Incarnation: 1}
+	for _, state := range []record.State{record.Ready, record.Draining} {
+		other.State, other.Sequence = state, other.Sequence+1
+		e.Publish(record.ForNode(other))
+		list := e.Entries()
+		assert.Equal(t, len(list), 2)
+		assert.Equal(t, list[1].State, state)
+		list[0] = record.Node{}
+		assert.Equal(t, e.Entries()[0].Name, "entry-1")
+	}
+	e.Publish(record.ForScope(record.Scope{Kind: record.ScopeDataCentre, Name: "dc2", Down: true, Issued: time.Now()}))
+	assert.Equal(t, len(e.Entries()), 1)
+}
+
 // Guards against a partition between data centres ending in one dead record per node, and against the sides not finding each other after
 // it: the settings that one side accepted must be in force on the other within 3 s.
 func TestPartitionHeals(t *testing.T) {
