rpcauth: cover the header Lacewing-Incarnation with the tag

Cause: Execute and Cancel name the executor's incarnation in a header, and the tag covered only path, time and body. Whoever could change a request on the way could make a restarted executor answer for what the one before it ran, which turns an unknown outcome into a firm "not run".

Ruled out: moving the incarnation into the message, which would change the shared protobuf file for the same effect.

Before: a request with another incarnation than the signed one was served. After: it is refused with 401, and so is one whose header was removed; two rows of TestSignedRPC guard it. Admit, Cancel and Execute were checked for copies that are sent again within the 30 s window: none runs anything twice, and a comment at the RPCs gives the reason.

--- a/node/request/rpc.go
+++ b/node/request/rpc.go
@@ -24,7 +24,7 @@
 
 // headerIncarnation names the incarnation that an Execute or Cancel is meant for. A restarted executor doesn't know what the one before it
 // ran, so it must not answer for it.
-const headerIncarnation = "Lacewing-Incarnation"
+const headerIncarnation = rpcauth.HeaderIncarnation
 
 // Limits of RPCs between agents.
 const (
@@ -186,7 +186,9 @@
 
 func formatIncarnation(i ident.Incarnation) string { return strconv.FormatUint(uint64(i), 10) }
 
-// rpcs are the RPCs of AgentService that requests need. The others are served by rest.
+// rpcs are the RPCs of AgentService that requests need. The others are served by rest. A copy of an RPC that is sent again by somebody else
+// within the 30 s that rpcauth accepts runs nothing twice: an executor knows an attempt until its not_after and refuses it afterwards; a
+// permit is admitted once; and a coordinator sends an attempt no more after it has sent its Cancel.
 type rpcs struct {
 	lacewingv1connect.AgentServiceHandler
 	server *Server
--- a/node/rpcauth/rpcauth.go
+++ b/node/rpcauth/rpcauth.go
@@ -21,6 +21,9 @@
 	HeaderKey  = "Lacewing-Key"     // key id
 	HeaderTime = "Lacewing-Time"    // sender's clock, milliseconds since the epoch
 	HeaderTag  = "Lacewing-Rpc-Tag" // 16 hexadecimal digits
+	// HeaderIncarnation names the incarnation that a request is meant for. The tag covers it: a changed one would make a process answer
+	// for what another incarnation ran.
+	HeaderIncarnation = "Lacewing-Incarnation"
 )
 
 // maxBody bounds a message, in bytes: a response of 16 MB with its headers.
@@ -35,16 +38,19 @@
 
 // subject is what a tag covers besides the body. A response names the request's tag, so that it can't be given to another request.
 type subject struct {
-	path    string
-	request uint64
-	sentMs  uint64
+	path        string
+	incarnation string // of the header; empty in responses
+	request     uint64
+	sentMs      uint64
 }
 
 func (s subject) text(body []byte) []byte {
-	b := make([]byte, 0, len(s.path)+len(body)+17)
+	b := make([]byte, 0, len(s.path)+len(s.incarnation)+len(body)+18)
 	b = binary.BigEndian.AppendUint64(b, s.sentMs)
 	b = binary.BigEndian.AppendUint64(b, s.request)
 	b = append(b, s.path...)
+	b = append(b, 0) // neither a path nor a header holds it
+	b = append(b, s.incarnation...)
 	b = append(b, 0)
 	return append(b, body...)
 }
@@ -92,14 +98,14 @@
 			http.Error(w, "read RPC body: "+err.Error(), http.StatusBadRequest)
 			return
 		}
-		if !keys.Check(sig.key, sig.tag, subject{r.URL.Path, 0, sig.sentMs}.text(body)) {
+		if !keys.Check(sig.key, sig.tag, subject{r.URL.Path, r.Header.Get(HeaderIncarnation), 0, sig.sentMs}.text(body)) {
 			http.Error(w, ErrTag.Error(), http.StatusUnauthorized)
 			return
 		}
 		r.Body = io.NopCloser(bytes.NewReader(body))
 		buffer := &bufferedResponse{header: w.Header(), status: http.StatusOK}
 		next.ServeHTTP(buffer, r)
-		sign(keys, w.Header(), subject{r.URL.Path, sig.tag, nowMs()}, buffer.body.Bytes())
+		sign(keys, w.Header(), subject{r.URL.Path, "", sig.tag, nowMs()}, buffer.body.Bytes())
 		w.WriteHeader(buffer.status)
 		_, _ = w.Write(buffer.body.Bytes())
 	})
@@ -137,7 +143,7 @@
 	signed.ContentLength = int64(len(body))
 	// Compression between the tag and the wire would change the body that the receiver sees.
 	signed.Header.Set("Accept-Encoding", "identity")
-	tag := sign(t.Keys, signed.Header, subject{r.URL.Path, 0, nowMs()}, body)
+	tag := sign(t.Keys, signed.Header, subject{r.URL.Path, r.Header.Get(HeaderIncarnation), 0, nowMs()}, body)
 	resp, err := t.Base.RoundTrip(signed)
 	if err != nil {
 		return nil, err
@@ -151,7 +157,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "response with HTTP status %d", resp.StatusCode)
 	}
-	if !t.Keys.Check(sig.key, sig.tag, subject{r.URL.Path, tag, sig.sentMs}.text(answer)) {
+	if !t.Keys.Check(sig.key, sig.tag, subject{r.URL.Path, "", tag, sig.sentMs}.text(answer)) {
 		return nil, errors.Wrapf(ErrTag, "response with HTTP status %d", resp.StatusCode)
 	}
 	resp.Body = io.NopCloser(bytes.NewReader(answer))
--- a/node/rpcauth/rpcauth_test.go
+++ b/node/rpcauth/rpcauth_test.go
@@ -50,19 +50,23 @@
 	served = 0
 
 	for _, c := range []struct {
-		name       string
-		age        time.Duration
-		path, body string
-		want       int
+		name        string
+		age         time.Duration
+		path, body  string
+		incarnation string
+		want        int
 	}{
-		{"as signed", 0, "/x", "hello", 200},
-		{"other body", 0, "/x", "hallo", 401},
-		{"other path", 0, "/y", "hello", 401},
-		{"old", 31 * time.Second, "/x", "hello", 401},
-		{"from the future", -31 * time.Second, "/x", "hello", 401},
+		{"as signed", 0, "/x", "hello", "7", 200},
+		{"other body", 0, "/x", "hallo", "7", 401},
+		{"other path", 0, "/y", "hello", "7", 401},
+		{"old", 31 * time.Second, "/x", "hello", "7", 401},
+		{"from the future", -31 * time.Second, "/x", "hello", "7", 401},
+		{"other incarnation", 0, "/x", "hello", "8", 401},
+		{"no incarnation", 0, "/x", "hello", "", 401},
 	} {
 		req, _ := http.NewRequest(http.MethodPost, server.URL+c.path, bytes.NewReader([]byte(c.body)))
-		sign(ours, req.Header, subject{"/x", 0, uint64(time.Now().Add(-c.age).UnixMilli())}, []byte("hello"))
+		req.Header.Set(HeaderIncarnation, c.incarnation)
+		sign(ours, req.Header, subject{"/x", "7", 0, uint64(time.Now().Add(-c.age).UnixMilli())}, []byte("hello"))
 		resp, err := http.DefaultClient.Do(req)
 		assert.NilError(t, err)
 		assert.Equal(t, resp.StatusCode, c.want, c.name)
