request: no work for a target that is down or draining; recognize own connections; certificate in the agent's settings

Cause: an agent reports no warmth while its target is down or draining. dispatch takes a warmth of 0 for an unknown one, so such a target kept its full share of new requests: a target in drain mode never became idle, and one that refuses connections stayed in the choice, because "not run" says nothing about its health. Besides, a coordinator read the report of its own target from the mesh, which holds only reports of other nodes, so it never saw that its own target was shedding, draining or cold.

Ruled out: a change of dispatch, which must still accept reports without warmth, and ejection after refused connections, which the agent's own poll of the target notices within 750 ms.

TestReportedTargetGetsNoWork guards both places.

Server.Recognize tells the agent which datagrams belong to a connection of this process, so that a caller whose address changes keeps its connection. The agent's settings have a tls block; a pair that cannot be loaded, or one for a service of feeds, is a fault at start.

--- a/node/agent/program.go
+++ b/node/agent/program.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
@@ -16,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"lacewinglever.dev/node/config"
+	lacewingv1 "lacewinglever.dev/node/gen/lacewing/v1"
 	"lacewinglever.dev/node/gen/lacewing/v1/lacewingv1connect"
 	"lacewinglever.dev/node/logging"
 	"lacewinglever.dev/node/peer"
@@ -42,6 +44,12 @@
 	Slots uint32 `yaml:"slots"`
 }
 
+// TLS names the certificate of a service of requests towards callers. Without files, a self-signed one is made at start.
+type TLS struct {
+	CertificateFile string `yaml:"certificate_file"`
+	KeyFile         string `yaml:"key_file"`
+}
+
 // Config is the settings file of lacewing-agent.
 type Config struct {
 	config.Node  `yaml:",inline"`
@@ -49,6 +57,7 @@
 	Weight       float64       `yaml:"weight"`
 	DrainTimeout time.Duration `yaml:"drain_timeout"`
 	Target       Target        `yaml:"target"`
+	TLS          TLS           `yaml:"tls"`
 }
 
 // Check reports the faults of the file.
@@ -75,6 +84,19 @@
 	if c.Target.Slots == 0 {
 		f.Add("$.target.slots", "want at least 1")
 	}
+	c.checkTLS(f)
+}
+
+func (c *Config) checkTLS(f *yamlfile.Faults) {
+	if c.TLS == (TLS{}) {
+		return
+	}
+	if c.Target.UDP != "" {
+		f.Add("$.tls", "a service of feeds has no certificate: target.udp is set")
+	}
+	if _, err := tls.LoadX509KeyPair(c.TLS.CertificateFile, c.TLS.KeyFile); err != nil {
+		f.Add("$.tls", "%v", err)
+	}
 }
 
 // LoadConfig reads and checks a settings file.
@@ -90,6 +112,7 @@
 	Service  ident.ServiceName
 	Settings func() *settings.Spec // nil while none are known
 	Return   Return
+	Load     func() *lacewingv1.Load // what heartbeats report of the target; valid once the server has been made
 	Logger   log.Logger
 	Metrics  *metrics.Set
 }
@@ -204,7 +227,7 @@
 			return nil, errors.New("this program serves feeds only: target.udp is required")
 		}
 		server, err := requests(RequestOptions{
-			Config: p.config, Mesh: p.mesh, Keys: p.keys, Service: p.service, Settings: a.Settings, Return: a.Return,
+			Config: p.config, Mesh: p.mesh, Keys: p.keys, Service: p.service, Settings: a.Settings, Return: a.Return, Load: a.Load,
 			Logger: p.logger, Metrics: p.set,
 		})
 		p.requests = server
--- a/node/request/cluster_test.go
+++ b/node/request/cluster_test.go
@@ -90,7 +90,7 @@
 	if member == nil || member.server == nil {
 		return nil, 0, false
 	}
-	return member.server.Load(), 0, true
+	return member.server.options.Load(), 0, true
 }
 
 func newCluster(t *testing.T) *cluster {
--- a/node/request/coordinator.go
+++ b/node/request/coordinator.go
@@ -187,13 +187,16 @@
 	for i := range nodes {
 		n := &nodes[i]
 		drained := spec != nil && (spec.Drains(n.Name) || spec.Weight(n.DataCentre) <= 0)
+		load := s.loadOf(now, n.ID)
+		// An agent reports no warmth while its target is down or draining.
+		down := !load.Reported.IsZero() && load.Warmth <= 0
 		pool[i] = dispatch.Candidate{
 			ID:         n.ID,
 			DataCentre: n.DataCentre,
-			Usable:     n.State == record.Ready && !drained && !s.options.Mesh.Suspect(n.ID),
+			Usable:     n.State == record.Ready && !drained && !down && !s.options.Mesh.Suspect(n.ID),
 			Distance:   s.distance(n),
 			Exact:      n.ID == s.self.ID,
-			Load:       s.loadOf(now, n.ID),
+			Load:       load,
 		}
 	}
 	return pool, nodes
@@ -209,22 +212,16 @@
 	return farDistance
 }
 
-// loadOf returns the newest load report. Of the local target, only shedding and warmth come from what the agent reports, and the rest is
-// exact.
+// loadOf returns the newest load report. The local target's is read at this moment, because the mesh has only those of other nodes.
 func (s *Server) loadOf(now time.Time, id ident.NodeID) dispatch.Load {
-	report, age, ok := s.options.Mesh.Load(id)
-	load := dispatch.Load{}
-	if ok {
-		load = toLoad(report, now.Add(-age))
-	}
 	if id == s.self.ID {
-		exact := toLoad(s.executor.load(), now)
-		if ok {
-			exact.Shedding, exact.Warmth = load.Shedding, load.Warmth
-		}
-		return exact
+		return toLoad(s.options.Load(), now)
+	}
+	report, age, ok := s.options.Mesh.Load(id)
+	if !ok {
+		return dispatch.Load{}
 	}
-	return load
+	return toLoad(report, now.Add(-age))
 }
 
 func toLoad(l *lacewingv1.Load, reported time.Time) dispatch.Load {
--- a/node/request/server.go
+++ b/node/request/server.go
@@ -63,6 +63,7 @@
 	Local    netip.Addr            // from which RPCs to other agents are made; unspecified: the system chooses
 	TLS      TLS
 	Return   agent.Return
+	Load     func() *lacewingv1.Load // what the agent reports of the local target; nil: Server.Load
 	Logger   log.Logger
 	Metrics  *metrics.Set
 
@@ -102,7 +103,10 @@
 	}
 }
 
-var _ agent.Local = (*Server)(nil)
+var (
+	_ agent.Local      = (*Server)(nil)
+	_ agent.Recognizer = (*Server)(nil)
+)
 
 // New starts the HTTP/3 server. It serves what Deliver passes to it until Close.
 func New(o Options) (*Server, error) {
@@ -118,6 +122,9 @@
 		return nil, err
 	}
 	s := &Server{options: o, self: o.Mesh.Self(), service: o.Service.ID()}
+	if o.Load == nil {
+		s.options.Load = s.Load
+	}
 	s.keys.Store(o.Keys)
 	s.decisions = logging.NewDecisions(o.Logger)
 	s.metrics = newCounters(o.Metrics)
@@ -166,6 +173,13 @@
 	}
 }
 
+// Recognize tells whether a caller's datagram belongs to a connection of this process by its connection id, which stays the same when the
+// caller's address changes.
+func (s *Server) Recognize(payload []byte) bool {
+	id, ok := connid.FromDatagram(s.keys.Load(), payload)
+	return ok && id.Agent == s.self.ID && id.Matches(s.self.Incarnation)
+}
+
 // Handler returns the path and the handler of AgentService, which the program wraps in rpcauth.Handler. rest serves Drain and Explain; nil leaves them unimplemented.
 func (s *Server) Handler(rest lacewingv1connect.AgentServiceHandler) (string, http.Handler) {
 	if rest == nil {
--- a/node/request/server_test.go
+++ b/node/request/server_test.go
@@ -14,6 +14,7 @@
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
+	"lacewinglever.dev/node/connid"
 	lacewingv1 "lacewinglever.dev/node/gen/lacewing/v1"
 	"lacewinglever.dev/node/rpcauth"
 	"lacewinglever.dev/policy/record"
@@ -33,6 +34,43 @@
 	assert.Equal(t, got.header.Get(HeaderExecutor), "b")
 }
 
+// Guards against new requests for a target that its agent reports as draining, down or shedding, be it the coordinator's own or another's.
+func TestReportedTargetGetsNoWork(t *testing.T) {
+	for _, load := range []*lacewingv1.Load{{Slots: 1}, {Slots: 1, WarmPerMille: 1000, Shedding: true}} {
+		for _, coordinator := range []string{"a", "b"} {
+			c := newCluster(t)
+			var runs atomic.Int64
+			a := c.add("a", 1, counting(&runs, named("a")))
+			c.add("b", 1, named("b"))
+			a.server.options.Load = func() *lacewingv1.Load { return load }
+			client := c.client(coordinator)
+			for range 5 {
+				assert.Equal(t, c.do(client, "GET /").body, "b GET /")
+			}
+			assert.Equal(t, runs.Load(), int64(0))
+		}
+	}
+}
+
+// Guards against a connection being taken for one of another agent, of an earlier incarnation or with a foreign connection id.
+func TestRecognize(t *testing.T) {
+	c := newCluster(t)
+	a, b := c.add("a", 1, named("a")), c.add("b", 1, named("b"))
+	datagram := func(g *connid.Generator) []byte {
+		id, err := g.GenerateConnectionID()
+		assert.NilError(t, err)
+		return append(append([]byte{0x40}, id.Bytes()...), make([]byte, 20)...)
+	}
+	self := a.server.self
+	own := datagram(a.server.generator)
+	assert.Assert(t, a.server.Recognize(own))
+	assert.Assert(t, !b.server.Recognize(own))
+	assert.Assert(t, !a.server.Recognize(datagram(connid.NewGenerator(self.ID, self.Incarnation-1, c.keys))))
+	own[connid.Size]++ // the last byte of the tag
+	assert.Assert(t, !a.server.Recognize(own))
+	assert.Assert(t, !a.server.Recognize(nil))
+}
+
 // counting returns a target that counts its requests before it answers.
 func counting(runs *atomic.Int64, then http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
