--- a/bench/fabric/admin.go
+++ b/bench/fabric/admin.go
@@ -17,7 +17,8 @@
 	Counters map[string]uint64 `json:"counters"`
 }
 
-// handler serves GET /healthz, GET /state, POST /link (a Link) and POST /entries (a Service without address).
+// handler serves GET /healthz, GET /state, POST /link (a Link), POST /entries (a Service without address)
+// and POST /break (the ends of a Link).
 func (f *Fabric) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
@@ -27,6 +28,7 @@
 	})
 	mux.HandleFunc("POST /link", f.postLink)
 	mux.HandleFunc("POST /entries", f.postEntries)
+	mux.HandleFunc("POST /break", f.postBreak)
 	return mux
 }
 
--- a/bench/fabric/fabric.go
+++ b/bench/fabric/fabric.go
@@ -39,6 +39,7 @@
 	links   *links
 	queues  [queues]*queue
 	callers *callers
+	relays  relays
 	Counters
 
 	mu       sync.RWMutex
--- a/bench/fabric/nodes.go
+++ b/bench/fabric/nodes.go
@@ -84,6 +84,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	from := f.endOf(near.RemoteAddr().(*net.TCPAddr).AddrPort().Addr().Unmap())
+	defer f.relays.add(&relayed{near, from, node})()
 	// The handshake takes one round trip.
 	time.Sleep(f.links.path(from, node).link.Delay + f.links.path(node, from).link.Delay)
 	f.waitUncut(ctx, from, node)
--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -325,6 +325,11 @@
 	return f.call(ctx, http.MethodPost, "http://"+f.fabric()+"/link", l, nil)
 }
 
+// BreakLink resets the TCP connections between two ends of a link.
+func (f *Fleet) BreakLink(ctx context.Context, from, to string) error {
+	return f.call(ctx, http.MethodPost, "http://"+f.fabric()+"/break", fabric.Link{From: from, To: to}, nil)
+}
+
 // FabricState returns the state of the fabric.
 func (f *Fleet) FabricState(ctx context.Context) (fabric.State, error) {
 	var s fabric.State
--- a/bench/scenario/doc.go
+++ b/bench/scenario/doc.go
@@ -6,6 +6,7 @@
 //	process start|kill|pause|continue|stop NAME...    stop: SIGTERM, and wait for the end
 //	ended NAME...                     these processes, and no others, have ended
 //	link FROM TO [KEY=VALUE...]       delay, jitter, loss, duplicate, reorder, cut, one_way; without keys: a perfect link
+//	break FROM TO                     reset the TCP connections; what was sent still arrives at the other side
 //	rotation NAME...                  only these entries get callers' datagrams
 //	platform [KEY=VALUE...]           faults of the platform stand-in; without keys: none
 //	mode TARGET KEY=VALUE...          how a target behaves
--- a/bench/scenario/scenario_test.go
+++ b/bench/scenario/scenario_test.go
@@ -103,7 +103,7 @@
 func commands() map[string]func(*testscript.TestScript, bool, []string) {
 	all := map[string]command{
 		"fleet": startFleet, "process": process, "ended": ended, "link": link, "rotation": rotation, "platform": platform, "mode": mode, "apply": apply, "inforce": inForce,
-		"ctl": control, "load": loads, "expect": expect, "stats": stats, "now": now, "sleep": sleep,
+		"ctl": control, "load": loads, "expect": expect, "stats": stats, "now": now, "sleep": sleep, "break": breakLink,
 	}
 	cmds := map[string]func(*testscript.TestScript, bool, []string){}
 	for name, run := range all {
