--- a/bench/scenario/scenario_test.go
+++ b/bench/scenario/scenario_test.go
@@ -104,7 +104,7 @@
 func commands() map[string]func(*testscript.TestScript, bool, []string) {
 	all := map[string]command{
 		"fleet": startFleet, "process": process, "ended": ended, "link": link, "rotation": rotation, "platform": platform, "mode": mode, "apply": apply, "inforce": inForce,
-		"ctl": control, "load": loads, "expect": expect, "stats": stats, "now": now, "sleep": sleep,
+		"ctl": control, "load": loads, "expect": expect, "stats": stats, "now": now, "sleep": sleep, "break": breakLink,
 	}
 	maps.Copy(all, feedCommands())
 	cmds := map[string]func(*testscript.TestScript, bool, []string){}
