agent: a deletion comes into force; explain without a caller

Now the agent notes the deletion's number as applied. The settings before it remain in force for flows and requests in progress; new ones end at the entries, which close the service's socket.

AgentService.Explain answers without a caller with the agent's state and the revision it has in force.

--- a/node/agent/agent_test.go
+++ b/node/agent/agent_test.go
@@ -308,6 +308,18 @@
 	}
 }
 
+// Guards against a deletion never being in force at agents, and against it taking away the settings of what is in progress.
+func TestDeletion(t *testing.T) {
+	b := newBench(t, 1, "")
+	a := b.agents[0]
+	b.mu.Lock()
+	b.revision.Number, b.revision.Deleted, b.revision.Spec = 2, true, nil
+	b.mu.Unlock()
+	time.Sleep(3 * refreshInterval)
+	assert.Equal(t, a.applied(testService.ID()), uint64(2))
+	assert.Equal(t, a.Settings().IdleTimeout, 30*time.Second)
+}
+
 // Guards against a target that is named in the drain list, or not ready, getting new flows, and against an exit on drain.
 func TestDrainBySettings(t *testing.T) {
 	ready := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(`{"ready":true}`)) }))
--- a/node/agent/pool.go
+++ b/node/agent/pool.go
@@ -29,7 +29,8 @@
 type pool struct {
 	mu       sync.Mutex
 	spec     settings.Spec
-	revision uint64
+	known    bool   // spec is from a revision
+	revision uint64 // in force, a deletion included
 	view     *view.View
 	reports  map[ident.NodeID]report
 }
@@ -77,7 +78,7 @@
 func (a *Agent) Settings() *settings.Spec {
 	a.pool.mu.Lock()
 	defer a.pool.mu.Unlock()
-	if a.pool.revision == 0 {
+	if !a.pool.known {
 		return nil
 	}
 	spec := a.pool.spec
@@ -128,10 +129,18 @@
 	a.chooser.Update(a.reports(v))
 }
 
-// applySettings applies the newest accepted revision. Revisions only go forwards.
+// applySettings applies the newest accepted revision. Revisions only go forwards. After a deletion, which the entries carry out, the
+// settings before it remain for what is in progress.
 func (a *Agent) applySettings() {
 	revision, ok := a.options.Mesh.Revision(a.service)
-	if !ok || revision.Number <= a.pool.applied() || revision.Deleted {
+	if !ok || revision.Number <= a.pool.applied() {
+		return
+	}
+	if revision.Deleted {
+		a.pool.mu.Lock()
+		a.pool.revision = revision.Number
+		a.pool.mu.Unlock()
+		_ = level.Info(a.options.Logger).Log(logging.KeyMessage, "service deleted", logging.KeyRevision, revision.Number)
 		return
 	}
 	spec, err := a.options.Parse("revision", a.options.Service, revision.Spec)
@@ -141,7 +150,7 @@
 		return
 	}
 	a.pool.mu.Lock()
-	a.pool.spec = *spec
+	a.pool.spec, a.pool.known = *spec, true
 	a.pool.revision = revision.Number
 	a.pool.mu.Unlock()
 	a.table.SetIdleTimeout(spec.IdleTimeout)
--- a/node/agent/service.go
+++ b/node/agent/service.go
@@ -24,8 +24,11 @@
 	return connect.NewResponse(&lacewingv1.DrainResponse{FlowsLeft: uint32(s.agent.table.Owned())}), nil
 }
 
-// Explain tells what this agent would do with a datagram of the caller now.
+// Explain tells what this agent would do with a datagram of the caller now. Without a caller it tells its state only.
 func (s *service) Explain(_ context.Context, m *connect.Request[lacewingv1.ExplainRequest]) (*connect.Response[lacewingv1.ExplainResponse], error) {
+	if m.Msg.GetCaller() == "" {
+		return connect.NewResponse(&lacewingv1.ExplainResponse{Lines: s.agent.describe()}), nil
+	}
 	address, err := netip.ParseAddrPort(m.Msg.GetCaller())
 	if err != nil {
 		return nil, connect.NewError(connect.CodeInvalidArgument, fmt.Errorf("caller: %w", err))
@@ -33,16 +36,19 @@
 	return connect.NewResponse(&lacewingv1.ExplainResponse{Lines: s.agent.explain(ident.CallerFrom(address))}), nil
 }
 
-func (a *Agent) explain(c ident.Caller) []string {
-	owner, home := a.table.Explain(c)
+func (a *Agent) describe() []string {
 	self := a.options.Mesh.Self()
 	return []string{
-		fmt.Sprintf("agent %s (%s) of %s: state %s, settled %t", self.Name, self.ID, a.options.Service, self.State, a.table.Settled(a.now())),
-		"home: " + a.nodeName(home),
-		"owner known here: " + a.nodeName(owner),
+		fmt.Sprintf("agent %s (%s) of %s: state %s, settled %t, revision %d",
+			self.Name, self.ID, a.options.Service, self.State, a.table.Settled(a.now()), a.pool.applied()),
 	}
 }
 
+func (a *Agent) explain(c ident.Caller) []string {
+	owner, home := a.table.Explain(c)
+	return append(a.describe(), "home: "+a.nodeName(home), "owner known here: "+a.nodeName(owner))
+}
+
 // nodeName formats a node's id with its name, where that is known.
 func (a *Agent) nodeName(id ident.NodeID) string {
 	if id == 0 {
