scenario: proofs that accepted settings come into force and never revert

Nine scenarios with the real programs under failure: operators race, answers are lost, the platform is down while processes are replaced, watches and reads are stale, the duty's holder is paused and wakes to write, the platform is down and the holder killed, nodes are frozen, killed or cut off, revisions are forged or old. A monitor asks every process every 50 ms for the revision that its data plane has in force, and reads the objects of the revisions: a step back or a changed revision fails the scenario.

settings_session is a golden file of a whole session of lacewingctl against a running fleet; only times, versions, ids and the address are masked.

--- /dev/null
+++ b/bench/fleet/applied.go
@@ -0,0 +1,169 @@
+package fleet
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-faster/errors"
+
+	lacewingv1 "lacewinglever.dev/node/gen/lacewing/v1"
+	"lacewinglever.dev/node/gen/lacewing/v1/lacewingv1connect"
+	"lacewinglever.dev/node/objectapi"
+	"lacewinglever.dev/node/peer"
+	"lacewinglever.dev/node/rpcauth"
+	"lacewinglever.dev/node/transport"
+	"lacewinglever.dev/policy/ident"
+	"lacewinglever.dev/policy/record"
+	"lacewinglever.dev/policy/settings"
+)
+
+// explainWait bounds one question to a node. A paused process doesn't answer.
+const explainWait = time.Second
+
+// appliedRevision finds the revision in what a node explains.
+var appliedRevision = regexp.MustCompile(`revision (\d+)`)
+
+// Concerned returns the running entries and agents of a service.
+func (f *Fleet) Concerned(service string) []string {
+	var names []string
+	for _, n := range f.nodes {
+		concerned := n.service < 0 || f.Services[n.service].FullName() == service
+		if p := f.Process(n.name); concerned && p != nil && p.Running() {
+			names = append(names, n.name)
+		}
+	}
+	return names
+}
+
+// Applied asks a node for the revision of a service that its data plane has in force; 0 if none is.
+func (f *Fleet) Applied(ctx context.Context, service, name string) (uint64, error) {
+	i := slices.IndexFunc(f.nodes, func(n node) bool { return n.name == name })
+	if i < 0 {
+		return 0, errors.Errorf("no node is called %q", name)
+	}
+	c := f.common(f.nodes[i])
+	keys, err := c.Keyring()
+	if err != nil {
+		return 0, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, explainWait)
+	defer cancel()
+	client := rpcauth.Client(keys, netip.Addr{})
+	defer client.CloseIdleConnections()
+	request := connect.NewRequest(&lacewingv1.ExplainRequest{Service: service})
+	explain := lacewingv1connect.NewAgentServiceClient(client, "http://"+c.RPC.Listen).Explain
+	if f.nodes[i].service < 0 {
+		explain = lacewingv1connect.NewEntryServiceClient(client, "http://"+c.RPC.Listen).Explain
+	}
+	answer, err := explain(ctx, request)
+	if connect.CodeOf(err) == connect.CodeNotFound {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, err
+	}
+	match := appliedRevision.FindStringSubmatch(strings.Join(answer.Msg.GetLines(), "\n"))
+	if match == nil {
+		return 0, errors.Errorf("%s tells no revision: %q", name, answer.Msg.GetLines())
+	}
+	return strconv.ParseUint(match[1], 10, 64)
+}
+
+// forgedKey is a key that the fleet doesn't have.
+const forgedKey = "000102030405060708090a0b0c0d0e0f"
+
+// SendRevision sends a revision of a service to its nodes by datagram and by RPC, signed with the fleet's key, or with another one.
+// It fails if an RPC with another key is accepted.
+func (f *Fleet) SendRevision(ctx context.Context, service string, number uint64, forged bool) error {
+	i, err := f.serviceIndex(service)
+	if err != nil {
+		return err
+	}
+	sender := f.common(node{name: "intruder", dc: 1, host: "127.1.0.254"})
+	if forged {
+		sender.Keys[0].Value = forgedKey
+	}
+	keys, err := sender.Keyring()
+	if err != nil {
+		return err
+	}
+	socket, err := transport.Open(transport.Options{Self: ident.NewNodeID(sender.Name), Listen: sender.UDP.Listen,
+		Advertise: sender.UDP.Listen, Keys: keys, Metrics: metrics.NewSet()})
+	if err != nil {
+		return err
+	}
+	// Run closes the socket when its context has ended.
+	ended, end := context.WithCancel(ctx)
+	defer func() { end(); _ = socket.Run(ended, transport.Handlers{}) }()
+	revision := record.Revision{
+		Service:  ident.ServiceName{Team: f.Services[i].Team, Name: f.Services[i].Name},
+		Number:   number,
+		Spec:     []byte(f.spec(i, "idle_timeout: 1s\n")),
+		Accepted: time.Now(),
+	}
+	records := []*lacewingv1.Record{peer.ToProto(record.ForRevision(revision))}
+	for _, name := range f.Concerned(service) {
+		to := f.common(f.nodes[slices.IndexFunc(f.nodes, func(n node) bool { return n.name == name })])
+		address, err := netip.ParseAddrPort(to.UDP.Listen)
+		if err != nil {
+			return err
+		}
+		gossip := &lacewingv1.Gossip{Records: records}
+		if _, err := socket.SendControl(address, &lacewingv1.Control{Body: &lacewingv1.Control_Gossip{Gossip: gossip}}); err != nil {
+			return err
+		}
+		client := lacewingv1connect.NewPeerServiceClient(rpcauth.Client(keys, netip.Addr{}), "http://"+to.RPC.Listen)
+		_, err = client.Sync(ctx, connect.NewRequest(&lacewingv1.SyncRequest{Records: records}))
+		if forged && err == nil {
+			return errors.Errorf("%s accepted an RPC that is signed with another key", name)
+		}
+	}
+	return nil
+}
+
+// DutyRanks returns the running entries by their rank for the control duty of a service.
+func (f *Fleet) DutyRanks(service string) ([]string, error) {
+	name, err := ident.ParseServiceName(service)
+	if err != nil {
+		return nil, err
+	}
+	var entries []record.Node
+	for _, n := range f.nodes {
+		if p := f.Process(n.name); n.service < 0 && p != nil && p.Running() {
+			entries = append(entries, record.Node{
+				ID: ident.NewNodeID(n.name), Name: n.name, Entry: true, DataCentre: ident.DataCentre(dcName(n.dc)), State: record.Ready,
+			})
+		}
+	}
+	readers := settings.Readers(entries)
+	ranked := make([]string, len(readers))
+	for _, e := range entries {
+		if rank := settings.Rank(name.ID(), e.ID, readers); rank >= 0 {
+			ranked[rank] = e.Name
+		}
+	}
+	return ranked, nil
+}
+
+// Revisions returns the object version of each accepted revision of a service.
+func (f *Fleet) Revisions(ctx context.Context, service string) (map[string]uint64, error) {
+	name, err := ident.ParseServiceName(service)
+	if err != nil {
+		return nil, err
+	}
+	var listing objectapi.Listing
+	err = f.call(ctx, http.MethodGet, "http://"+f.platform()+objectapi.ListPath+"?prefix="+settings.RevisionsPrefix(name), nil, &listing)
+	versions := map[string]uint64{}
+	for _, o := range listing.Objects {
+		versions[o.Path] = o.Version
+	}
+	return versions, err
+}
--- a/bench/fleet/settings.go
+++ b/bench/fleet/settings.go
@@ -13,6 +13,10 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"lacewinglever.dev/node/objectapi"
+	"lacewinglever.dev/policy/ident"
+	"lacewinglever.dev/policy/settings"
 )
 
 const applyWait = 15 * time.Second
@@ -65,9 +69,14 @@
 
 // Control runs lacewingctl and returns what it prints.
 func (f *Fleet) Control(ctx context.Context, args ...string) (string, error) {
+	return f.ControlAs(ctx, "operator", args...)
+}
+
+// ControlAs runs lacewingctl for one of several operators.
+func (f *Fleet) ControlAs(ctx context.Context, writer string, args ...string) (string, error) {
 	ctx, cancel := context.WithTimeout(ctx, applyWait)
 	defer cancel()
-	args = append(args, "--platform", "http://"+f.platform(), "--as", "operator")
+	args = append(args, "--platform", "http://"+f.platform(), "--as", writer)
 	out, err := exec.CommandContext(ctx, f.binary("lacewingctl"), args...).CombinedOutput()
 	if err != nil {
 		return string(out), errors.Wrapf(err, "lacewingctl %s: %s", args[0], strings.TrimSpace(string(out)))
@@ -101,16 +110,7 @@
 }
 
 // NodesOf returns how many nodes a service's settings concern: all entries and its agents, as far as they run.
-func (f *Fleet) NodesOf(service string) int {
-	count := 0
-	for _, n := range f.nodes {
-		concerned := n.service < 0 || f.Services[n.service].FullName() == service
-		if p := f.Process(n.name); concerned && p != nil && p.Running() {
-			count++
-		}
-	}
-	return count
-}
+func (f *Fleet) NodesOf(service string) int { return len(f.Concerned(service)) }
 
 // ApplyAll writes the settings of all services and waits until they are in force everywhere.
 func (f *Fleet) ApplyAll(ctx context.Context, limit time.Duration) error {
@@ -129,3 +129,24 @@
 	}
 	return nil
 }
+
+// SettingsFile writes a file with a service's own settings and further lines of YAML, and returns its path.
+func (f *Fleet) SettingsFile(service, name, more string) (string, error) {
+	i, err := f.serviceIndex(service)
+	if err != nil {
+		return "", err
+	}
+	file := filepath.Join(f.Dir, name+".settings.yaml")
+	return file, os.WriteFile(file, []byte(f.spec(i, more)), 0o600)
+}
+
+// SpecVersion reads the version of a service's settings from the platform.
+func (f *Fleet) SpecVersion(ctx context.Context, service string) (uint64, error) {
+	name, err := ident.ParseServiceName(service)
+	if err != nil {
+		return 0, err
+	}
+	var o objectapi.Object
+	err = f.call(ctx, http.MethodGet, "http://"+f.platform()+objectapi.ObjectsPath+settings.ServicePath(name), nil, &o)
+	return o.Version, err
+}
--- a/bench/scenario/scenario_test.go
+++ b/bench/scenario/scenario_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
 	"slices"
@@ -38,6 +39,8 @@
 	ports int
 	fleet *fleet.Fleet
 	begin time.Time // of the last apply
+
+	monitor *monitor
 }
 
 type stateKey struct{}
@@ -105,6 +108,7 @@
 		"fleet": startFleet, "process": process, "ended": ended, "link": link, "rotation": rotation, "platform": platform, "mode": mode, "apply": apply, "inforce": inForce,
 		"ctl": control, "load": loads, "expect": expect, "stats": stats, "now": now, "sleep": sleep,
 	}
+	maps.Copy(all, settingsCommands)
 	cmds := map[string]func(*testscript.TestScript, bool, []string){}
 	for name, run := range all {
 		cmds[name] = func(ts *testscript.TestScript, neg bool, args []string) {
