--- a/bench/scenario/scenario_test.go
+++ b/bench/scenario/scenario_test.go
@@ -39,6 +39,8 @@
 	ports int
 	fleet *fleet.Fleet
 	begin time.Time // of the last apply
+
+	monitor *monitor
 }
 
 type stateKey struct{}
@@ -107,6 +109,7 @@
 		"ctl": control, "load": loads, "expect": expect, "stats": stats, "now": now, "sleep": sleep, "break": breakLink,
 	}
 	maps.Copy(all, feedCommands())
+	maps.Copy(all, settingsCommands)
 	cmds := map[string]func(*testscript.TestScript, bool, []string){}
 	for name, run := range all {
 		cmds[name] = func(ts *testscript.TestScript, neg bool, args []string) {
