datapath: benchmark of the entry and the agent against a bare copy loop

go run ./bench/cmd/datapath runs entry, agent and bare loop as processes of their own and divides the datagrams that arrive by the process's processor time, in each of the four directions.

--- /dev/null
+++ b/bench/cmd/datapath/main.go
@@ -0,0 +1,20 @@
+// Command datapath measures the datagrams per second and core of the entry and the agent against a bare copy loop.
+package main
+
+import (
+	"context"
+	"os"
+
+	"lacewinglever.dev/bench/datapath"
+	"lacewinglever.dev/bench/program"
+)
+
+type options struct {
+	program.Common
+	datapath.Options
+}
+
+func main() {
+	var o options
+	program.Main(&o, &o.Common, func(ctx context.Context) error { return datapath.Run(ctx, o.Options, os.Stdin, os.Stdout) })
+}
