entry: keep what a forwarding decision reads in the route

Cause: with datagrams spread over 13,000 services, each decision misses the cache in the service, the route, the view, the slot table and the destinations.

The route now has the view's slot table and digest, and holds the destinations of pools of up to 8 in itself; the service's id and route come first. HomeIndex is replaced by Homes, which returns the table.

One packed block of words for table and destinations was slower (60 ns of unpacking) and is not kept.

--- a/node/entry/route.go
+++ b/node/entry/route.go
@@ -15,11 +15,18 @@
 	address netip.AddrPort
 }
 
-// route is an immutable picture of where a service's flows go.
+// nearby is the largest pool whose destinations are within the route.
+const nearby = 8
+
+// route is an immutable picture of where a service's flows go. It holds what a decision reads, because with thousands of services the cost of
+// a decision is that of the memory that it touches: the route, one slot and one destination, which is next to the route in a small pool.
 type route struct {
-	view         *view.View
+	slots        []uint16                // index in destinations by slot, shared with the view
 	destinations []destination           // in the order of the view's members
+	digest       uint64                  // of the view
 	byAgent      map[ident.NodeID]uint16 // index of each agent; only for requests, whose connection ids name an agent
+	view         *view.View
+	near         [nearby]destination // memory of destinations in a small pool
 }
 
 // newRoute builds the route of a pool. With a previous route only what changed is computed.
@@ -29,11 +36,12 @@
 		before = prev.view
 	}
 	v := view.Build(before, spec.Service.ID(), spec.HashSlots, Members(spec, pool))
-	r := &route{view: v, destinations: make([]destination, len(v.Members))}
+	r := &route{view: v, slots: v.Homes(), digest: v.Digest}
+	r.destinations = r.near[:0]
 	for i := range v.Members {
 		n := &v.Members[i].Node
 		address, _ := netip.ParseAddrPort(n.UDPAddress)
-		r.destinations[i] = destination{n.ID, address}
+		r.destinations = append(r.destinations, destination{n.ID, address})
 	}
 	if spec.Kind == settings.Request {
 		r.byAgent = make(map[ident.NodeID]uint16, len(r.destinations))
@@ -46,8 +54,8 @@
 
 // home returns the agent that is the home of a flow.
 func (r *route) home(key ident.FlowKey) (*destination, bool) {
-	i := r.view.HomeIndex(key.Hash())
-	if i < 0 {
+	i := int(r.slots[key.Hash()&uint64(len(r.slots)-1)])
+	if i >= len(r.destinations) { // no member can be a home
 		return nil, false
 	}
 	d := &r.destinations[i]
--- a/node/entry/service.go
+++ b/node/entry/service.go
@@ -18,11 +18,12 @@
 
 // service is one service with its socket.
 type service struct {
-	entry    *Entry
+	// What a decision reads comes first, to be in one cache line.
 	id       ident.ServiceID
+	route    atomic.Pointer[route]
+	entry    *Entry
 	name     string
 	settings atomic.Pointer[applied]
-	route    atomic.Pointer[route]
 	bound    netip.AddrPort
 	conn     *net.UDPConn
 	socket   socket.Conn // conn, for batches
@@ -139,7 +140,7 @@
 		Service:     s.id,
 		Destination: to.id,
 		Caller:      key.Caller,
-		View:        r.view.Digest,
+		View:        r.digest,
 		Entry:       s.entry.self,
 		Payload:     payload,
 	}
--- a/policy/view/view.go
+++ b/policy/view/view.go
@@ -68,15 +68,10 @@
 	return &v.Members[i], true
 }
 
-// HomeIndex returns the index in Members of the home of the flow with this hash, -1 if no member can be a home. The data path keeps what
-// it needs of the members in a slice of the same order.
-func (v *View) HomeIndex(hash uint64) int {
-	i := v.homes[hash&uint64(len(v.homes)-1)]
-	if i == noMember {
-		return -1
-	}
-	return int(i)
-}
+// Homes returns the slot table: the index in Members of the home of each slot, or an index beyond them if no member can be a home. The slot
+// of a flow is its hash modulo the number of slots. The table must not be changed. The data path reads it together with what it needs of the
+// members, without touching the view.
+func (v *View) Homes() []uint16 { return v.homes }
 
 // Member returns the member with this id.
 func (v *View) Member(id ident.NodeID) (*Member, bool) {
