agent: a deleted service takes and returns nothing

Cause: an agent ignored the deletion of its service and went on serving what entries forwarded. An entry that is frozen during the deletion keeps the service's socket; on waking it forwards the datagrams that waited there, and callers had sent those to the service that has taken over the address. Ruled out: the 10 s quarantine of a released address, which bounds how late a node that runs may learn of the release, not one that is frozen. Conclusion: the agent, the last to decide, checks that its service exists. Deletion now also counts as applied at agents. A service that moves to another address instead of being deleted is still open: the data header does not tell the address.

--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -26,7 +26,7 @@
 // Errors of Return.
 var (
 	ErrNoFlow  = errors.New("no such flow")
-	ErrNoEntry = errors.New("no live entry is known")
+	ErrNoEntry = errors.New("no live entry is known, or the service was deleted")
 )
 
 // Options configure an Agent.
@@ -83,6 +83,9 @@
 	exiting    atomic.Bool
 	drained    atomic.Bool // by RPC
 	ready      atomic.Bool
+	// deleted tells that the service was deleted. An entry that does not know it, because it was cut off or frozen, still has the service's
+	// address bound, and may forward what callers send to the service that has the address now.
+	deleted atomic.Bool
 }
 
 // scratch is the memory for handling one datagram.
@@ -170,6 +173,10 @@
 // Data handles an encapsulated datagram. It is the transport's data handler.
 func (a *Agent) Data(d *wire.Data) {
 	a.options.Mesh.Touch(d.Sender)
+	if a.deleted.Load() {
+		a.reasons[flow.WrongDestination].Inc()
+		return
+	}
 	s := a.scratch.Get().(*scratch)
 	defer a.scratch.Put(s)
 	s.effects.Reset()
@@ -298,7 +305,7 @@
 
 func (a *Agent) returnVia(entry ident.NodeID, caller ident.Caller, payload []byte) error {
 	id, to, ok := a.routes.Load().entry(entry, caller)
-	if !ok {
+	if !ok || a.deleted.Load() {
 		return ErrNoEntry
 	}
 	s := a.scratch.Get().(*scratch)
--- a/node/agent/agent_test.go
+++ b/node/agent/agent_test.go
@@ -359,3 +359,16 @@
 		assert.Equal(t, b.exchange(b.agents[0], testCaller(1), "reading") != "", state == record.Dead)
 	}
 }
+
+// Guards against a deleted service taking datagrams from an entry that does not know of the deletion, and answering through it.
+func TestDeletedServiceTakesNothing(t *testing.T) {
+	b := newBench(t, 1, "")
+	for i, deleted := range []bool{false, true, false} {
+		b.mu.Lock()
+		b.revision.Number, b.revision.Deleted = uint64(i+2), deleted
+		b.mu.Unlock()
+		b.agents[0].refresh()
+		assert.Equal(t, b.exchange(b.agents[0], testCaller(1), "reading") != "", !deleted)
+		assert.Equal(t, b.agents[0].applied(testService.ID()), uint64(i+2))
+	}
+}
--- a/node/agent/pool.go
+++ b/node/agent/pool.go
@@ -131,7 +131,15 @@
 // applySettings applies the newest accepted revision. Revisions only go forwards.
 func (a *Agent) applySettings() {
 	revision, ok := a.options.Mesh.Revision(a.service)
-	if !ok || revision.Number <= a.pool.applied() || revision.Deleted {
+	if !ok || revision.Number <= a.pool.applied() {
+		return
+	}
+	a.deleted.Store(revision.Deleted)
+	if revision.Deleted {
+		a.pool.mu.Lock()
+		a.pool.revision = revision.Number
+		a.pool.mu.Unlock()
+		_ = level.Info(a.options.Logger).Log(logging.KeyMessage, "service deleted", logging.KeyRevision, revision.Number)
 		return
 	}
 	spec, err := a.options.Parse("revision", a.options.Service, revision.Spec)
