--- a/bench/scenario/doc.go
+++ b/bench/scenario/doc.go
@@ -19,4 +19,10 @@
 //	stats [-within D] TARGET FIELD OP VALUE
 //	now VAR                           set the variable to the time in milliseconds; a VALUE may be a sum, such as $VAR+3000
 //	sleep D
+//	metric [-within D] NODE[,NODE...] METRIC OP VALUE    the sum of a metric over nodes
+//	let VAR LOAD SERVICE FIELD | stats TARGET FIELD | metric NODE[,NODE...] METRIC    keep a number for later comparisons
+//	term NAME...                      SIGTERM, without waiting for the end
+//	move AGENT PLACE                  the agent starts next at the addresses of the agent PLACE
+//	take SERVICE FROM                 the service's settings and loads have the address of the service FROM from now on
+//	frame KIND NODE SERVICE           send the node a frame that it must drop
 package scenario
