--- /dev/null
+++ b/bench/measure/choice.go
@@ -0,0 +1,82 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"path/filepath"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+// contender is a candidate with its name.
+type contender struct {
+	name string
+	make func(*trace) func(deliver) candidate
+}
+
+func contenders() []contender {
+	plain := func(f func(deliver) candidate) func(*trace) func(deliver) candidate {
+		return func(*trace) func(deliver) candidate { return f }
+	}
+	return []contender{
+		{"design", func(t *trace) func(deliver) candidate { return newDirectory(t, false) }},
+		{"load-blind", func(t *trace) func(deliver) candidate { return newDirectory(t, true) }},
+		{"plain hash", plain(newPlainHash)},
+		{"entry tables", plain(newEntryTables)},
+		{"two generations", plain(newGenerations)},
+	}
+}
+
+// choice compares the design with its alternatives on the same traces.
+func choice(ctx context.Context, r *report) error {
+	broken := map[string]plotter.Values{}
+	all := traces()
+	for i := range all {
+		t := &all[i]
+		for _, c := range contenders() {
+			if ctx.Err() != nil {
+				return ctx.Err()
+			}
+			o := play(t, c.make(t))
+			name := func(what string) string { return fmt.Sprintf("%s: %s: %s", t.name, c.name, what) }
+			flows := float64(o.flows)
+			r.add(name("broken flows"), flows, "flows", float64(o.broken), "flows")
+			r.add(name("connections"), flows, "flows", o.connections, "max/mean")
+			r.add(name("new flows, last 30 s"), flows, "flows", o.newFlows, "max/mean")
+			r.add(name("extra hops"), flows, "flows", o.hops, "per datagram")
+			r.add(name("control messages"), flows, "flows", o.messages, "per second")
+			r.add(name("datagrams not delivered"), float64(o.datagrams), "datagrams", float64(o.undeliveredD), "datagrams")
+			broken[c.name] = append(broken[c.name], 100*float64(o.broken)/flows)
+		}
+	}
+	return plotBroken(filepath.Join(r.Out, "choice.png"), all, broken)
+}
+
+// plotBroken draws the part of the flows that each candidate broke, by trace.
+func plotBroken(path string, all []trace, broken map[string]plotter.Values) error {
+	p := plot.New()
+	p.Title.Text = "Broken flows, percent of the flows of the trace"
+	p.Y.Label.Text = "%"
+	width := vg.Points(12)
+	for i, c := range contenders() {
+		bars, err := plotter.NewBarChart(broken[c.name], width)
+		if err != nil {
+			return err
+		}
+		bars.Color = plotutil.Color(i)
+		bars.LineStyle.Width = 0
+		bars.Offset = width * vg.Length(i-2)
+		p.Add(bars)
+		p.Legend.Add(c.name, bars)
+	}
+	p.Legend.Top = true
+	var names []string
+	for i := range all {
+		names = append(names, all[i].name)
+	}
+	p.NominalX(names...)
+	return p.Save(20*vg.Inch, 5*vg.Inch, path)
+}
--- a/bench/measure/fixture.go
+++ b/bench/measure/fixture.go
@@ -91,8 +91,8 @@
 	return out
 }
 
-// heap returns the bytes in use after a collection.
-func heap() float64 {
+// heapBytes returns the bytes in use after a collection.
+func heapBytes() float64 {
 	runtime.GC()
 	runtime.GC()
 	var m runtime.MemStats
--- a/bench/measure/libraries.go
+++ b/bench/measure/libraries.go
@@ -235,13 +235,13 @@
 		}
 		records := fleetRecords(divide)
 		size := float64(len(records))
-		before := heap()
+		before := heapBytes()
 		begin := time.Now()
 		if err := p.fill(ctx, records); err != nil {
 			return err
 		}
 		took := time.Since(begin).Seconds()
-		r.add("heap of a peer with all records", size, "records", (heap()-before)/(1<<20), "MB")
+		r.add("heap of a peer with all records", size, "records", (heapBytes()-before)/(1<<20), "MB")
 		r.add("time to take in all records by Sync", size, "records", took, "s")
 		entries := float64(scaleEntries / divide)
 		r.add("list of the live entries", entries, "entries", 1e6*timed(func() { p.Entries() }), "us")
@@ -308,12 +308,12 @@
 		r.add("view after the loss of a target", float64(count), "targets",
 			1e6*timed(func() { view.Build(full, service, view.DefaultSlots, m[:count-1]) }), "us")
 		const copies = 20
-		before := heap()
+		before := heapBytes()
 		views := make([]*view.View, copies)
 		for i := range views {
 			views[i] = view.Build(nil, service, view.DefaultSlots, m)
 		}
-		r.add("heap of a view", float64(count), "targets", (heap()-before)/copies/1024, "KB")
+		r.add("heap of a view", float64(count), "targets", (heapBytes()-before)/copies/1024, "KB")
 		runtime.KeepAlive(views)
 		hash := uint64(0)
 		const lookups = 1 << 16
@@ -348,7 +348,7 @@
 	for _, count := range []int{6250, 25000, 100000, 400000} {
 		m := members(1)
 		self := m[0].Node.ID
-		before := heap()
+		before := heapBytes()
 		table := flow.New(flow.Options{Self: self, Service: service, Placer: always(self), Seed: seed}, 0, time.Minute)
 		v := view.Build(nil, service, view.DefaultSlots, m)
 		table.SetView(0, v)
@@ -367,7 +367,7 @@
 		}
 		opened := pass()
 		known := pass()
-		r.add("heap of the flow table", float64(count), "flows", (heap()-before)/(1<<20), "MB")
+		r.add("heap of the flow table", float64(count), "flows", (heapBytes()-before)/(1<<20), "MB")
 		r.add("opening of a flow", float64(count), "flows", 1e9*opened, "ns")
 		r.add("datagram of a known flow", float64(count), "flows", 1e9*known, "ns")
 		runtime.KeepAlive(table)
@@ -413,7 +413,7 @@
 		if err := p.fill(ctx, records); err != nil {
 			return err
 		}
-		before := heap()
+		before := heapBytes()
 		e, err := entry.New(entry.Options{
 			Mesh: p, Transport: p.transport, Keys: p.keys, ServiceHost: "127.60.0.1", Logger: log.NewNopLogger(),
 			Decisions: logging.NewDecisions(log.NewNopLogger()), Metrics: metrics.NewSet(),
@@ -435,7 +435,7 @@
 			}
 		}
 		r.add("time to open the services' sockets", float64(count), "services", time.Since(begin).Seconds(), "s")
-		r.add("heap and stacks of an entry's services", float64(count), "services", (heap()-before)/(1<<20), "MB")
+		r.add("heap and stacks of an entry's services", float64(count), "services", (heapBytes()-before)/(1<<20), "MB")
 		cancel()
 		<-done
 		p.stop()
--- a/bench/measure/measure.go
+++ b/bench/measure/measure.go
@@ -38,6 +38,8 @@
 	return []part{
 		{"libraries", libraries},
 		{"control", control},
+		{"choice", choice},
+		{"load", underLoad},
 	}
 }
 
