--- a/bench/measure/load.go
+++ b/bench/measure/load.go
@@ -3,6 +3,10 @@
 import (
 	"context"
 	"fmt"
+	"os"
+	"runtime"
+	"strconv"
+	"strings"
 	"time"
 
 	"lacewinglever.dev/bench/fleet"
@@ -15,8 +19,8 @@
 	slowService    = 200 * time.Millisecond
 	utilisation    = 0.7
 	surge          = 3   // offered load, in capacities
-	feedsPerTarget = 200 // of 2,000 at the users
-	feedInterval   = 2 * time.Second
+	feedsPerTarget = 500 // of 2,000 at the users
+	feedInterval   = 4 * time.Second
 	feedChurn      = 20 // feeds a second and service that are replaced
 	connections    = 32 // of the callers, per service
 	steadyFor      = 24 * time.Second
@@ -60,6 +64,8 @@
 	}
 	return run(ctx, o, func(f *fleet.Fleet) error {
 		l := &loadRun{f, r}
+		// The figures of a machine that is busy with other work say little.
+		l.add("load average before the load", float64(runtime.NumCPU()), "cores", loadAverage(), "processes")
 		if err := l.steady(ctx); err != nil {
 			return err
 		}
@@ -72,6 +78,17 @@
 	})
 }
 
+// loadAverage returns the machine's load average over a minute, 0 if unknown.
+func loadAverage() float64 {
+	text, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return 0
+	}
+	first, _, _ := strings.Cut(string(text), " ")
+	average, _ := strconv.ParseFloat(first, 64)
+	return average
+}
+
 // capacity is the requests a second that a service's targets can serve.
 func (l *loadRun) capacity(name string) float64 {
 	for i := range l.Services {
