--- a/bench/measure/libraries.go
+++ b/bench/measure/libraries.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http/httptest"
+	"net/netip"
 	"runtime"
 	"time"
 
@@ -211,7 +212,7 @@
 // fill gives the peer records by Sync, as a join does. Records that come in bulk are not queued for other peers.
 func (p *testPeer) fill(ctx context.Context, records []record.Record) error {
 	const bulk = 2000
-	client := lacewingv1connect.NewPeerServiceClient(rpcauth.Client(p.keys), p.server.URL)
+	client := lacewingv1connect.NewPeerServiceClient(rpcauth.Client(p.keys, netip.Addr{}), p.server.URL)
 	for len(records) > 0 {
 		n := min(bulk, len(records))
 		req := &lacewingv1.SyncRequest{Sender: 1}
--- a/node/duty/count.go
+++ b/node/duty/count.go
@@ -15,6 +15,8 @@
 
 const (
 	firstQuery  = 100 * time.Millisecond // before a node that doesn't answer is asked again; doubles each time
+	earlyQuery  = 500 * time.Millisecond // longest interval while a revision is younger than earlyFor
+	earlyFor    = 5 * time.Second
 	maxQuery    = 30 * time.Second
 	reportEvery = 500 * time.Millisecond // between status writes while the count changes
 	lookEvery   = 100 * time.Millisecond // between looks at a count; a look copies the list of entries
@@ -92,6 +94,9 @@
 // countAll asks the nodes that have not answered and ends counts that are complete.
 func (d *Duty) countAll(now time.Time) {
 	for service, c := range d.counts {
+		if !c.due(now) {
+			continue
+		}
 		newest := d.cache.entry(service).newest
 		rank := settings.Rank(service.ID(), d.mesh.Self().ID, d.readers)
 		if newest == nil || newest.Number != c.revision || now.Sub(c.accepted) > countFor {
@@ -104,6 +109,7 @@
 		}
 		if rank != 0 && (now.Before(c.accepted.Add(settings.RankDelay(max(rank, 1)))) || d.countedByOther(c)) {
 			c.shown = settings.Progress{}
+			c.next = now.Add(lookEvery)
 			continue
 		}
 		d.ask(c, now)
@@ -128,10 +134,14 @@
 	delete(d.queries, c.query)
 }
 
+// due tells whether the count can have changed.
+func (c *count) due(now time.Time) bool {
+	return !now.Before(c.next) || (c.replies && now.Sub(c.looked) >= lookEvery)
+}
+
 // ask updates the progress of a count and queries those who are missing.
 func (d *Duty) ask(c *count, now time.Time) {
-	due := !now.Before(c.next) || (c.replies && now.Sub(c.looked) >= lookEvery)
-	if c.complete || !due {
+	if c.complete {
 		return
 	}
 	c.looked, c.replies = now, false
@@ -169,7 +179,7 @@
 			return true
 		}
 		sent++
-		a.interval = min(max(2*a.interval, firstQuery), maxQuery)
+		a.interval = min(max(2*a.interval, firstQuery), c.longest(now))
 		a.next = now.Add(a.interval)
 		c.asked[n.ID] = a
 		d.sendQuery(c, n.ID)
@@ -177,6 +187,15 @@
 	return soon || sent > 0
 }
 
+// longest returns the longest interval between queries of one node. It is short at first, because a node that applied the revision just
+// after a query is reported missing until the next one.
+func (c *count) longest(now time.Time) time.Duration {
+	if now.Sub(c.accepted) < earlyFor {
+		return earlyQuery
+	}
+	return maxQuery
+}
+
 func (d *Duty) sendQuery(c *count, to ident.NodeID) {
 	err := d.mesh.SendControl(to, &lacewingv1.Control{
 		Body: &lacewingv1.Control_AppliedQuery{AppliedQuery: &lacewingv1.AppliedQuery{
--- a/node/entry/entry_test.go
+++ b/node/entry/entry_test.go
@@ -144,7 +144,7 @@
 	key, _ := wire.ParseKey(keyText)
 	keys, err := wire.NewKeyring(map[byte]wire.Key{1: key}, 1)
 	assert.NilError(t, err)
-	rpc := lacewingv1connect.NewEntryServiceClient(rpcauth.Client(keys), "http://"+c.RPC.Listen)
+	rpc := lacewingv1connect.NewEntryServiceClient(rpcauth.Client(keys, netip.Addr{}), "http://"+c.RPC.Listen)
 	explain := &lacewingv1.ExplainRequest{Service: service.String(), Caller: "127.0.0.1:5000"}
 	explained, err := rpc.Explain(ctx, connect.NewRequest(explain))
 	assert.NilError(t, err)
@@ -187,7 +187,7 @@
 	s := benchService(e, 0, 3, view.DefaultSlots)
 	opened, err := e.open(&applied{1, &settings.Spec{}}, netip.MustParseAddrPort("127.0.0.1:0"))
 	assert.NilError(t, err)
-	s.conn = opened.conn
+	s.conn, s.socket = opened.conn, opened.socket
 	s.start(1)
 	caller, err := net.Dial("udp", s.conn.LocalAddr().String())
 	assert.NilError(t, err)
@@ -309,7 +309,9 @@
 	assert.NilError(t, err)
 	set := metrics.NewSet()
 	self := record.Node{Name: "entry-many", Entry: true, DataCentre: "dc1"}
-	p, err := peer.New(peer.Options{Self: self, Keys: keys, Logger: log.NewNopLogger(), Metrics: set})
+	tr, err := transport.Open(transport.Options{Self: 6, Listen: freePort(t), Keys: keys, Metrics: set})
+	assert.NilError(t, err)
+	p, err := peer.New(peer.Options{Self: self, Transport: tr, Keys: keys, Logger: log.NewNopLogger(), Metrics: set})
 	assert.NilError(t, err)
 	for i := range count {
 		name := ident.ServiceName{Team: "t", Name: fmt.Sprint("s", i)}
@@ -317,7 +319,7 @@
 		p.Publish(record.ForRevision(record.Revision{Service: name, Number: 1, Spec: []byte(text)}))
 	}
 	e, err := New(Options{
-		Mesh: p, Keys: keys, Logger: log.NewNopLogger(), Decisions: logging.NewDecisions(log.NewNopLogger()), Metrics: set,
+		Mesh: p, Transport: tr, Keys: keys, Logger: log.NewNopLogger(), Decisions: logging.NewDecisions(log.NewNopLogger()), Metrics: set,
 	})
 	assert.NilError(t, err)
 	before := runtime.NumGoroutine()
--- a/node/request/rpc.go
+++ b/node/request/rpc.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/netip"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -24,11 +24,10 @@
 
 // headerIncarnation names the incarnation that an Execute or Cancel is meant for. A restarted executor doesn't know what the one before it
 // ran, so it must not answer for it.
-const headerIncarnation = "Lacewing-Incarnation"
+const headerIncarnation = rpcauth.HeaderIncarnation
 
 // Limits of RPCs between agents.
 const (
-	rpcDialTimeout = 500 * time.Millisecond
 	rpcIdlePerHost = 64
 	rpcIdleTimeout = 90 * time.Second
 	// maxMessage is the largest message that is read, in bytes: a response with its headers.
@@ -39,29 +38,39 @@
 	replyGrace = 200 * time.Millisecond
 )
 
-// clients holds an RPC client per address.
+// clients holds an RPC client per address. They sign what they send and check the replies.
 type clients struct {
+	base    *http.Transport
 	http    *http.Client
 	options []connect.ClientOption
 	mu      sync.Mutex
 	byURL   map[string]lacewingv1connect.AgentServiceClient
 }
 
-func newClients(keys *wire.Keyring, options []connect.ClientOption) *clients {
-	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: rpcDialTimeout}).DialContext,
+func newClients(keys *wire.Keyring, local netip.Addr, options []connect.ClientOption) *clients {
+	base := &http.Transport{
+		DialContext:         rpcauth.Dialer(local).DialContext,
 		MaxIdleConnsPerHost: rpcIdlePerHost,
 		IdleConnTimeout:     rpcIdleTimeout,
 	}
 	// Compression costs more processor time than the links between data centres need.
-	base := []connect.ClientOption{connect.WithAcceptCompression("gzip", nil, nil), connect.WithReadMaxBytes(maxMessage)}
+	defaults := []connect.ClientOption{connect.WithAcceptCompression("gzip", nil, nil), connect.WithReadMaxBytes(maxMessage)}
 	return &clients{
-		http:    &http.Client{Transport: &rpcauth.Transport{Keys: keys, Base: transport}},
-		options: append(base, options...),
+		base:    base,
+		http:    &http.Client{Transport: &rpcauth.Transport{Keys: keys, Base: base}},
+		options: append(defaults, options...),
 		byURL:   map[string]lacewingv1connect.AgentServiceClient{},
 	}
 }
 
+// setKeys replaces the keyring. Clients that are in use end their RPC with the old one.
+func (c *clients) setKeys(keys *wire.Keyring) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.http = &http.Client{Transport: &rpcauth.Transport{Keys: keys, Base: c.base}}
+	clear(c.byURL)
+}
+
 // maxClients bounds the clients that are kept. Addresses come from authentic records, but change with every restart of an agent.
 const maxClients = 4096
 
@@ -177,7 +186,9 @@
 
 func formatIncarnation(i ident.Incarnation) string { return strconv.FormatUint(uint64(i), 10) }
 
-// rpcs are the RPCs of AgentService that requests need. The others are served by rest.
+// rpcs are the RPCs of AgentService that requests need. The others are served by rest. A copy of an RPC that is sent again by somebody else
+// within the 30 s that rpcauth accepts runs nothing twice: an executor knows an attempt until its not_after and refuses it afterwards; a
+// permit is admitted once; and a coordinator sends an attempt no more after it has sent its Cancel.
 type rpcs struct {
 	lacewingv1connect.AgentServiceHandler
 	server *Server
--- a/node/request/server.go
+++ b/node/request/server.go
@@ -6,6 +6,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"net/url"
 	"sync"
 	"sync/atomic"
@@ -24,7 +25,6 @@
 	"lacewinglever.dev/node/gen/lacewing/v1/lacewingv1connect"
 	"lacewinglever.dev/node/logging"
 	"lacewinglever.dev/node/peer"
-	"lacewinglever.dev/node/rpcauth"
 	"lacewinglever.dev/node/wire"
 	"lacewinglever.dev/policy/dispatch"
 	"lacewinglever.dev/policy/ident"
@@ -60,13 +60,15 @@
 	Settings func() *settings.Spec // newest accepted settings of the service; nil while none are known
 	Target   string                // URL of the target, http only
 	Slots    int                   // of the target
+	Local    netip.Addr            // from which RPCs to other agents are made; unspecified: the system chooses
 	TLS      TLS
 	Return   agent.Return
+	Load     func() *lacewingv1.Load // what the agent reports of the local target; nil: Server.Load
 	Logger   log.Logger
 	Metrics  *metrics.Set
 
-	HandlerOptions []connect.HandlerOption // of the RPC handler: checks the caller's signature
-	ClientOptions  []connect.ClientOption  // of the RPC clients: sign
+	HandlerOptions []connect.HandlerOption // of the RPC handler
+	ClientOptions  []connect.ClientOption  // of the RPC clients, which sign in any case
 }
 
 // Server is the HTTP/3 server, the coordinator of the requests that it receives, and the executor at the local target. It implements
@@ -101,7 +103,10 @@
 	}
 }
 
-var _ agent.Local = (*Server)(nil)
+var (
+	_ agent.Local      = (*Server)(nil)
+	_ agent.Recognizer = (*Server)(nil)
+)
 
 // New starts the HTTP/3 server. It serves what Deliver passes to it until Close.
 func New(o Options) (*Server, error) {
@@ -117,10 +122,13 @@
 		return nil, err
 	}
 	s := &Server{options: o, self: o.Mesh.Self(), service: o.Service.ID()}
+	if o.Load == nil {
+		s.options.Load = s.Load
+	}
 	s.keys.Store(o.Keys)
 	s.decisions = logging.NewDecisions(o.Logger)
 	s.metrics = newCounters(o.Metrics)
-	s.clients = newClients(o.Keys, o.ClientOptions)
+	s.clients = newClients(o.Keys, o.Local, o.ClientOptions)
 	s.executor = newExecutor(s.self.ID, target, o.Slots, defaultQueueLimit)
 	s.dispatch.dispatcher = dispatch.New(s.self.DataCentre, rand.IntN)
 	s.permits.flights = map[uint64]chan struct{}{}
@@ -165,14 +173,20 @@
 	}
 }
 
-// Handler returns the path and the handler of AgentService. rest serves Drain and Explain; nil leaves them unimplemented.
+// Recognize tells whether a caller's datagram belongs to a connection of this process by its connection id, which stays the same when the
+// caller's address changes.
+func (s *Server) Recognize(payload []byte) bool {
+	id, ok := connid.FromDatagram(s.keys.Load(), payload)
+	return ok && id.Agent == s.self.ID && id.Matches(s.self.Incarnation)
+}
+
+// Handler returns the path and the handler of AgentService, which the program wraps in rpcauth.Handler. rest serves Drain and Explain; nil leaves them unimplemented.
 func (s *Server) Handler(rest lacewingv1connect.AgentServiceHandler) (string, http.Handler) {
 	if rest == nil {
 		rest = lacewingv1connect.UnimplementedAgentServiceHandler{}
 	}
 	options := append([]connect.HandlerOption{connect.WithReadMaxBytes(maxMessage)}, s.options.HandlerOptions...)
-	path, handler := lacewingv1connect.NewAgentServiceHandler(rpcs{AgentServiceHandler: rest, server: s}, options...)
-	return path, rpcauth.Handler(s.keys.Load(), handler)
+	return lacewingv1connect.NewAgentServiceHandler(rpcs{AgentServiceHandler: rest, server: s}, options...)
 }
 
 // Load returns the busy slots, the queue and the mean service time of the local target, for the heartbeat. Connections, shedding and warmth
@@ -183,6 +197,7 @@
 func (s *Server) SetKeys(k *wire.Keyring) {
 	s.keys.Store(k)
 	s.generator.SetKeys(k)
+	s.clients.setKeys(k)
 	s.permits.Lock()
 	defer s.permits.Unlock()
 	s.permits.book.SetTagger(k)
@@ -231,7 +246,10 @@
 	_ = s.http3.Close()
 	err := s.quic.Close()
 	_ = s.connection.Close()
-	s.clients.http.CloseIdleConnections()
+	s.clients.base.CloseIdleConnections()
 	s.executor.client.CloseIdleConnections()
-	return errors.Wrap(err, "close QUIC")
+	if err != nil {
+		return errors.Wrap(err, "close QUIC")
+	}
+	return nil
 }
--- a/node/request/tls.go
+++ b/node/request/tls.go
@@ -40,7 +40,10 @@
 		return selfSigned(name)
 	}
 	certificate, err := tls.LoadX509KeyPair(t.CertificateFile, t.KeyFile)
-	return certificate, errors.Wrap(err, "certificate towards callers")
+	if err != nil {
+		return tls.Certificate{}, errors.Wrap(err, "certificate towards callers")
+	}
+	return certificate, nil
 }
 
 func selfSigned(name string) (tls.Certificate, error) {
