--- a/bench/fabric/break.go
+++ b/bench/fabric/break.go
@@ -1,10 +1,13 @@
 package fabric
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
+	"time"
 
 	"lacewinglever.dev/bench/program"
 )
@@ -13,6 +16,22 @@
 type relayed struct {
 	near     net.Conn
 	from, to *end
+	broken   atomic.Bool
+}
+
+// brokenHold is how long the other side of a broken connection does not learn of it. A server that sees the end right behind a request
+// drops the request.
+const brokenHold = 3 * time.Second
+
+// holdEnd returns at once unless the connection is broken.
+func (c *relayed) holdEnd(ctx context.Context) {
+	if !c.broken.Load() {
+		return
+	}
+	select {
+	case <-time.After(brokenHold):
+	case <-ctx.Done():
+	}
 }
 
 // relays holds the TCP connections that are relayed at present.
@@ -50,6 +69,7 @@
 		if tcp, ok := c.near.(*net.TCPConn); ok {
 			_ = tcp.SetLinger(0)
 		}
+		c.broken.Store(true)
 		_ = c.near.Close()
 		broken++
 	}
--- a/bench/fabric/nodes.go
+++ b/bench/fabric/nodes.go
@@ -84,7 +84,8 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	from := f.endOf(near.RemoteAddr().(*net.TCPAddr).AddrPort().Addr().Unmap())
-	defer f.relays.add(&relayed{near, from, node})()
+	c := &relayed{near: near, from: from, to: node}
+	defer f.relays.add(c)()
 	// The handshake takes one round trip.
 	time.Sleep(f.links.path(from, node).link.Delay + f.links.path(node, from).link.Delay)
 	f.waitUncut(ctx, from, node)
@@ -94,8 +95,8 @@
 	}
 	defer far.Close()
 	ended := make(chan struct{}, 2)
-	go f.copy(ctx, near, far, from, node, ended)
-	go f.copy(ctx, far, near, node, from, ended)
+	go f.copy(ctx, c, near, far, from, node, ended)
+	go f.copy(ctx, c, far, near, node, from, ended)
 	for range 2 {
 		select {
 		case <-ended:
@@ -111,7 +112,7 @@
 }
 
 // copy passes on what it reads after the path's delay. At the end of the input it closes the output for writing.
-func (f *Fabric) copy(ctx context.Context, in, out net.Conn, from, to *end, ended chan<- struct{}) {
+func (f *Fabric) copy(ctx context.Context, c *relayed, in, out net.Conn, from, to *end, ended chan<- struct{}) {
 	chunks := make(chan chunk, maxChunks)
 	go func() {
 		defer close(chunks)
@@ -126,14 +127,16 @@
 			}
 		}
 	}()
-	for c := range chunks {
-		time.Sleep(time.Until(c.due))
+	for part := range chunks {
+		time.Sleep(time.Until(part.due))
 		f.waitUncut(ctx, from, to)
-		if _, err := out.Write(c.data); err != nil {
+		// The answers of a connection that broke are lost, and what was on the way in the other direction still arrives.
+		if _, err := out.Write(part.data); err != nil && !c.broken.Load() {
 			_ = in.Close()
 		}
 	}
 	f.waitUncut(ctx, from, to)
+	c.holdEnd(ctx)
 	_ = out.(*net.TCPConn).CloseWrite()
 	ended <- struct{}{}
 }
