load: a request that meets a graceful shutdown goes to another connection

Cause: after GOAWAY the client library refuses new requests on a connection. The load program counted that as a lost answer and closed the connection, which cut its own requests in progress there. Retries hid it, and they hid the requests that an agent without drain cuts as well.

Ruled out: a fault of the agent; requests below the GOAWAY id were answered.

--- a/bench/load/requests.go
+++ b/bench/load/requests.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -37,6 +38,7 @@
 	// quicIdle is how long a connection whose agent is gone is kept; until then its requests time out.
 	quicIdle    = 5 * time.Second
 	quicPing    = time.Second
+	maxMoves    = 3 // times that a request moves to another connection because the agent is leaving
 	maxReplies  = 3 // times that a request is sent again because a permit is required
 	maxBodySize = 17 << 20
 )
@@ -365,6 +367,14 @@
 		return nil, errors.Wrap(errUnsent, err.Error())
 	}
 	answer, err := client.RoundTrip(request)
+	// The agent is leaving and has not begun the request (RFC 9114, 5.2), which goes to another connection.
+	for moves := 0; err != nil && notBegun(err) && moves < maxMoves; moves++ {
+		c.retire(client)
+		if client, err = c.get(ctx); err != nil {
+			return nil, errors.Wrap(errUnsent, err.Error())
+		}
+		answer, err = client.RoundTrip(request)
+	}
 	// A request that timed out must not take the others on its connection with it.
 	if err != nil && ctx.Err() == nil {
 		c.dropIf(client)
@@ -404,6 +414,27 @@
 	return c.client, nil
 }
 
+// notBegun tells whether the request met the graceful shutdown of its connection. The library does not export the error.
+func notBegun(err error) bool {
+	var code *http3.Error
+	if errors.As(err, &code) {
+		return code.ErrorCode == http3.ErrCodeRequestRejected
+	}
+	return strings.Contains(err.Error(), "connection in graceful shutdown")
+}
+
+// retire opens another connection for further requests. Those in progress end on the old one.
+func (c *conn) retire(client *http3.ClientConn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.client != client {
+		return
+	}
+	old, closer := c.quic, c.closer
+	context.AfterFunc(old.Context(), closer)
+	c.client, c.quic, c.closer = nil, nil, nil
+}
+
 // dropIf closes the connection unless it was replaced meanwhile.
 func (c *conn) dropIf(client *http3.ClientConn) {
 	c.mu.Lock()
