--- a/node/agent/program.go
+++ b/node/agent/program.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/tls"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"time"
@@ -17,6 +16,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"lacewinglever.dev/node/config"
+	"lacewinglever.dev/node/daemon"
 	lacewingv1 "lacewinglever.dev/node/gen/lacewing/v1"
 	"lacewinglever.dev/node/gen/lacewing/v1/lacewingv1connect"
 	"lacewinglever.dev/node/logging"
@@ -33,8 +33,6 @@
 const (
 	defaultDrainTimeout = time.Minute
 	nodeReaders         = 4
-	headerTimeout       = 5 * time.Second
-	closeGrace          = time.Second
 )
 
 // Target is the target beside the agent.
@@ -153,11 +151,13 @@
 	defer stop()
 	g, running := errgroup.WithContext(running)
 	g.Go(func() error {
-		return p.transport.Run(running, transport.Handlers{Data: p.agent.Data, Control: p.mesh.Control})
+		return p.transport.Run(running, p.agent.Handlers(p.mesh.Control))
 	})
 	g.Go(func() error { return p.mesh.Run(running) })
-	g.Go(func() error { return serve(running, c.RPC.Listen, p.rpc()) })
-	g.Go(func() error { return serve(running, c.Metrics, p.observability()) })
+	g.Go(func() error { return daemon.Serve(running, c.RPC.Listen, p.rpc()) })
+	g.Go(func() error {
+		return daemon.Serve(running, c.Metrics, daemon.Observability(p.set, func() string { return p.mesh.Self().State.String() }))
+	})
 	g.Go(func() error {
 		defer stop()
 		return p.agent.Run(ctx, running)
@@ -249,36 +249,3 @@
 	mux.Handle(path, rpcauth.Handler(p.keys, h))
 	return mux
 }
-
-// observability answers /metrics and /healthz.
-func (p *program) observability() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
-		p.set.WritePrometheus(w)
-		metrics.WriteProcessMetrics(w)
-	})
-	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
-		_, _ = io.WriteString(w, p.mesh.Self().State.String()+"\n")
-	})
-	return mux
-}
-
-func serve(ctx context.Context, address string, h http.Handler) error {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return errors.Wrap(err, "listen")
-	}
-	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
-	stop := context.AfterFunc(ctx, func() {
-		closing, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeGrace)
-		defer cancel()
-		if server.Shutdown(closing) != nil {
-			_ = server.Close()
-		}
-	})
-	defer stop()
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		return errors.Wrapf(err, "serve %s", address)
-	}
-	return nil
-}
--- a/node/entry/entry.go
+++ b/node/entry/entry.go
@@ -25,8 +25,7 @@
 
 // Sizes and times of the data plane.
 const (
-	socketBuffer   = 1 << 20 // bytes, of each service's socket
-	initialScratch = 2048    // bytes
+	socketBuffer = 1 << 20 // bytes, of each service's socket
 	// retryEvery is how often services are brought up again whose address couldn't be bound.
 	retryEvery = time.Second
 	// settleFor collects changes that arrive together, so that a burst rebuilds a route once.
@@ -58,6 +57,7 @@
 	host     netip.Addr // not valid: the service's own address
 	services atomic.Pointer[map[ident.ServiceID]*service]
 	readers  sync.WaitGroup
+	buffers  sync.Pool // *buffers, for the readers of many services
 
 	dirtyMu sync.Mutex
 	dirty   map[ident.ServiceID]struct{}
@@ -237,7 +237,7 @@
 	}
 	s := services[id]
 	if s == nil || s.settings.Load().number < r.Number {
-		s = e.update(s, &r)
+		s = e.update(s, &r, len(services))
 		if s == nil {
 			return
 		}
@@ -248,7 +248,8 @@
 }
 
 // update returns the service at revision r: the same with new settings, or a new one if its address changed. It returns nil if it failed.
-func (e *Entry) update(old *service, r *record.Revision) *service {
+// bound is the number of services that are bound, those of the same round included: an entry that joins a fleet learns all at once.
+func (e *Entry) update(old *service, r *record.Revision, bound int) *service {
 	spec, err := settings.Parse(r.Service.String(), r.Service, r.Spec)
 	if err != nil {
 		e.badSpecs.Inc()
@@ -279,7 +280,7 @@
 	}
 	s.route.Store(next)
 	readers := readersEach
-	if len(*e.services.Load()) >= manyServices {
+	if bound >= manyServices {
 		readers = 1
 	}
 	s.start(readers)
@@ -301,18 +302,3 @@
 	_ = level.Error(e.options.Logger).Log(
 		logging.KeyMessage, message, logging.KeyService, r.Service, logging.KeyRevision, r.Number, logging.KeyError, err)
 }
-
-// Return sends a datagram of a flow to its caller, from the service's socket. It is the transport's handler for return frames.
-func (e *Entry) Return(d *wire.Data) {
-	e.options.Mesh.Touch(d.Sender)
-	s := (*e.services.Load())[d.Service]
-	if s == nil || d.Destination != e.self {
-		e.dropReturn.Inc()
-		return
-	}
-	if _, err := s.conn.WriteToUDPAddrPort(d.Payload, d.Caller.AddrPort()); err != nil {
-		e.dropSend.Inc()
-		return
-	}
-	e.returned.Inc()
-}
--- a/node/peer/peer_test.go
+++ b/node/peer/peer_test.go
@@ -29,9 +29,14 @@
 	rpc  string
 	stop func()
 	cut  atomic.Bool // drops what other data centres send, and all RPCs
+	acks atomic.Int64
+	lose atomic.Bool // drops every second heartbeat acknowledgement
 }
 
 func (n *testNode) control(c *lacewingv1.Control) {
+	if c.GetHeartbeatAck() != nil && n.acks.Add(1)%2 == 0 && n.lose.Load() {
+		return
+	}
 	sender, _ := n.Node(ident.NodeID(c.GetSender()))
 	if !n.cut.Load() || sender.DataCentre == n.Self().DataCentre {
 		n.Control(c)
@@ -145,6 +150,20 @@
 	})
 }
 
+// Guards against settings that are accepted just after an agent joined reaching it by anti-entropy only, about 2 s later.
+func TestSettingsDuringJoin(t *testing.T) {
+	entry := startNode(t, record.Node{Name: "entry-1", Entry: true, DataCentre: "dc1"})
+	for number := range uint64(4) {
+		agent := startNode(t, record.Node{Name: fmt.Sprint("agent-", number), DataCentre: "dc1"}, entry.rpc)
+		eventually(t, "known", 5*time.Second, func() bool { return stateOf(entry, agent) == record.Ready })
+		entry.Publish(record.ForRevision(record.Revision{Service: roomControl, Number: number + 1}))
+		eventually(t, "revision", time.Second, func() bool {
+			r, _ := agent.Revision(roomControl.ID())
+			return r.Number == number+1
+		})
+	}
+}
+
 // Guards against a crashed agent staying in the pool, and against one that was wrongly marked dead staying out of it.
 func TestDeathAndRefutation(t *testing.T) {
 	e1 := startNode(t, record.Node{Name: "entry-1", Entry: true, DataCentre: "dc1"})
@@ -171,6 +190,84 @@
 	eventually(t, "draining", time.Second, func() bool { return stateOf(e1, a1) == record.Draining })
 }
 
+// Guards against acknowledgements of every heartbeat, which with 18 watched agents exceed the control budget of an entry, and against an
+// agent that takes a live entry for silent when an acknowledgement is lost.
+func TestAcknowledgements(t *testing.T) {
+	const watch = 4 * time.Second
+	e1 := startNode(t, record.Node{Name: "entry-1", Entry: true, DataCentre: "dc1"})
+	a1 := startNode(t, record.Node{Name: "agent-1", DataCentre: "dc1"}, e1.rpc)
+	heard := func() bool {
+		age, ok := a1.Heard(e1.Self().ID)
+		return ok && age < time.Second
+	}
+	eventually(t, "heard", 5*time.Second, heard)
+	for _, lose := range []bool{false, true} {
+		a1.lose.Store(lose)
+		time.Sleep(time.Second)
+		before := a1.acks.Load()
+		for end := time.Now().Add(watch); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+			age, _ := a1.Heard(e1.Self().ID)
+			assert.Assert(t, heard(), "entry not heard for %v, every second acknowledgement lost: %v", age, lose)
+		}
+		if acks := a1.acks.Load() - before; !lose {
+			assert.Assert(t, acks <= int64(watch/(500*time.Millisecond))+2, "%d acknowledgements in %v", acks, watch)
+		}
+	}
+}
+
+// Guards against the record of a node that ended long ago coming back from a peer that still holds it, against such a record being refused
+// where an older one holds the node alive, and against a node of the same name that cannot return.
+func TestExpiredRecords(t *testing.T) {
+	e := startNode(t, record.Node{Name: "entry-1", Entry: true, DataCentre: "dc1"})
+	ended := record.Node{
+		ID: 7, Name: "gone", DataCentre: "dc2", Service: roomControl.ID(), State: record.Left, Incarnation: 5, Sequence: 3,
+		Ended: time.Now().Add(-record.Retention - 2*record.ExpiryStep),
+	}
+	sent, err := FromProto(ToProto(record.ForNode(ended)))
+	assert.NilError(t, err)
+	known := func() bool { _, ok := e.Node(7); return ok }
+	assert.Assert(t, !e.Publish(sent) && !known())
+	alive := ended
+	alive.State, alive.Sequence, alive.Ended = record.Ready, 2, time.Time{}
+	assert.Assert(t, e.Publish(record.ForNode(alive)) && len(e.Pool(roomControl.ID())) == 1)
+	assert.Assert(t, e.Publish(sent) && len(e.Pool(roomControl.ID())) == 0)
+	for _, r := range e.store.Expire(time.Now()) {
+		e.index.remove(&r)
+	}
+	assert.Assert(t, !known() && !e.Publish(sent))
+	alive.Incarnation = 6
+	assert.Assert(t, e.Publish(record.ForNode(alive)) && known())
+
+	// A peer that still holds such a record ends the exchange once it was refused.
+	late := startNode(t, record.Node{Name: "entry-2", Entry: true, DataCentre: "dc1"})
+	ended.ID, ended.Name = 8, "gone-2"
+	older := ended
+	older.State, older.Sequence, older.Ended = record.Ready, 2, time.Time{}
+	late.Publish(record.ForNode(older))
+	late.Publish(record.ForNode(ended))
+	before := late.syncs.Get()
+	assert.NilError(t, late.syncWith(t.Context(), e.rpc))
+	assert.Assert(t, late.syncs.Get()-before <= 5, "%d messages", late.syncs.Get()-before)
+	assert.Equal(t, len(late.Pool(roomControl.ID())), 1)
+}
+
+// Guards against a list of the live entries that is kept although a record of one or a scope changed, or that callers change for others.
+func TestEntriesFollowRecords(t *testing.T) {
+	e := startNode(t, record.Node{Name: "entry-1", Entry: true, DataCentre: "dc1"})
+	other := record.Node{ID: 9, Name: "other", Entry: true, DataCentre: "dc2", State: record.Ready, Incarnation: 1}
+	for _, state := range []record.State{record.Ready, record.Draining} {
+		other.State, other.Sequence = state, other.Sequence+1
+		e.Publish(record.ForNode(other))
+		list := e.Entries()
+		assert.Equal(t, len(list), 2)
+		assert.Equal(t, list[1].State, state)
+		list[0] = record.Node{}
+		assert.Equal(t, e.Entries()[0].Name, "entry-1")
+	}
+	e.Publish(record.ForScope(record.Scope{Kind: record.ScopeDataCentre, Name: "dc2", Down: true, Issued: time.Now()}))
+	assert.Equal(t, len(e.Entries()), 1)
+}
+
 // Guards against a partition between data centres ending in one dead record per node, and against the sides not finding each other after
 // it: the settings that one side accepted must be in force on the other within 3 s.
 func TestPartitionHeals(t *testing.T) {
--- a/policy/view/view.go
+++ b/policy/view/view.go
@@ -20,6 +20,9 @@
 	MaxSlots     = 65536
 	MaxMembers   = math.MaxUint16
 	noMember     = math.MaxUint16
+	// smallPool is the largest pool whose view keeps no scores. An entry holds a view of each of 13,000 services, nearly all of them
+	// small; building one anew takes 50 us a target.
+	smallPool = 8
 )
 
 // Member is one agent of a pool. Weight decides its share of homes.
@@ -40,7 +43,7 @@
 	Members []Member
 
 	homes  []uint16  // member index per slot, noMember if the pool has no home
-	scores []float32 // best score per slot
+	scores []float32 // best score per slot; nil in small pools
 }
 
 // Build makes the view of a pool with the given number of slots, a power of two up to MaxSlots. Members that are dead or have left
@@ -56,6 +59,9 @@
 	v.homes = make([]uint16, slots)
 	v.scores = make([]float32, slots)
 	v.fill(prev)
+	if len(v.Members) <= smallPool {
+		v.scores = nil
+	}
 	return v
 }
 
@@ -68,15 +74,10 @@
 	return &v.Members[i], true
 }
 
-// HomeIndex returns the index in Members of the home of the flow with this hash, -1 if no member can be a home. The data path keeps what
-// it needs of the members in a slice of the same order.
-func (v *View) HomeIndex(hash uint64) int {
-	i := v.homes[hash&uint64(len(v.homes)-1)]
-	if i == noMember {
-		return -1
-	}
-	return int(i)
-}
+// Homes returns the slot table: the index in Members of the home of each slot, or an index beyond them if no member can be a home. The slot
+// of a flow is its hash modulo the number of slots. The table must not be changed. The data path reads it together with what it needs of the
+// members, without touching the view.
+func (v *View) Homes() []uint16 { return v.homes }
 
 // Member returns the member with this id.
 func (v *View) Member(id ident.NodeID) (*Member, bool) {
@@ -111,7 +112,7 @@
 // fill computes the slot table. Slots keep their home and score from prev where the home is unchanged, and are compared with the members
 // that are new; slots that lost their home are computed in full.
 func (v *View) fill(prev *View) {
-	usable := prev != nil && prev.Service == v.Service && len(prev.homes) == len(v.homes)
+	usable := prev != nil && prev.Service == v.Service && len(prev.homes) == len(v.homes) && prev.scores != nil
 	kept := map[uint16]uint16{}
 	var fresh []uint16
 	for i := range v.Members {
