settings: history apart from what store readers follow; paged lists; a second count takes nothing back

Cause: revisions were kept under /teams/, which a store reader lists at its start.

Now /teams/<team>/accepted/<name> holds the newest revision. A conditional update of it is what accepts a revision, so that no stale view of it leads to a second revision under a number. /history/<team>/<name>/<number> is created if absent before the next revision is accepted, and before a status names the revision. An entry that finds an accepted revision which no status names records it.

Ruled out: writing the history first. A holder that dies between the writes would leave a revision that is on record and not in force if the spec is replaced by a refused one: nothing would lead another holder to look at that number.

Lists are read in pages of 1,000 objects (limit, after, next). A listing's version is the oldest of its pages.

The status could be taken back: an entry that began to count later wrote 'in force at 0 of 6' over a complete status, and no entry counted again. A complete status now stays.

The property test of interleaved holders has the new writes; without the history step, or with a write that is not conditional, it fails ('revision 1 is not in the history', 'revision 2 follows 2').

--- a/bench/platform/duty_test.go
+++ b/bench/platform/duty_test.go
@@ -40,14 +40,12 @@
 // checkRevisions fails if the accepted revisions have gaps or go backwards, or if a node applied something else than they hold.
 func (c *cluster) checkRevisions() {
 	c.t.Helper()
-	listing := c.server.Store().List(settings.RevisionsPrefix(c.service), 0)
+	listing := c.server.Store().List(settings.RevisionsPrefix(c.service), "", 0, 0)
 	byNumber := map[uint64]record.Revision{}
 	for _, o := range listing.Objects {
-		p, err := settings.ParsePath(o.Path)
+		r, err := objects.ParseRevision(c.service, o)
 		assert.NilError(c.t, err)
-		r, err := objects.ParseRevision(c.service, p.Number, o)
-		assert.NilError(c.t, err)
-		byNumber[p.Number] = *r
+		byNumber[r.Number] = *r
 	}
 	var ordered []record.Revision
 	for n := uint64(1); n <= uint64(len(byNumber)); n++ {
@@ -85,6 +83,27 @@
 	c.checkRevisions()
 }
 
+// TestHistoryRepaired guards against a revision that is accepted but not in the history, because its holder died between the two writes:
+// the duty must record it, and operators must see it before.
+func TestHistoryRepaired(t *testing.T) {
+	c := newCluster(t)
+	accepted := `{"number":1,"spec":"kind: feed\naddress: 127.250.0.1:7001\n","writer":"ana","accepted_by":"gone","source_version":1,"write_id":"x"}`
+	for path, value := range map[string]string{
+		settings.AcceptedPath(c.service): accepted, settings.AddressesPrefix + "127.250.0.1:7001": `{"service":"maturacao/room-control"}`,
+	} {
+		_, ok := c.server.Store().Apply(Write{Path: path, Any: true, Value: []byte(value), Writer: "gone"})
+		assert.Assert(t, ok)
+	}
+	out, code := c.run("history --check maturacao/room-control")
+	assert.Equal(t, code, 0, out)
+	out, code = c.run("get --revision 1 maturacao/room-control")
+	assert.Assert(t, code == 0 && strings.Contains(out, "kind: feed"), out)
+	c.start("dc1-a")
+	path := settings.RevisionPath(c.service, 1)
+	c.eventually("recorded", func() bool { return c.server.Store().Get(path, 0).Version != 0 })
+	assert.Equal(t, string(c.server.Store().Get(path, 0).Value), strings.Replace(accepted, `"accepted_by":"gone",`, `"accepted_by":"gone","accepted_unix_ms":0,`, 1))
+}
+
 // TestLateNode guards the time reported for a node that applies a revision late: it must not be twice the real one.
 func TestLateNode(t *testing.T) {
 	c := newCluster(t, "dc1-a")
--- a/bench/platform/server.go
+++ b/bench/platform/server.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"io"
@@ -127,8 +128,14 @@
 }
 
 func (s *Server) list(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	limit, err := strconv.Atoi(cmp.Or(query.Get("limit"), "0"))
+	if err != nil || limit < 0 {
+		fail(w, http.StatusBadRequest, objectapi.ErrorBody{Message: "want limit=<objects>"})
+		return
+	}
 	f, _ := s.Faults()
-	reply(w, http.StatusOK, s.store.List(r.URL.Query().Get("prefix"), milliseconds(f.StaleReadsMs)))
+	reply(w, http.StatusOK, s.store.List(query.Get("prefix"), query.Get("after"), limit, milliseconds(f.StaleReadsMs)))
 }
 
 func (s *Server) write(w http.ResponseWriter, r *http.Request) {
--- a/bench/platform/server_test.go
+++ b/bench/platform/server_test.go
@@ -30,13 +30,19 @@
 		{"PUT", "/v1/objects/a/1", "3", `"` + strings.Repeat("x", 1<<20) + `"`, 413, "too large"},
 		{"GET", "/v1/objects/a/1", "", ``, 200, `"value":3`},
 		{"GET", "/v1/list?prefix=/a/", "", ``, 200, `{"version":3,"objects":[{"path":"/a/1"`},
-		{"GET", "/v1/watch?prefix=/&since=1&wait=0", "", ``, 200, `{"version":3,"objects":[{"path":"/b/1","version":2,`},
+		{"PUT", "/v1/objects/a/2", "*", `4`, 200, `"version":4`},
+		{"GET", "/v1/list?prefix=/a/&limit=1", "", ``, 200, `"value":3}],"next":"/a/1"}`},
+		{"GET", "/v1/list?prefix=/a/&limit=1&after=/a/1", "", ``, 200, `"value":4}]}`},
+		{"GET", "/v1/list?prefix=/a/&limit=2", "", ``, 200, `"value":4}]}`},
+		{"GET", "/v1/list?prefix=/a/&limit=-1", "", ``, 400, `want limit`},
+		{"DELETE", "/v1/objects/a/2", "4", ``, 200, `"version":5`},
+		{"GET", "/v1/watch?prefix=/&since=1&wait=0", "", ``, 200, `{"version":5,"objects":[{"path":"/b/1","version":2,`},
 		{"DELETE", "/v1/objects/a/1", "1", ``, 409, `"version":3`},
-		{"DELETE", "/v1/objects/a/1", "3", ``, 200, `"version":4`},
+		{"DELETE", "/v1/objects/a/1", "3", ``, 200, `"version":6`},
 		{"DELETE", "/v1/objects/c/1", "3", ``, 404, `not found`},
-		{"GET", "/v1/objects/a/1", "", ``, 404, `"version":4,"writer":"ana"`},
-		{"GET", "/v1/watch?prefix=/a&since=1&wait=0", "", ``, 200, `"objects":[{"path":"/a/1","version":4,"writer":"ana","deleted":true}]`},
-		{"GET", "/v1/watch?prefix=/a&since=4&wait=0", "", ``, 200, `{"version":4,"objects":[]}`},
+		{"GET", "/v1/objects/a/1", "", ``, 404, `"version":6,"writer":"ana"`},
+		{"GET", "/v1/watch?prefix=/a/1&since=1&wait=0", "", ``, 200, `"objects":[{"path":"/a/1","version":6,"writer":"ana","deleted":true}]`},
+		{"GET", "/v1/watch?prefix=/a&since=6&wait=0", "", ``, 200, `{"version":6,"objects":[]}`},
 		{"PUT", "/admin/faults", "", `{"outtage":true}`, 400, "unknown field"},
 		{"PUT", "/admin/faults", "", `{"outage":true}`, 200, `"outage":true`},
 		{"GET", "/v1/list?prefix=/a/", "", ``, 503, "unavailable"},
@@ -84,7 +90,7 @@
 	}
 	assert.Equal(t, s.Get("/1", 0).Version, uint64(200))
 	assert.Equal(t, s.Get("/1", 10*time.Second).Version, uint64(190))
-	old := s.List("/", 9*time.Second)
+	old := s.List("/", "", 0, 9*time.Second)
 	assert.Equal(t, old.Version, uint64(192))
 	assert.Equal(t, old.Objects[0].Version+old.Objects[1].Version, uint64(191+192))
 	changes, _ := s.Changes("/", 100, 0)
--- a/bench/platform/session_test.go
+++ b/bench/platform/session_test.go
@@ -36,29 +36,36 @@
 	web := httptest.NewServer(server)
 	c := &cluster{t: t, dir: t.TempDir(), url: web.URL, server: server, fabric: newFabric()}
 	c.service = ident.ServiceName{Team: "maturacao", Name: "room-control"}
-	ctx, cancel := context.WithCancel(context.Background())
-	var running sync.WaitGroup
 	agent := c.fabric.add(record.Node{Name: "agent-1", DataCentre: "dc1", Service: c.service.ID()})
 	agent.answer()
+	t.Cleanup(func() {
+		web.CloseClientConnections()
+		web.Close()
+	})
+	c.start(entries...)
+	return c
+}
+
+// start runs entries with the duty until the end of the test.
+func (c *cluster) start(entries ...string) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	c.t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
 	var duties []*duty.Duty
 	for _, name := range entries {
 		dc := ident.DataCentre(strings.SplitN(name, "-", 2)[0])
 		mesh := c.fabric.add(record.Node{Name: name, DataCentre: dc, Entry: true})
 		mesh.answer()
-		d, err := duty.New(duty.Options{Mesh: mesh, PlatformURL: web.URL, Metrics: metrics.NewSet()})
-		assert.NilError(t, err)
+		d, err := duty.New(duty.Options{Mesh: mesh, PlatformURL: c.url, Metrics: metrics.NewSet()})
+		assert.NilError(c.t, err)
 		duties = append(duties, d)
 	}
 	for _, d := range duties {
 		running.Go(func() { _ = d.Run(ctx) })
 	}
-	t.Cleanup(func() {
-		cancel()
-		running.Wait()
-		web.CloseClientConnections()
-		web.Close()
-	})
-	return c
 }
 
 func (c *cluster) file(name, text string) {
--- a/bench/platform/store.go
+++ b/bench/platform/store.go
@@ -26,6 +26,8 @@
 	log     []change            // newest state of each object by version; superseded ones are removed now and then
 	stale   int                 // superseded entries of log
 	wake    chan struct{}       // closed at the next write
+	paths   []string            // of objects, sorted
+	fresh   []string            // paths that are not yet in paths
 }
 
 type change struct {
@@ -81,6 +83,8 @@
 	states := s.objects[o.Path]
 	if len(states) > 0 {
 		s.stale++
+	} else {
+		s.fresh = append(s.fresh, o.Path)
 	}
 	keep := 0
 	for keep < len(states)-1 && entry.at.Sub(states[keep+1].at) > historyKept {
@@ -133,20 +137,31 @@
 	return version
 }
 
-// List returns the objects under the prefix as they were the age ago, by path.
-func (s *Store) List(prefix string, age time.Duration) objectapi.Listing {
+// List returns up to limit objects under the prefix as they were the age ago, by path, from the first one behind after. Limit 0 is none.
+func (s *Store) List(prefix, after string, limit int, age time.Duration) objectapi.Listing {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if len(s.fresh) > 0 {
+		s.paths = append(s.paths, s.fresh...)
+		s.fresh = nil
+		slices.Sort(s.paths)
+	}
 	out := objectapi.Listing{Version: s.versionAt(age), Objects: []objectapi.Object{}}
-	for path := range s.objects {
+	first, _ := slices.BinarySearch(s.paths, max(prefix, after))
+	for _, path := range s.paths[first:] {
 		if !strings.HasPrefix(path, prefix) {
+			break
+		}
+		o := s.stateAt(path, age)
+		if o.Version == 0 || o.Deleted || path <= after {
 			continue
 		}
-		if o := s.stateAt(path, age); o.Version != 0 && !o.Deleted {
-			out.Objects = append(out.Objects, o)
+		if limit > 0 && len(out.Objects) == limit {
+			out.Next = out.Objects[limit-1].Path
+			break
 		}
+		out.Objects = append(out.Objects, o)
 	}
-	slices.SortFunc(out.Objects, func(a, b objectapi.Object) int { return strings.Compare(a.Path, b.Path) })
 	return out
 }
 
--- a/node/duty/cache.go
+++ b/node/duty/cache.go
@@ -28,6 +28,10 @@
 	specVersion   uint64 // of the spec or of its deletion
 	deletedBy     string
 	newest        *record.Revision
+	newestVersion uint64    // of the accepted object or of its deletion
+	newestDeleted bool      // the accepted object
+	newestBy      string    // entry that accepted it
+	recorded      uint64    // newest revision that this entry has seen in the history
 	parsed        [2]parsed // texts of the spec and of the newest revision
 	status        settings.Status
 	statusVersion uint64
@@ -92,8 +96,8 @@
 		err = e.applySpec(o)
 	case settings.AreaStatus:
 		err = e.applyStatus(o)
-	case settings.AreaRevisions:
-		accepted, err = c.applyRevision(p, e, o)
+	case settings.AreaAccepted:
+		accepted, err = c.applyAccepted(p, e, o)
 	}
 	return p.Service, accepted, err
 }
@@ -131,21 +135,25 @@
 	return err
 }
 
-func (c *cache) applyRevision(p settings.Path, e *entry, o objectapi.Object) (bool, error) {
+func (c *cache) applyAccepted(p settings.Path, e *entry, o objectapi.Object) (bool, error) {
+	if o.Version <= e.newestVersion {
+		return false, nil
+	}
+	e.newestVersion, e.newestDeleted = o.Version, o.Deleted
 	if o.Deleted {
 		return false, nil
 	}
-	r, err := objects.ParseRevision(p.Service, p.Number, o)
+	r, err := objects.ParseRevision(p.Service, o)
 	if err != nil || !settings.Forward(e.newest, r) {
 		return false, err
 	}
-	c.adopt(e, r)
+	c.adopt(e, r, o.Writer)
 	return true, nil
 }
 
-// adopt notes the newest revision of a service.
-func (c *cache) adopt(e *entry, r *record.Revision) {
-	e.newest = r
+// adopt notes the newest revision of a service and the entry that accepted it.
+func (c *cache) adopt(e *entry, r *record.Revision, by string) {
+	e.newest, e.newestBy = r, by
 	id := r.Service.ID()
 	if !r.Deleted {
 		c.owners[id] = r.Service
@@ -196,8 +204,12 @@
 		Spec:      e.spec,
 		DeletedBy: e.deletedBy,
 		Newest:    e.newest,
+		Recorded:  e.recorded,
 		Status:    e.status,
 	}
+	if !e.newestDeleted {
+		s.NewestAt = e.newestVersion
+	}
 	if e.newest != nil && !e.newest.Deleted {
 		s.InUse = e.address(service, e.newest.Spec)
 	}
--- a/node/duty/step.go
+++ b/node/duty/step.go
@@ -11,6 +11,7 @@
 	"lacewinglever.dev/node/objectapi"
 	"lacewinglever.dev/node/objects"
 	"lacewinglever.dev/policy/ident"
+	"lacewinglever.dev/policy/record"
 	"lacewinglever.dev/policy/settings"
 )
 
@@ -101,9 +102,12 @@
 		w.Value = objects.FromAddress(&next.Address)
 	case settings.AcceptRevision:
 		next.Revision.WriteID = w.ID
+		w.Path = settings.AcceptedPath(service)
+		w.Value = objects.FromRevision(&next.Revision, w.Writer)
+	case settings.RecordRevision:
 		w.If = objectapi.Absent()
 		w.Path = settings.RevisionPath(service, next.Revision.Number)
-		w.Value = objects.FromRevision(&next.Revision, w.Writer)
+		w.Value = objects.FromRevision(&next.Revision, d.cache.entry(service).newestBy)
 	case settings.WriteStatus:
 		w.Path = settings.StatusPath(service)
 		w.Value = objects.FromStatus(&next.Status)
@@ -130,6 +134,9 @@
 	case err == nil:
 		p.backoff = 0
 		d.done(service, next, version)
+	case errors.As(err, &conflict) && next.Kind == settings.RecordRevision:
+		p.backoff = 0
+		d.recorded(service, &next.Revision, current)
 	case errors.As(err, &conflict):
 		d.counters.conflicts.Inc()
 		d.postpone(p)
@@ -149,6 +156,20 @@
 	p.retry = time.Now().Add(p.backoff)
 }
 
+// recorded notes that a revision is in the history, which another holder may have done.
+func (d *Duty) recorded(service ident.ServiceName, r *record.Revision, found *objectapi.Object) {
+	if found == nil {
+		return // not read back yet: the step is repeated
+	}
+	if there, err := objects.ParseRevision(service, *found); err != nil || there.WriteID != r.WriteID {
+		d.counters.invalid.Inc()
+		_ = level.Error(d.logger).Log(logging.KeyMessage, "the history holds another revision under this number",
+			logging.KeyService, service, logging.KeyRevision, r.Number)
+	}
+	e := d.cache.entry(service)
+	e.recorded = max(e.recorded, r.Number)
+}
+
 // done takes in the object that this entry wrote, without waiting for the watch.
 func (d *Duty) done(service ident.ServiceName, next *settings.Step, version uint64) {
 	e := d.cache.entry(service)
@@ -164,9 +185,12 @@
 		_ = level.Info(d.logger).Log(logging.KeyMessage, "revision accepted", logging.KeyService, service,
 			logging.KeyRevision, next.Revision.Number)
 		if settings.Forward(e.newest, &next.Revision) { // else the watch was faster than the answer
-			d.cache.adopt(e, &next.Revision)
+			e.newestVersion, e.newestDeleted = version, false
+			d.cache.adopt(e, &next.Revision, d.mesh.Self().Name)
 			d.publish(service)
 		}
+	case settings.RecordRevision:
+		e.recorded = max(e.recorded, next.Revision.Number)
 	case settings.WriteStatus:
 		if next.Refused {
 			d.counters.refused.Inc()
--- a/node/objectapi/client.go
+++ b/node/objectapi/client.go
@@ -27,7 +27,10 @@
 	watchGrace     = 5 * time.Second // on top of watchWait, for the answer to arrive
 )
 
-// maxAnswer bounds an answer, in bytes. A listing holds many objects.
+// pageSize is how many objects one call lists. Their mean size is below 1 KB, so that a page arrives well within the timeout.
+const pageSize = 1000
+
+// maxAnswer bounds an answer, in bytes: a page of the largest values.
 const maxAnswer = 1 << 30
 
 // Options configure a Client.
@@ -85,10 +88,33 @@
 	return out, wrap(err, "get", path)
 }
 
-// List returns the objects under the prefix.
+// List returns the objects under the prefix, page by page. The version is the oldest that a page reflects: a watch since then misses
+// nothing.
 func (c *Client) List(ctx context.Context, prefix string) (Listing, error) {
+	var all Listing
+	for after, more := "", true; more; {
+		page, err := c.page(ctx, prefix, after)
+		if err != nil {
+			return Listing{}, wrap(err, "list", prefix)
+		}
+		if after == "" || page.Version < all.Version {
+			all.Version = page.Version
+		}
+		all.Objects = append(all.Objects, page.Objects...)
+		if page.Next != "" && page.Next <= after {
+			return Listing{}, wrap(errors.Wrap(ErrRefused, "pages go back"), "list", prefix)
+		}
+		after, more = page.Next, page.Next != ""
+	}
+	return all, nil
+}
+
+func (c *Client) page(ctx context.Context, prefix, after string) (Listing, error) {
 	var out Listing
-	query := url.Values{"prefix": {prefix}}
+	query := url.Values{"prefix": {prefix}, "limit": {strconv.Itoa(pageSize)}}
+	if after != "" {
+		query.Set("after", after)
+	}
 	err := c.retry(ctx, func(ctx context.Context) error {
 		out = Listing{}
 		a, err := c.do(ctx, "list", http.MethodGet, ListPath+"?"+query.Encode(), nil, nil, c.timeout)
@@ -97,7 +123,7 @@
 		}
 		return a.decode(&out)
 	})
-	return out, wrap(err, "list", prefix)
+	return out, err
 }
 
 // Put writes the value if the condition holds and returns the version of the object. A *ConflictError names the winner.
--- a/node/objectapi/objectapi.go
+++ b/node/objectapi/objectapi.go
@@ -33,9 +33,13 @@
 
 // Listing is the answer to a list or a watch: the objects, and the store version that they reflect. A watch returns the newest state of
 // each object that changed after its since, deletions included, in the order of their versions.
+//
+// A list with a limit returns the first objects by path. Next is then the after of the call that returns those that follow, empty at the
+// end.
 type Listing struct {
 	Version uint64   `json:"version"`
 	Objects []Object `json:"objects"`
+	Next    string   `json:"next,omitempty"`
 }
 
 // ErrorBody is the body of an answer that is not 2xx. Version, Writer and WriteID are those of the current object, or of its deletion.
--- a/node/objects/objects.go
+++ b/node/objects/objects.go
@@ -4,6 +4,7 @@
 import (
 	"encoding/json"
 	"net/netip"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -62,14 +63,23 @@
 	return &settings.SpecObject{Version: o.Version, Text: []byte(v.Spec), Writer: v.Writer, WriteID: v.WriteID}, nil
 }
 
-// ParseRevision decodes a revision.
-func ParseRevision(service ident.ServiceName, number uint64, o objectapi.Object) (*record.Revision, error) {
+// ParseRevision decodes a revision of a service, from the history or as the newest one.
+func ParseRevision(service ident.ServiceName, o objectapi.Object) (*record.Revision, error) {
 	var v Revision
 	if err := json.Unmarshal(o.Value, &v); err != nil {
 		return nil, errors.Wrapf(err, "%s: version %d", o.Path, o.Version)
 	}
-	if v.Number != number {
-		return nil, errors.Errorf("%s: holds revision %d", o.Path, v.Number)
+	if v.Number == 0 {
+		return nil, errors.Errorf("%s: version %d has no revision number", o.Path, o.Version)
+	}
+	if strings.HasPrefix(o.Path, settings.HistoryPrefix) {
+		of, number, err := settings.ParseRevisionPath(o.Path)
+		if err != nil {
+			return nil, err
+		}
+		if of != service || number != v.Number {
+			return nil, errors.Errorf("%s: holds revision %d", o.Path, v.Number)
+		}
 	}
 	return &record.Revision{
 		Service:       service,
--- a/node/operator/spec.go
+++ b/node/operator/spec.go
@@ -13,6 +13,7 @@
 	"lacewinglever.dev/node/objectapi"
 	"lacewinglever.dev/node/objects"
 	"lacewinglever.dev/policy/ident"
+	"lacewinglever.dev/policy/record"
 	"lacewinglever.dev/policy/settings"
 )
 
@@ -87,11 +88,7 @@
 		return err
 	}
 	if c.Revision != 0 {
-		o, err := client.Get(ctx, settings.RevisionPath(service, c.Revision))
-		if err != nil {
-			return err
-		}
-		r, err := objects.ParseRevision(service, c.Revision, o)
+		r, err := readRevision(ctx, client, service, c.Revision)
 		if err != nil {
 			return err
 		}
@@ -106,6 +103,23 @@
 	return nil
 }
 
+// readRevision reads an accepted revision from the history. The newest one may not be there yet.
+func readRevision(ctx context.Context, client *objectapi.Client, service ident.ServiceName, number uint64) (*record.Revision, error) {
+	o, err := client.Get(ctx, settings.RevisionPath(service, number))
+	if err == nil {
+		return objects.ParseRevision(service, o)
+	}
+	newest, acceptedErr := client.Get(ctx, settings.AcceptedPath(service))
+	if !errors.Is(err, objectapi.ErrNotFound) || acceptedErr != nil {
+		return nil, err
+	}
+	r, parseErr := objects.ParseRevision(service, newest)
+	if parseErr != nil || r.Number != number {
+		return nil, err
+	}
+	return r, nil
+}
+
 func existing(ctx context.Context, client *objectapi.Client, service ident.ServiceName) (*settings.SpecObject, error) {
 	spec, err := readSpec(ctx, client, service)
 	if err == nil && spec.Version == 0 {
--- a/node/operator/status.go
+++ b/node/operator/status.go
@@ -156,11 +156,7 @@
 	if err != nil {
 		return err
 	}
-	listing, err := client.List(ctx, settings.RevisionsPrefix(service))
-	if err != nil {
-		return err
-	}
-	revisions, err := parseHistory(service, &listing)
+	listing, revisions, err := readHistory(ctx, client, service)
 	if err != nil {
 		return err
 	}
@@ -186,21 +182,44 @@
 	return nil
 }
 
+// readHistory returns the accepted revisions with their objects. The newest one may not be in the history yet; it is read before the
+// history, so that no revision between the two is missed.
+func readHistory(ctx context.Context, client *objectapi.Client, service ident.ServiceName) (objectapi.Listing, []record.Revision, error) {
+	newest, err := client.Get(ctx, settings.AcceptedPath(service))
+	if err != nil && !errors.Is(err, objectapi.ErrNotFound) {
+		return objectapi.Listing{}, nil, err
+	}
+	known := err == nil
+	listing, err := client.List(ctx, settings.RevisionsPrefix(service))
+	if err != nil {
+		return listing, nil, err
+	}
+	revisions, err := parseHistory(service, &listing)
+	if err != nil || !known {
+		return listing, revisions, err
+	}
+	r, err := objects.ParseRevision(service, newest)
+	if err != nil {
+		return listing, revisions, err
+	}
+	if len(revisions) == 0 || revisions[len(revisions)-1].Number < r.Number {
+		revisions = append(revisions, *r)
+		listing.Objects = append(listing.Objects, newest)
+	}
+	return listing, revisions, nil
+}
+
 // parseHistory decodes the revisions of a service. It sorts them and the objects of the listing by number.
 func parseHistory(service ident.ServiceName, listing *objectapi.Listing) ([]record.Revision, error) {
 	revisions := make([]record.Revision, 0, len(listing.Objects))
 	numbers := make(map[string]uint64, len(listing.Objects))
 	for _, o := range listing.Objects {
-		path, err := settings.ParsePath(o.Path)
-		if err != nil {
-			return nil, err
-		}
-		r, err := objects.ParseRevision(service, path.Number, o)
+		r, err := objects.ParseRevision(service, o)
 		if err != nil {
 			return nil, err
 		}
 		revisions = append(revisions, *r)
-		numbers[o.Path] = path.Number
+		numbers[o.Path] = r.Number
 	}
 	slices.SortFunc(revisions, func(a, b record.Revision) int { return cmp.Compare(a.Number, b.Number) })
 	slices.SortFunc(listing.Objects, func(a, b objectapi.Object) int { return cmp.Compare(numbers[a.Path], numbers[b.Path]) })
--- a/policy/settings/model_test.go
+++ b/policy/settings/model_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"reflect"
 	"testing"
 	"time"
 
@@ -54,13 +55,26 @@
 }
 
 func (m *model) newest(s ident.ServiceName) *record.Revision {
-	for n := uint64(1); ; n++ {
-		if m.current[RevisionPath(s, n)].value == nil {
-			if n == 1 {
-				return nil
-			}
-			r := m.current[RevisionPath(s, n-1)].value.(record.Revision)
-			return &r
+	r, ok := m.current[AcceptedPath(s)].value.(record.Revision)
+	if !ok {
+		return nil
+	}
+	return &r
+}
+
+// checkHistory fails unless the history holds every accepted revision but perhaps the newest, and that one as it was accepted.
+func (m *model) checkHistory(s ident.ServiceName, complete bool) {
+	newest := m.newest(s)
+	if newest == nil {
+		return
+	}
+	for n := uint64(1); n <= newest.Number; n++ {
+		r, ok := m.current[RevisionPath(s, n)].value.(record.Revision)
+		if !ok && (n < newest.Number || complete) {
+			m.t.Fatalf("%s: revision %d is not in the history, the newest is %d", s, n, newest.Number)
+		}
+		if ok && (r.Number != n || n == newest.Number && !reflect.DeepEqual(r, *newest)) {
+			m.t.Fatalf("%s: the history holds %+v as revision %d", s, r, n)
 		}
 	}
 }
@@ -105,11 +119,13 @@
 		st.Spec = &spec
 		wanted, _ = WantedAddress(s, spec.Text)
 	}
-	for n := uint64(1); n <= h.m.version; n++ {
-		w := h.view(RevisionPath(s, n), h.teamsAt)
-		if r, ok := w.value.(record.Revision); ok {
-			st.Newest = &r
-			st.InUse, _ = addressOf(&r)
+	if w := h.view(AcceptedPath(s), h.teamsAt); w.value != nil {
+		r := w.value.(record.Revision)
+		st.Newest, st.NewestAt = &r, w.version
+		st.InUse, _ = addressOf(&r)
+		// The history is not read: only the holder's own writes and conflicts tell what is there.
+		if h.own[RevisionPath(s, r.Number)].value != nil {
+			st.Recorded = r.Number
 		}
 	}
 	if w := h.view(StatusPath(s), h.teamsAt); w.value != nil {
@@ -153,6 +169,8 @@
 		path, value = AddressPath(step.Address.Address), step.Address
 		h.m.checkClaim(h.service, &step)
 	case AcceptRevision:
+		path, value = AcceptedPath(h.service), step.Revision
+	case RecordRevision:
 		path, value = RevisionPath(h.service, step.Revision.Number), step.Revision
 		step.IfVersion = 0
 	case WriteStatus:
@@ -164,6 +182,7 @@
 		h.m.checkRevision(before, &step.Revision)
 	}
 	h.m.checkAddresses()
+	h.m.checkHistory(h.service, false)
 	switch {
 	case lost:
 	case ok:
@@ -235,7 +254,8 @@
 }
 
 // TestHoldersInterleaved guards the revisions against duty holders that act on views of different age, pause between deciding and
-// writing, and lose answers: no gaps, no second spec under one number, never backwards, and an address is used by its holder only.
+// writing, and lose answers: every accepted revision gets into the history before the next, no second spec under one number, never
+// backwards, and an address is used by its holder only.
 func TestHoldersInterleaved(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newModel(t)
@@ -303,6 +323,7 @@
 func (m *model) checkSettled(h *holder) {
 	for _, s := range modelServices {
 		st := h.state(s)
+		m.checkHistory(s, true)
 		accepted := st.Newest != nil && st.Newest.SourceVersion >= version(st.Spec)
 		switch {
 		case st.Spec == nil && st.Newest != nil && !st.Newest.Deleted:
--- a/policy/settings/parse_test.go
+++ b/policy/settings/parse_test.go
@@ -89,18 +89,26 @@
 
 // TestPaths guards that a name cannot lead out of its team's subtree.
 func TestPaths(t *testing.T) {
-	for _, path := range []string{ServicePath(service), StatusPath(service), RevisionPath(service, 12)} {
+	for _, path := range []string{ServicePath(service), StatusPath(service), AcceptedPath(service)} {
 		p, err := ParsePath(path)
 		assert.NilError(t, err)
 		assert.Equal(t, p.Service, service)
 	}
 	for _, path := range []string{
 		"/teams/team", "/teams/../services/x", "/teams/team/services/A", "/teams/team/services/x/y", "/teams/team/other/x",
-		"/teams/team/revisions/x", "/teams/team/revisions/x/0", "/teams/team/revisions/x/01", "/system/addresses/x",
+		"/teams/team/accepted/x/1", "/history/team/x/1", "/system/addresses/x",
 	} {
 		_, err := ParsePath(path)
 		assert.Assert(t, err != nil, path)
 	}
+	s, number, err := ParseRevisionPath(RevisionPath(service, 12))
+	assert.NilError(t, err)
+	assert.Equal(t, s, service)
+	assert.Equal(t, number, uint64(12))
+	for _, path := range []string{"/teams/team/x/1", "/history/team/x", "/history/team/x/0", "/history/team/x/01", "/history/../x/1", "/history/team/x/1/1"} {
+		_, _, err := ParseRevisionPath(path)
+		assert.Assert(t, err != nil, path)
+	}
 	for _, name := range []string{"", "-a", "a-", "A", "a.b", "a_b", strings.Repeat("a", 64)} {
 		assert.Assert(t, CheckService(ident.ServiceName{Team: name, Name: "x"}) != nil, name)
 		assert.Assert(t, CheckService(ident.ServiceName{Team: "x", Name: name}) != nil, name)
--- a/policy/settings/path.go
+++ b/policy/settings/path.go
@@ -16,6 +16,8 @@
 const (
 	TeamsPrefix     = "/teams/"
 	AddressesPrefix = "/system/addresses/"
+	// HistoryPrefix is apart from TeamsPrefix, so that those who follow the teams' objects don't read a year of revisions at their start.
+	HistoryPrefix = "/history/"
 )
 
 // maxNameLength bounds the names of teams, services and nodes, as DNS bounds a label.
@@ -26,16 +28,15 @@
 
 // Areas of a team's subtree.
 const (
-	AreaServices  Area = "services"
-	AreaRevisions Area = "revisions"
-	AreaStatus    Area = "status"
+	AreaServices Area = "services"
+	AreaAccepted Area = "accepted"
+	AreaStatus   Area = "status"
 )
 
-// Path names an object under TeamsPrefix. Number is set in AreaRevisions only.
+// Path names an object under TeamsPrefix.
 type Path struct {
 	Area    Area
 	Service ident.ServiceName
-	Number  uint64
 }
 
 // ServicePath is where the operator's spec of a service is kept.
@@ -44,14 +45,35 @@
 // StatusPath is where the status of a service is kept.
 func StatusPath(s ident.ServiceName) string { return teamPath(s, AreaStatus) }
 
-// RevisionsPrefix is the prefix of a service's accepted revisions.
-func RevisionsPrefix(s ident.ServiceName) string { return teamPath(s, AreaRevisions) + "/" }
+// AcceptedPath is where the newest accepted revision of a service is kept.
+func AcceptedPath(s ident.ServiceName) string { return teamPath(s, AreaAccepted) }
 
-// RevisionPath is where an accepted revision is kept.
+// RevisionsPrefix is the prefix of a service's history.
+func RevisionsPrefix(s ident.ServiceName) string { return HistoryPrefix + s.String() + "/" }
+
+// RevisionPath is where an accepted revision is kept for good.
 func RevisionPath(s ident.ServiceName, number uint64) string {
 	return RevisionsPrefix(s) + strconv.FormatUint(number, 10)
 }
 
+// ParseRevisionPath returns the service and number of a revision in the history.
+func ParseRevisionPath(path string) (ident.ServiceName, uint64, error) {
+	rest, ok := strings.CutPrefix(path, HistoryPrefix)
+	parts := strings.Split(rest, "/")
+	if !ok || len(parts) != 3 {
+		return ident.ServiceName{}, 0, errors.Errorf("path %q: not a revision", path)
+	}
+	s := ident.ServiceName{Team: parts[0], Name: parts[1]}
+	if err := CheckService(s); err != nil {
+		return s, 0, errors.Wrapf(err, "path %q", path)
+	}
+	number, err := strconv.ParseUint(parts[2], 10, 64)
+	if err != nil || number == 0 || strconv.FormatUint(number, 10) != parts[2] {
+		return s, 0, errors.Errorf("path %q: revision %q is not a positive number", path, parts[2])
+	}
+	return s, number, nil
+}
+
 // AddressPath is where the holder of a service address is kept.
 func AddressPath(a netip.AddrPort) string { return AddressesPrefix + a.String() }
 
@@ -63,25 +85,17 @@
 func ParsePath(path string) (Path, error) {
 	rest, ok := strings.CutPrefix(path, TeamsPrefix)
 	parts := strings.Split(rest, "/")
-	if !ok || len(parts) < 3 {
+	if !ok || len(parts) != 3 {
 		return Path{}, errors.Errorf("path %q: not an object of a team", path)
 	}
 	p := Path{Area: Area(parts[1]), Service: ident.ServiceName{Team: parts[0], Name: parts[2]}}
 	if err := CheckService(p.Service); err != nil {
 		return Path{}, errors.Wrapf(err, "path %q", path)
 	}
-	switch {
-	case len(parts) == 3 && (p.Area == AreaServices || p.Area == AreaStatus):
-		return p, nil
-	case len(parts) == 4 && p.Area == AreaRevisions:
-		number, err := strconv.ParseUint(parts[3], 10, 64)
-		if err != nil || number == 0 || strconv.FormatUint(number, 10) != parts[3] {
-			return Path{}, errors.Errorf("path %q: revision %q is not a positive number", path, parts[3])
-		}
-		p.Number = number
+	if p.Area == AreaServices || p.Area == AreaAccepted || p.Area == AreaStatus {
 		return p, nil
 	}
-	return Path{}, errors.Errorf("path %q: want services, revisions or status", path)
+	return Path{}, errors.Errorf("path %q: want services, accepted or status", path)
 }
 
 // ParseAddressPath returns the address that an object under AddressesPrefix is about.
--- a/policy/settings/revision.go
+++ b/policy/settings/revision.go
@@ -74,7 +74,9 @@
 	ReadAt    uint64           // store version that the knowledge of the service reflects
 	Spec      *SpecObject      // nil: there is none
 	DeletedBy string           // writer who deleted the spec; empty if unknown
-	Newest    *record.Revision // nil: none accepted
+	Newest    *record.Revision // as the accepted object holds it; nil: none accepted
+	NewestAt  uint64           // version of the accepted object; 0: there is none
+	Recorded  uint64           // newest revision that this holder knows to be in the history
 	InUse     netip.AddrPort   // address that Newest names; invalid if there is none or it is a deletion
 	Wanted    *AddressObject   // object of the address that the spec names; nil: there is none
 	Held      []AddressObject  // addresses that the service holds
@@ -92,7 +94,8 @@
 	Wait                    // until the time of the step, then look again
 	ClaimAddress            // write Step.Address if its version is still Step.IfVersion
 	ReleaseAddress          // the same, with the time of release
-	AcceptRevision          // create the object of Step.Revision if it is absent
+	AcceptRevision          // write the accepted object if its version is still Step.IfVersion
+	RecordRevision          // create the object of Step.Revision in the history if it is absent
 	WriteStatus             // write Step.Status if the version is still Step.IfVersion
 )
 
@@ -107,6 +110,8 @@
 		return "release address"
 	case AcceptRevision:
 		return "accept revision"
+	case RecordRevision:
+		return "record revision"
 	case WriteStatus:
 		return "write status"
 	}
@@ -126,9 +131,13 @@
 
 // Next decides the next step for a service. It is deterministic.
 //
-// Revision n+1 is created only by a holder that has seen revision n, and only from a spec that is newer than that of n. As the number
-// is claimed by creating its object, numbers have no gaps and the specs behind them only get newer, whoever performs the duty.
+// Revision n+1 is accepted by a conditional write of the accepted object that holds revision n, and only from a spec that is newer than
+// that of n. So numbers have no gaps, no number is given twice and the specs behind them only get newer, whoever performs the duty and
+// however stale its knowledge is. The write that accepts n+1 replaces n, so n must be in the history before.
 func Next(s State) Step {
+	if s.Newest != nil && s.recorded() < s.Newest.Number {
+		return Step{Kind: RecordRevision, Revision: *s.Newest}
+	}
 	if step, ok := s.release(); ok {
 		return step
 	}
@@ -163,6 +172,9 @@
 	return current == nil || candidate.Number > current.Number
 }
 
+// recorded returns the newest revision that is known to be in the history. A status names a revision only once it is there.
+func (s *State) recorded() uint64 { return max(s.Recorded, s.Status.Accepted) }
+
 func (s *State) newestSource() uint64 {
 	if s.Newest == nil {
 		return 0
@@ -257,12 +269,9 @@
 
 func (s *State) accept(r record.Revision) Step {
 	r.Service = s.Service
-	r.Number = 1
 	r.Accepted = s.Now
-	if s.Newest != nil {
-		r.Number = s.Newest.Number + 1
-	}
-	return Step{Kind: AcceptRevision, Revision: r}
+	r.Number = s.recorded() + 1 // goes on after the history if the accepted object was lost
+	return Step{Kind: AcceptRevision, IfVersion: s.NewestAt, Revision: r}
 }
 
 func (s *State) wantedStatus(reason string) Status {
@@ -283,12 +292,11 @@
 	if want.RefusedVersion <= want.AcceptedVersion {
 		want.RefusedVersion, want.Reason = 0, ""
 	}
-	if p := s.Progress; p != nil && p.Revision == want.Accepted && p.Nodes > 0 {
+	// A count that another holder began later must not take back that the revision is in force everywhere.
+	if p := s.Progress; p != nil && p.Revision == want.Accepted && p.Nodes > 0 && want.Elapsed == 0 {
 		want.InForce, want.Nodes = p.InForce, p.Nodes
 		want.Missing = slices.Clone(p.Missing[:min(len(p.Missing), maxMissing)])
-		if want.Elapsed == 0 {
-			want.Elapsed = p.Elapsed
-		}
+		want.Elapsed = p.Elapsed
 	}
 	return want
 }
--- a/policy/settings/revision_test.go
+++ b/policy/settings/revision_test.go
@@ -22,6 +22,7 @@
 	accepted := &record.Revision{Service: service, Number: 3, Spec: []byte(full), SourceVersion: 5}
 	deleted := &record.Revision{Service: service, Number: 4, SourceVersion: 9, Deleted: true}
 	inForce := Status{Version: 8, Accepted: 3, AcceptedVersion: 5}
+	complete := Status{Version: 8, Accepted: 3, AcceptedVersion: 5, InForce: 6, Nodes: 6, Elapsed: time.Second}
 	cases := []struct {
 		name   string
 		state  State
@@ -33,9 +34,15 @@
 		{name: "free address", state: State{ReadAt: 9, Spec: spec(5)}, kind: ClaimAddress},
 		{name: "claimed", state: State{ReadAt: 9, Spec: spec(5), Wanted: mine}, kind: AcceptRevision, number: 1},
 		{name: "next", state: State{ReadAt: 9, Spec: spec(7), Wanted: mine, Newest: accepted, Status: inForce}, kind: AcceptRevision, number: 4},
+		{name: "counted", state: State{ReadAt: 9, Spec: spec(5), Wanted: mine, Newest: accepted, Status: inForce,
+			Progress: &Progress{Revision: 3, InForce: 1, Nodes: 6}}, kind: WriteStatus},
+		{name: "second count", state: State{ReadAt: 9, Spec: spec(5), Wanted: mine, Newest: accepted, Status: complete,
+			Progress: &Progress{Revision: 3, Nodes: 6}}},
 		{name: "accepted", state: State{ReadAt: 9, Spec: spec(5), Wanted: mine, Newest: accepted, Status: inForce}},
 		{name: "stale spec", state: State{ReadAt: 9, Spec: spec(4), Wanted: mine, Newest: accepted, Status: inForce}},
-		{name: "status behind", state: State{ReadAt: 9, Spec: spec(5), Wanted: mine, Newest: accepted}, kind: WriteStatus},
+		{name: "status behind", state: State{ReadAt: 9, Spec: spec(5), Wanted: mine, Newest: accepted, Recorded: 3}, kind: WriteStatus},
+		{name: "not in the history", state: State{ReadAt: 9, Spec: spec(7), Wanted: mine, Newest: accepted, Recorded: 2}, kind: RecordRevision, number: 3},
+		{name: "accepted object lost", state: State{ReadAt: 9, Spec: spec(9), Wanted: mine, Status: inForce}, kind: AcceptRevision, number: 4},
 		{name: "not YAML", state: State{ReadAt: 9, Spec: &SpecObject{Version: 5, Text: []byte(":")}}, kind: WriteStatus, reason: "team/name"},
 		{name: "other team", state: State{ReadAt: 9, Spec: &SpecObject{Version: 5, Text: []byte(full), Writer: "x/y"}}, kind: WriteStatus, reason: "x/y"},
 		{name: "address of another", state: State{ReadAt: 9, Spec: spec(7), Newest: accepted, Status: inForce,
@@ -48,7 +55,7 @@
 			Wanted: &AddressObject{Version: 6, Address: at, Service: other, Released: now.Add(-AddressQuarantine)}}, kind: ClaimAddress},
 		{name: "deleted", state: State{ReadAt: 9, Newest: accepted, Status: inForce, Held: []AddressObject{*mine}}, kind: AcceptRevision, number: 4},
 		{name: "stale absence", state: State{ReadAt: 5, Newest: accepted, Status: inForce, Held: []AddressObject{*mine}}},
-		{name: "release", state: State{ReadAt: 9, Newest: deleted, Held: []AddressObject{*mine}}, kind: ReleaseAddress},
+		{name: "release", state: State{ReadAt: 9, Newest: deleted, Recorded: 4, Held: []AddressObject{*mine}}, kind: ReleaseAddress},
 		{name: "claim without revision", state: State{ReadAt: 9, Held: []AddressObject{*mine}}, kind: AcceptRevision, number: 1},
 	}
 	for _, c := range cases {
