--- a/bench/scenario/settings_test.go
+++ b/bench/scenario/settings_test.go
@@ -16,7 +16,7 @@
 
 // settingsCommands are the commands of the scenarios about settings.
 var settingsCommands = map[string]command{
-	"monitor": monitorCommand, "applied": applied, "duty": dutyRanks, "race": race, "session": session, "forge": forge,
+	"monitor": monitorCommand, "applied": applied, "duty": dutyRanks, "race": race, "session": session, "forge": sendRevision,
 }
 
 // sampleEvery is the time between looks of a monitor.
@@ -262,8 +262,8 @@
 	return out, err
 }
 
-// forge sends every node of a service a revision by datagram and by RPC: signed with a key that is not the fleet's, or a valid old one.
-func forge(s *state, _ *testscript.TestScript, args []string) error {
+// sendRevision sends every node of a service a revision by datagram and by RPC: signed with a key that is not the fleet's, or a valid old one.
+func sendRevision(s *state, _ *testscript.TestScript, args []string) error {
 	if len(args) != 3 || args[2] != "forged" && args[2] != "stale" {
 		return errors.New("usage: forge SERVICE REVISION forged|stale")
 	}
--- a/node/entry/program.go
+++ b/node/entry/program.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"runtime/debug"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -32,6 +33,10 @@
 	forwardGrace = 2 * time.Second
 )
 
+// memoryLimit is the heap size, in bytes, from which the collector runs more often instead of letting the heap double. The state of an
+// entry of 7,000 entries, 41,000 targets and 13,000 services takes some 150 MB, of a budget of 256 MB.
+const memoryLimit = 220 << 20
+
 // nodeReaders is the number of goroutines that read the node's socket.
 const nodeReaders = 4
 
@@ -66,6 +71,7 @@
 // Main runs an entry until the context ends, then lets it leave: it announces that it drains, goes on forwarding for forwardGrace,
 // announces that it left and closes its sockets.
 func Main(ctx context.Context, c *Config, logs io.Writer) error {
+	debug.SetMemoryLimit(memoryLimit)
 	logger := logging.New(logs, c.Name, c.LogLevel)
 	p, err := newProgram(c, logger)
 	if err != nil {
@@ -161,7 +167,7 @@
 	p := &program{mesh: mesh}
 	p.parts = []func(context.Context) error{
 		func(ctx context.Context) error {
-			return t.Run(ctx, transport.Handlers{Return: data.Return, Control: mesh.Control})
+			return t.Run(ctx, data.Handlers(mesh.Control))
 		},
 		mesh.Run,
 		data.Run,
--- a/node/peer/index.go
+++ b/node/peer/index.go
@@ -21,6 +21,7 @@
 type index struct {
 	mu       sync.RWMutex
 	changes  uint64 // of the set of live entries or of scopes
+	entryAt  uint64 // changes of entries' records or of scopes
 	nodes    map[ident.NodeID]known
 	entries  map[ident.NodeID]struct{}                      // live ones
 	pools    map[ident.ServiceID]map[ident.NodeID]struct{}  // live ones
@@ -74,6 +75,9 @@
 	} else if n.Entry {
 		x.changes++
 	}
+	if n.Entry || x.nodes[n.ID].node.Entry {
+		x.entryAt++
+	}
 	address, _ := netip.ParseAddrPort(n.UDPAddress)
 	x.nodes[n.ID] = known{*n, address}
 	switch {
@@ -86,6 +90,16 @@
 	}
 }
 
+// remove forgets the node of a record, unless a newer one came in between.
+func (x *index) remove(r *record.Record) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if n := x.nodes[r.Node.ID]; record.ForNode(n.node).Version != r.Version {
+		return
+	}
+	delete(x.nodes, r.Node.ID)
+}
+
 func addTo[K comparable](sets map[K]map[ident.NodeID]struct{}, key K, id ident.NodeID) {
 	if sets[key] == nil {
 		sets[key] = map[ident.NodeID]struct{}{}
@@ -101,6 +115,7 @@
 	}
 	x.scopes[name] = *s
 	x.changes++
+	x.entryAt++
 	if s.Down {
 		x.down[name] = struct{}{}
 	} else {
@@ -160,10 +175,20 @@
 	return out
 }
 
-func (x *index) allEntries() []record.Node {
+// entryList is the live entries at a state of the index. It is not changed.
+type entryList struct {
+	at    uint64
+	nodes []record.Node
+}
+
+// allEntries returns the live entries, and the same list while it holds.
+func (x *index) allEntries(old *entryList) *entryList {
 	x.mu.RLock()
 	defer x.mu.RUnlock()
-	return x.live(x.entries)
+	if old != nil && old.at == x.entryAt {
+		return old
+	}
+	return &entryList{x.entryAt, x.live(x.entries)}
 }
 
 // agents returns the live agents of these data centres, also those of scopes that are down.
