--- a/bench/fleet/applied.go
+++ b/bench/fleet/applied.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"os"
+	"path/filepath"
 	"regexp"
 	"slices"
 	"strconv"
@@ -13,7 +15,9 @@
 	"connectrpc.com/connect"
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-faster/errors"
+	"github.com/goccy/go-yaml"
 
+	"lacewinglever.dev/node/config"
 	lacewingv1 "lacewinglever.dev/node/gen/lacewing/v1"
 	"lacewinglever.dev/node/gen/lacewing/v1/lacewingv1connect"
 	"lacewinglever.dev/node/objectapi"
@@ -129,6 +133,21 @@
 	return nil
 }
 
+// ControlConfig writes the settings file that lacewingctl explain needs, and returns its path.
+func (f *Fleet) ControlConfig() (string, error) {
+	c := f.common(node{name: "operator", dc: 1, host: "127.1.0.254"})
+	text, err := yaml.Marshal(struct {
+		Entries  []string     `yaml:"entries"`
+		Keys     []config.Key `yaml:"keys"`
+		SignWith byte         `yaml:"sign_with"`
+	}{c.Seeds, c.Keys, c.SignWith})
+	if err != nil {
+		return "", err
+	}
+	file := filepath.Join(f.Dir, "lacewingctl.yaml")
+	return file, os.WriteFile(file, text, 0o600)
+}
+
 // DutyRanks returns the running entries by their rank for the control duty of a service.
 func (f *Fleet) DutyRanks(service string) ([]string, error) {
 	name, err := ident.ParseServiceName(service)
--- a/bench/scenario/settings_test.go
+++ b/bench/scenario/settings_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -16,7 +17,8 @@
 
 // settingsCommands are the commands of the scenarios about settings.
 var settingsCommands = map[string]command{
-	"monitor": monitorCommand, "applied": applied, "duty": dutyRanks, "race": race, "session": session, "forge": sendRevision,
+	"monitor": monitorCommand, "applied": applied, "duty": dutyRanks, "race": race, "session": session, "forge": sendRevision, "nodes": askNodes,
+	"missing": missing,
 }
 
 // sampleEvery is the time between looks of a monitor.
@@ -273,3 +275,27 @@
 	}
 	return s.fleet.SendRevision(s.ctx, args[0], number, args[2] == "forged")
 }
+
+// askNodes is ctl for the commands that ask the nodes.
+func askNodes(s *state, ts *testscript.TestScript, args []string) error {
+	file, err := s.fleet.ControlConfig()
+	if err != nil {
+		return err
+	}
+	return control(s, ts, append([]string{"--config", file}, args...))
+}
+
+// missing waits until the status names exactly these nodes as missing.
+func missing(s *state, _ *testscript.TestScript, args []string) error {
+	limit, args, err := within(args)
+	if err != nil || len(args) < 1 {
+		return errors.New("usage: missing [-within D] SERVICE NODE...")
+	}
+	return s.fleet.Until(s.ctx, limit, "missing nodes", func() error {
+		status, err := s.fleet.Status(s.ctx, args[0])
+		if err == nil && !slices.Equal(status.Missing, args[1:]) {
+			err = errors.Errorf("missing: %q", status.Missing)
+		}
+		return err
+	})
+}
--- a/node/operator/operator.go
+++ b/node/operator/operator.go
@@ -1,4 +1,5 @@
-// Package operator holds the commands of lacewingctl. They work on the platform's object API only.
+// Package operator holds the commands of lacewingctl. They work on the platform's object API; explain, and status where nodes are missing,
+// ask the fleet's nodes as well.
 package operator
 
 import (
@@ -29,6 +30,7 @@
 	Platform string        `long:"platform" env:"LACEWING_PLATFORM" description:"URL of the platform" value-name:"URL"`
 	As       string        `long:"as" env:"LACEWING_AS" description:"name of the writer: a person, or team/person" value-name:"NAME"`
 	Timeout  time.Duration `long:"call-timeout" default:"10s" description:"longest time for one call, retries included"`
+	Config   string        `long:"config" description:"settings file with the fleet's entries and keys, for explain and the causes in status" value-name:"FILE"`
 	Version  bool          `long:"version" description:"print the version and exit"`
 
 	Validate validateCommand `command:"validate" description:"check a settings file"`
@@ -39,6 +41,7 @@
 	Drain    drainCommand    `command:"drain" description:"drain the target of an agent"`
 	Undrain  undrainCommand  `command:"undrain" description:"give the target of an agent new work again"`
 	Delete   deleteCommand   `command:"delete" description:"delete a service"`
+	Explain  explainCommand  `command:"explain" description:"tell which agents are the home and the owner of a caller's flow, and why"`
 
 	out io.Writer
 }
@@ -108,6 +111,8 @@
 		return &p.Drain
 	case "undrain":
 		return &p.Undrain
+	case "explain":
+		return &p.Explain
 	}
 	return &p.Delete
 }
--- a/node/operator/status.go
+++ b/node/operator/status.go
@@ -47,7 +47,10 @@
 		return errors.Errorf("service %s does not exist", service)
 	}
 	p.printStatus(service, spec, &status)
-	return nil
+	if p.Config == "" || len(status.Missing) == 0 {
+		return nil
+	}
+	return p.printCauses(ctx, service, status.Missing)
 }
 
 func readStatus(ctx context.Context, client *objectapi.Client, service ident.ServiceName) (settings.Status, error) {
