--- a/bench/scenario/doc.go
+++ b/bench/scenario/doc.go
@@ -20,4 +20,15 @@
 //	stats [-within D] TARGET FIELD OP VALUE
 //	now VAR                           set the variable to the time in milliseconds; a VALUE may be a sum, such as $VAR+3000
 //	sleep D
+//
+// For settings:
+//
+//	monitor start SERVICE | check     from start on no process may go back to an older revision, and no revision may change
+//	applied [-within D] SERVICE REVISION [NODE...]    the nodes, all by default, have this revision in force
+//	duty SERVICE VAR...               set the variables to the entries by their rank for the control duty
+//	race SERVICE FILE FILE...         operators write at the same moment: one wins; sets $WINNER and $VERSION
+//	forge SERVICE REVISION forged|stale    send every node a revision that is signed with another key, or a valid one
+//	missing [-within D] SERVICE NODE...    the status names exactly these nodes as missing
+//	nodes ARGS...                     ctl with the settings file for commands that ask the nodes
+//	session SERVICE FILE              run the commands of a golden file and compare all output
 package scenario
