--- a/bench/scenario/doc.go
+++ b/bench/scenario/doc.go
@@ -29,6 +29,7 @@
 //	race SERVICE FILE FILE...         operators write at the same moment: one wins; sets $WINNER and $VERSION
 //	forge SERVICE REVISION forged|stale    send every node a revision that is signed with another key, or a valid one
 //	missing [-within D] SERVICE NODE...    the status names exactly these nodes as missing
+//	caller ENTRY VAR                  set the variable to a caller in the entry's decision log
 //	nodes ARGS...                     ctl with the settings file for commands that ask the nodes
 //	session SERVICE FILE              run the commands of a golden file and compare all output
 package scenario
--- a/bench/scenario/settings_test.go
+++ b/bench/scenario/settings_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"os"
+	"path/filepath"
 	"regexp"
 	"slices"
 	"strconv"
@@ -18,7 +19,7 @@
 // settingsCommands are the commands of the scenarios about settings.
 var settingsCommands = map[string]command{
 	"monitor": monitorCommand, "applied": applied, "duty": dutyRanks, "race": race, "session": session, "forge": sendRevision, "nodes": askNodes,
-	"missing": missing,
+	"missing": missing, "caller": callerOf,
 }
 
 // sampleEvery is the time between looks of a monitor.
@@ -299,3 +300,25 @@
 		return err
 	})
 }
+
+// loggedCaller finds a caller in the decision log of an entry.
+var loggedCaller = regexp.MustCompile(`decision=forward .*caller=(\S+)`)
+
+// callerOf sets a variable to a caller that an entry has logged.
+func callerOf(s *state, ts *testscript.TestScript, args []string) error {
+	if len(args) != 2 {
+		return errors.New("usage: caller ENTRY VAR")
+	}
+	return s.fleet.Until(s.ctx, defaultWait, "a caller in the log", func() error {
+		text, err := os.ReadFile(filepath.Join(s.fleet.Dir, args[0]+".log"))
+		if err != nil {
+			return err
+		}
+		match := loggedCaller.FindSubmatch(text)
+		if match == nil {
+			return errors.New("no caller is logged")
+		}
+		ts.Setenv(args[1], string(match[1]))
+		return nil
+	})
+}
