--- a/bench/scenario/doc.go
+++ b/bench/scenario/doc.go
@@ -26,4 +26,16 @@
 //	move AGENT PLACE                  the agent starts next at the addresses of the agent PLACE
 //	take SERVICE FROM                 the service's settings and loads have the address of the service FROM from now on
 //	frame KIND NODE SERVICE           send the node a frame that it must drop
+//
+// For settings:
+//
+//	monitor start SERVICE | check     from start on no process may go back to an older revision, and no revision may change
+//	applied [-within D] SERVICE REVISION [NODE...]    the nodes, all by default, have this revision in force
+//	duty SERVICE VAR...               set the variables to the entries by their rank for the control duty
+//	race SERVICE FILE FILE...         operators write at the same moment: one wins; sets $WINNER and $VERSION
+//	forge SERVICE REVISION forged|stale    send every node a revision that is signed with another key, or a valid one
+//	missing [-within D] SERVICE NODE...    the status names exactly these nodes as missing
+//	caller ENTRY VAR                  set the variable to a caller in the entry's decision log
+//	nodes ARGS...                     ctl with the settings file for commands that ask the nodes
+//	session SERVICE FILE              run the commands of a golden file and compare all output
 package scenario
--- a/bench/scenario/settings_test.go
+++ b/bench/scenario/settings_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"os"
+	"path/filepath"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -16,7 +18,8 @@
 
 // settingsCommands are the commands of the scenarios about settings.
 var settingsCommands = map[string]command{
-	"monitor": monitorCommand, "applied": applied, "duty": dutyRanks, "race": race, "session": session, "forge": sendRevision,
+	"monitor": monitorCommand, "applied": applied, "duty": dutyRanks, "race": race, "session": session, "forge": sendRevision, "nodes": askNodes,
+	"missing": missing, "caller": callerOf,
 }
 
 // sampleEvery is the time between looks of a monitor.
@@ -273,3 +276,49 @@
 	}
 	return s.fleet.SendRevision(s.ctx, args[0], number, args[2] == "forged")
 }
+
+// askNodes is ctl for the commands that ask the nodes.
+func askNodes(s *state, ts *testscript.TestScript, args []string) error {
+	file, err := s.fleet.ControlConfig()
+	if err != nil {
+		return err
+	}
+	return control(s, ts, append([]string{"--config", file}, args...))
+}
+
+// missing waits until the status names exactly these nodes as missing.
+func missing(s *state, _ *testscript.TestScript, args []string) error {
+	limit, args, err := within(args)
+	if err != nil || len(args) < 1 {
+		return errors.New("usage: missing [-within D] SERVICE NODE...")
+	}
+	return s.fleet.Until(s.ctx, limit, "missing nodes", func() error {
+		status, err := s.fleet.Status(s.ctx, args[0])
+		if err == nil && !slices.Equal(status.Missing, args[1:]) {
+			err = errors.Errorf("missing: %q", status.Missing)
+		}
+		return err
+	})
+}
+
+// loggedCaller finds a caller in the decision log of an entry.
+var loggedCaller = regexp.MustCompile(`decision=forward .*caller=(\S+)`)
+
+// callerOf sets a variable to a caller that an entry has logged.
+func callerOf(s *state, ts *testscript.TestScript, args []string) error {
+	if len(args) != 2 {
+		return errors.New("usage: caller ENTRY VAR")
+	}
+	return s.fleet.Until(s.ctx, defaultWait, "a caller in the log", func() error {
+		text, err := os.ReadFile(filepath.Join(s.fleet.Dir, args[0]+".log"))
+		if err != nil {
+			return err
+		}
+		match := loggedCaller.FindSubmatch(text)
+		if match == nil {
+			return errors.New("no caller is logged")
+		}
+		ts.Setenv(args[1], string(match[1]))
+		return nil
+	})
+}
--- a/policy/settings/model_test.go
+++ b/policy/settings/model_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"reflect"
 	"testing"
 	"time"
 
@@ -12,7 +13,7 @@
 	"lacewinglever.dev/policy/record"
 )
 
-// model is a store with the objects of two services, and duty holders with views of different age. It checks at every write what must
+// model is a store with the objects of three services, and duty holders with views of different age. It checks at every write what must
 // hold whatever the holders know.
 type model struct {
 	t          *rapid.T
@@ -30,7 +31,15 @@
 	value   any
 }
 
-var modelServices = []ident.ServiceName{{Team: "a", Name: "one"}, {Team: "b", Name: "two"}}
+// The id of the third service collides with that of the first.
+var modelServices = []ident.ServiceName{{Team: "a", Name: "one"}, {Team: "b", Name: "two"}, {Team: "c", Name: "three"}}
+
+func modelIDPath(s ident.ServiceName) string {
+	if s == modelServices[2] {
+		s = modelServices[0]
+	}
+	return IDPath(s.ID())
+}
 
 func newModel(t *rapid.T) *model {
 	return &model{t: t, now: time.Unix(1_000_000, 0), current: map[string]written{}, superseded: map[netip.AddrPort]time.Time{}}
@@ -54,13 +63,26 @@
 }
 
 func (m *model) newest(s ident.ServiceName) *record.Revision {
-	for n := uint64(1); ; n++ {
-		if m.current[RevisionPath(s, n)].value == nil {
-			if n == 1 {
-				return nil
-			}
-			r := m.current[RevisionPath(s, n-1)].value.(record.Revision)
-			return &r
+	r, ok := m.current[AcceptedPath(s)].value.(record.Revision)
+	if !ok {
+		return nil
+	}
+	return &r
+}
+
+// checkHistory fails unless the history holds every accepted revision but perhaps the newest, and that one as it was accepted.
+func (m *model) checkHistory(s ident.ServiceName, complete bool) {
+	newest := m.newest(s)
+	if newest == nil {
+		return
+	}
+	for n := uint64(1); n <= newest.Number; n++ {
+		r, ok := m.current[RevisionPath(s, n)].value.(record.Revision)
+		if !ok && (n < newest.Number || complete) {
+			m.t.Fatalf("%s: revision %d is not in the history, the newest is %d", s, n, newest.Number)
+		}
+		if ok && (r.Number != n || n == newest.Number && !reflect.DeepEqual(r, *newest)) {
+			m.t.Fatalf("%s: the history holds %+v as revision %d", s, r, n)
 		}
 	}
 }
@@ -105,13 +127,16 @@
 		st.Spec = &spec
 		wanted, _ = WantedAddress(s, spec.Text)
 	}
-	for n := uint64(1); n <= h.m.version; n++ {
-		w := h.view(RevisionPath(s, n), h.teamsAt)
-		if r, ok := w.value.(record.Revision); ok {
-			st.Newest = &r
-			st.InUse, _ = addressOf(&r)
+	if w := h.view(AcceptedPath(s), h.teamsAt); w.value != nil {
+		r := w.value.(record.Revision)
+		st.Newest, st.NewestAt = &r, w.version
+		st.InUse, _ = addressOf(&r)
+		// The history is not read: only the holder's own writes and conflicts tell what is there.
+		if h.own[RevisionPath(s, r.Number)].value != nil {
+			st.Recorded = r.Number
 		}
 	}
+	st.IDHolder, _ = h.own[modelIDPath(s)].value.(ident.ServiceName)
 	if w := h.view(StatusPath(s), h.teamsAt); w.value != nil {
 		st.Status = w.value.(Status)
 		st.Status.Version = w.version
@@ -149,10 +174,14 @@
 	switch step.Kind {
 	case Nothing, Wait:
 		return
+	case ClaimID:
+		path, value = modelIDPath(h.service), h.service
 	case ClaimAddress, ReleaseAddress:
 		path, value = AddressPath(step.Address.Address), step.Address
 		h.m.checkClaim(h.service, &step)
 	case AcceptRevision:
+		path, value = AcceptedPath(h.service), step.Revision
+	case RecordRevision:
 		path, value = RevisionPath(h.service, step.Revision.Number), step.Revision
 		step.IfVersion = 0
 	case WriteStatus:
@@ -164,6 +193,7 @@
 		h.m.checkRevision(before, &step.Revision)
 	}
 	h.m.checkAddresses()
+	h.m.checkHistory(h.service, false)
 	switch {
 	case lost:
 	case ok:
@@ -181,6 +211,9 @@
 	if r.Number != number+1 || r.SourceVersion <= source {
 		m.t.Fatalf("revision %d from version %d follows %d from %d", r.Number, r.SourceVersion, number, source)
 	}
+	if holder := m.current[modelIDPath(r.Service)].value; !r.Deleted && holder != r.Service {
+		m.t.Fatalf("%s is accepted, its id is held by %v", r.Service, holder)
+	}
 	old, had := addressOf(before)
 	if now, _ := addressOf(r); had && now != old {
 		m.superseded[old] = m.now
@@ -235,7 +268,8 @@
 }
 
 // TestHoldersInterleaved guards the revisions against duty holders that act on views of different age, pause between deciding and
-// writing, and lose answers: no gaps, no second spec under one number, never backwards, and an address is used by its holder only.
+// writing, and lose answers: every accepted revision gets into the history before the next, no second spec under one number, never
+// backwards, an address is used by its holder only, and of two services with one id only one is accepted.
 func TestHoldersInterleaved(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		m := newModel(t)
@@ -303,6 +337,7 @@
 func (m *model) checkSettled(h *holder) {
 	for _, s := range modelServices {
 		st := h.state(s)
+		m.checkHistory(s, true)
 		accepted := st.Newest != nil && st.Newest.SourceVersion >= version(st.Spec)
 		switch {
 		case st.Spec == nil && st.Newest != nil && !st.Newest.Deleted:
