view: keep no scores, which halves the memory of an entry for each service

Cause: 4 of the 8.7 KB of a service's view and route at an entry were the best score of each slot, which only a change of the pool reads. Adding a target now computes the score of the present home again.

Ruled out: one wildcard socket for each port, which would save at most another 4.3 KB but make services share a receive buffer.

--- a/policy/view/view.go
+++ b/policy/view/view.go
@@ -39,8 +39,7 @@
 	Digest  uint64 // same members and weights give the same digest
 	Members []Member
 
-	homes  []uint16  // member index per slot, noMember if the pool has no home
-	scores []float32 // best score per slot
+	homes []uint16 // member index per slot, noMember if the pool has no home
 }
 
 // Build makes the view of a pool with the given number of slots, a power of two up to MaxSlots. Members that are dead or have left
@@ -54,7 +53,6 @@
 	v := &View{Service: service, Members: sorted}
 	v.Digest = v.digest()
 	v.homes = make([]uint16, slots)
-	v.scores = make([]float32, slots)
 	v.fill(prev)
 	return v
 }
@@ -103,8 +101,9 @@
 	return d.Sum64()
 }
 
-// fill computes the slot table. Slots keep their home and score from prev where the home is unchanged, and are compared with the members
-// that are new; slots that lost their home are computed in full.
+// fill computes the slot table. Slots keep their home from prev where that is still a member, and it is compared with the members that are
+// new; slots that lost their home are computed in full. Scores aren't kept: they took twice the memory of the table, and a service's pool
+// changes rarely.
 func (v *View) fill(prev *View) {
 	usable := prev != nil && prev.Service == v.Service && len(prev.homes) == len(v.homes)
 	kept := map[uint16]uint16{}
@@ -127,15 +126,13 @@
 		all = append(all, i)
 	}
 	for slot := range v.homes {
-		v.homes[slot], v.scores[slot] = noMember, float32(math.Inf(-1))
-		candidates := all
+		home, candidates := uint16(noMember), all
 		if usable {
 			if i, ok := kept[prev.homes[slot]]; ok {
-				v.homes[slot], v.scores[slot] = i, prev.scores[slot]
-				candidates = fresh
+				home, candidates = i, fresh
 			}
 		}
-		v.choose(slot, candidates)
+		v.homes[slot] = v.choose(slot, home, candidates)
 	}
 }
 
@@ -148,16 +145,24 @@
 	return uint16(i), true
 }
 
-// choose gives the slot to the best of the candidates and the present home. Equal scores go to the lower node id, so that every node
+// choose returns the best of the present home, if there is one, and the candidates. Equal scores go to the lower node id, so that every node
 // chooses alike, in whatever order the members came.
-func (v *View) choose(slot int, candidates []uint16) {
+func (v *View) choose(slot int, home uint16, candidates []uint16) uint16 {
+	best := float32(math.Inf(-1))
+	if home != noMember && len(candidates) > 0 {
+		best = v.score(slot, home)
+	}
 	for _, i := range candidates {
-		m := &v.Members[i]
-		score := float32(rendezvous.Score(uint64(slot), uint64(m.Node.ID), m.Weight))
-		better := score > v.scores[slot]
-		tie := score == v.scores[slot] && v.homes[slot] != noMember && i < v.homes[slot]
-		if better || tie {
-			v.homes[slot], v.scores[slot] = i, score
+		score := v.score(slot, i)
+		tie := score == best && home != noMember && i < home
+		if score > best || tie {
+			home, best = i, score
 		}
 	}
+	return home
+}
+
+func (v *View) score(slot int, member uint16) float32 {
+	m := &v.Members[member]
+	return float32(rendezvous.Score(uint64(slot), uint64(m.Node.ID), m.Weight))
 }
