--- a/node/agent/feed.go
+++ b/node/agent/feed.go
@@ -28,7 +28,6 @@
 	pktinfoSource      = 20
 	pktinfoDestination = 8
 	controlSize        = 64
-	feedReaders        = 1
 	feedBuffer         = 4 << 20
 	drainPoll          = 100 * time.Millisecond
 )
--- a/node/agent/run.go
+++ b/node/agent/run.go
@@ -37,9 +37,7 @@
 	running.Go(func() { a.health.run(work) })
 	running.Go(func() { a.loop(work) })
 	if a.feed != nil {
-		for range feedReaders {
-			running.Go(a.readTarget)
-		}
+		running.Go(a.readTarget) // one reader, to keep the order of the target's datagrams
 	}
 	a.join(ctx)
 	<-ctx.Done()
