--- a/node/agent/agent.go
+++ b/node/agent/agent.go
@@ -26,7 +26,7 @@
 // Errors of Return.
 var (
 	ErrNoFlow  = errors.New("no such flow")
-	ErrNoEntry = errors.New("no live entry is known")
+	ErrNoEntry = errors.New("no live entry is known, or the service was deleted")
 )
 
 // Options configure an Agent.
@@ -77,6 +77,9 @@
 	exiting    atomic.Bool
 	drained    atomic.Bool // by RPC
 	ready      atomic.Bool
+	// deleted tells that the service was deleted. An entry that does not know it, because it was cut off or frozen, still has the service's
+	// address bound, and may forward what callers send to the service that has the address now.
+	deleted atomic.Bool
 }
 
 // scratch is the memory for handling a batch of datagrams.
@@ -229,6 +232,10 @@
 	if s.now == 0 {
 		s.now = a.now()
 	}
+	if a.deleted.Load() {
+		s.reasons[flow.WrongDestination]++
+		return
+	}
 	s.effects.Reset()
 	s.in = flow.Datagram{
 		Service: d.Service, Sender: d.Sender, Destination: d.Destination, Caller: d.Caller, Entry: d.Entry,
@@ -331,7 +338,7 @@
 		return ErrNoFlow
 	}
 	id, to, ok := a.routes.Load().entry(entry, caller)
-	if !ok {
+	if !ok || a.deleted.Load() {
 		return ErrNoEntry
 	}
 	s := a.borrow()
@@ -354,7 +361,7 @@
 		return
 	}
 	id, to, ok := a.routes.Load().entry(entry, caller)
-	if !ok {
+	if !ok || a.deleted.Load() {
 		a.unroutable.Inc()
 		return
 	}
--- a/node/agent/agent_test.go
+++ b/node/agent/agent_test.go
@@ -308,6 +308,18 @@
 	}
 }
 
+// Guards against a deletion never being in force at agents, and against it taking away the settings of what is in progress.
+func TestDeletion(t *testing.T) {
+	b := newBench(t, 1, "")
+	a := b.agents[0]
+	b.mu.Lock()
+	b.revision.Number, b.revision.Deleted, b.revision.Spec = 2, true, nil
+	b.mu.Unlock()
+	time.Sleep(3 * refreshInterval)
+	assert.Equal(t, a.applied(testService.ID()), uint64(2))
+	assert.Equal(t, a.Settings().IdleTimeout, 30*time.Second)
+}
+
 // Guards against a target that is named in the drain list, or not ready, getting new flows, and against an exit on drain.
 func TestDrainBySettings(t *testing.T) {
 	ready := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(`{"ready":true}`)) }))
@@ -331,3 +343,44 @@
 	b.agents[1].health.note(time.Now(), targetLoad{}, nil)
 	assert.Equal(t, b.agents[1].Load().GetWarmPerMille(), uint32(0))
 }
+
+// Guards against a target getting new flows because its agent has not yet heard that it is set to drain, as the others have.
+func TestDrainingTargetThatSaysReady(t *testing.T) {
+	b := newBench(t, 2, "")
+	a := b.agents[1]
+	a.pool.mu.Lock()
+	a.pool.spec.Drain = []string{"agent-a"}
+	v := a.pool.view
+	a.pool.mu.Unlock()
+	for _, r := range a.reports(v) {
+		assert.Equal(t, r.Eligible, r.Node == a.self)
+	}
+}
+
+// Guards against answers being dropped for want of an entry when entries that are cut off from each other declare one another dead.
+func TestReturnByEntryThatIsHeldDead(t *testing.T) {
+	b := newBench(t, 1, "")
+	assert.Assert(t, b.exchange(b.agents[0], testCaller(1), "reading") != "")
+	for _, state := range []record.State{record.Dead, record.Left} {
+		b.mu.Lock()
+		entry := b.nodes[b.entry.Self()]
+		entry.State = state
+		b.nodes[entry.ID] = entry
+		b.mu.Unlock()
+		b.agents[0].refresh()
+		assert.Equal(t, b.exchange(b.agents[0], testCaller(1), "reading") != "", state == record.Dead)
+	}
+}
+
+// Guards against a deleted service taking datagrams from an entry that does not know of the deletion, and answering through it.
+func TestDeletedServiceTakesNothing(t *testing.T) {
+	b := newBench(t, 1, "")
+	for i, deleted := range []bool{false, true, false} {
+		b.mu.Lock()
+		b.revision.Number, b.revision.Deleted = uint64(i+2), deleted
+		b.mu.Unlock()
+		b.agents[0].refresh()
+		assert.Equal(t, b.exchange(b.agents[0], testCaller(1), "reading") != "", !deleted)
+		assert.Equal(t, b.agents[0].applied(testService.ID()), uint64(i+2))
+	}
+}
--- a/node/agent/program.go
+++ b/node/agent/program.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"time"
@@ -16,6 +16,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"lacewinglever.dev/node/config"
+	"lacewinglever.dev/node/daemon"
+	lacewingv1 "lacewinglever.dev/node/gen/lacewing/v1"
 	"lacewinglever.dev/node/gen/lacewing/v1/lacewingv1connect"
 	"lacewinglever.dev/node/logging"
 	"lacewinglever.dev/node/peer"
@@ -31,8 +33,6 @@
 const (
 	defaultDrainTimeout = time.Minute
 	nodeReaders         = 4
-	headerTimeout       = 5 * time.Second
-	closeGrace          = time.Second
 )
 
 // Target is the target beside the agent.
@@ -42,6 +42,12 @@
 	Slots uint32 `yaml:"slots"`
 }
 
+// TLS names the certificate of a service of requests towards callers. Without files, a self-signed one is made at start.
+type TLS struct {
+	CertificateFile string `yaml:"certificate_file"`
+	KeyFile         string `yaml:"key_file"`
+}
+
 // Config is the settings file of lacewing-agent.
 type Config struct {
 	config.Node  `yaml:",inline"`
@@ -49,6 +55,7 @@
 	Weight       float64       `yaml:"weight"`
 	DrainTimeout time.Duration `yaml:"drain_timeout"`
 	Target       Target        `yaml:"target"`
+	TLS          TLS           `yaml:"tls"`
 }
 
 // Check reports the faults of the file.
@@ -75,6 +82,19 @@
 	if c.Target.Slots == 0 {
 		f.Add("$.target.slots", "want at least 1")
 	}
+	c.checkTLS(f)
+}
+
+func (c *Config) checkTLS(f *yamlfile.Faults) {
+	if c.TLS == (TLS{}) {
+		return
+	}
+	if c.Target.UDP != "" {
+		f.Add("$.tls", "a service of feeds has no certificate: target.udp is set")
+	}
+	if _, err := tls.LoadX509KeyPair(c.TLS.CertificateFile, c.TLS.KeyFile); err != nil {
+		f.Add("$.tls", "%v", err)
+	}
 }
 
 // LoadConfig reads and checks a settings file.
@@ -90,6 +110,7 @@
 	Service  ident.ServiceName
 	Settings func() *settings.Spec // nil while none are known
 	Return   Return
+	Load     func() *lacewingv1.Load // what heartbeats report of the target; valid once the server has been made
 	Logger   log.Logger
 	Metrics  *metrics.Set
 }
@@ -133,8 +154,10 @@
 		return p.transport.Run(running, p.agent.Handlers(p.mesh.Control))
 	})
 	g.Go(func() error { return p.mesh.Run(running) })
-	g.Go(func() error { return serve(running, c.RPC.Listen, p.rpc()) })
-	g.Go(func() error { return serve(running, c.Metrics, p.observability()) })
+	g.Go(func() error { return daemon.Serve(running, c.RPC.Listen, p.rpc()) })
+	g.Go(func() error {
+		return daemon.Serve(running, c.Metrics, daemon.Observability(p.set, func() string { return p.mesh.Self().State.String() }))
+	})
 	g.Go(func() error {
 		defer stop()
 		return p.agent.Run(ctx, running)
@@ -204,7 +227,7 @@
 			return nil, errors.New("this program serves feeds only: target.udp is required")
 		}
 		server, err := requests(RequestOptions{
-			Config: p.config, Mesh: p.mesh, Keys: p.keys, Service: p.service, Settings: a.Settings, Return: a.Return,
+			Config: p.config, Mesh: p.mesh, Keys: p.keys, Service: p.service, Settings: a.Settings, Return: a.Return, Load: a.Load,
 			Logger: p.logger, Metrics: p.set,
 		})
 		p.requests = server
@@ -226,36 +249,3 @@
 	mux.Handle(path, rpcauth.Handler(p.keys, h))
 	return mux
 }
-
-// observability answers /metrics and /healthz.
-func (p *program) observability() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
-		p.set.WritePrometheus(w)
-		metrics.WriteProcessMetrics(w)
-	})
-	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
-		_, _ = io.WriteString(w, p.mesh.Self().State.String()+"\n")
-	})
-	return mux
-}
-
-func serve(ctx context.Context, address string, h http.Handler) error {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return errors.Wrap(err, "listen")
-	}
-	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
-	stop := context.AfterFunc(ctx, func() {
-		closing, cancel := context.WithTimeout(context.WithoutCancel(ctx), closeGrace)
-		defer cancel()
-		if server.Shutdown(closing) != nil {
-			_ = server.Close()
-		}
-	})
-	defer stop()
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		return errors.Wrapf(err, "serve %s", address)
-	}
-	return nil
-}
