--- a/bench/scenario/scenario_test.go
+++ b/bench/scenario/scenario_test.go
@@ -39,6 +39,8 @@
 	ports int
 	fleet *fleet.Fleet
 	begin time.Time // of the last apply
+
+	monitor *monitor
 }
 
 type stateKey struct{}
@@ -104,9 +106,10 @@
 func commands() map[string]func(*testscript.TestScript, bool, []string) {
 	all := map[string]command{
 		"fleet": startFleet, "process": process, "ended": ended, "link": link, "rotation": rotation, "platform": platform, "mode": mode, "apply": apply, "inforce": inForce,
-		"ctl": control, "load": loads, "expect": expect, "stats": stats, "now": now, "sleep": sleep,
+		"ctl": control, "load": loads, "expect": expect, "stats": stats, "now": now, "sleep": sleep, "break": breakLink,
 	}
 	maps.Copy(all, feedCommands())
+	maps.Copy(all, settingsCommands)
 	cmds := map[string]func(*testscript.TestScript, bool, []string){}
 	for name, run := range all {
 		cmds[name] = func(ts *testscript.TestScript, neg bool, args []string) {
--- a/node/peer/peer.go
+++ b/node/peer/peer.go
@@ -30,13 +30,18 @@
 // Limits and times of a peer.
 const (
 	fanout         = 3
-	poolHeartbeats = 16   // pool members per round of heartbeats
-	smallPool      = 8    // members, see sendHeartbeats
-	pushSize       = 1200 // bytes of records per datagram, below the smallest usual MTU
-	tickEvery      = 100 * time.Millisecond
+	poolHeartbeats = 16 // pool members per round of heartbeats
+	smallPool      = 8  // members, see sendHeartbeats
+	// ackAfter is the silence of an entry after which an agent asks it to answer. Agents use an entry for return traffic for 1 s after
+	// they heard it; with a heartbeat every 250 ms they ask at 500 ms and again at 750 ms, so that one answer may be lost.
+	ackAfter  = 300 * time.Millisecond
+	pushSize  = 1200 // bytes of records per datagram, below the smallest usual MTU
+	tickEvery = 100 * time.Millisecond
 	// watchEvery bounds how often the watched nodes are computed, which costs a rendezvous hash per agent and entry of the data centre.
 	watchEvery  = 500 * time.Millisecond
 	forgetAfter = 10 * time.Minute
+	// expireEvery is short against the step in which records expire, so that all nodes remove them at nearly the same time.
+	expireEvery = time.Second
 	// bulkRecords is the number of records in one Sync message above which they are taken for a join or a healed partition. Pushing
 	// them on would fill the queue with what others know already.
 	bulkRecords = 16
@@ -77,7 +82,10 @@
 	watched time.Time // when it was computed
 	chosen  choices
 
+	expired time.Time // step of the last removal; only expire uses it
+
 	topologyCache atomic.Pointer[topology]
+	entries       atomic.Pointer[entryList]
 
 	handlersMu  sync.RWMutex
 	subscribers []func(Change)
@@ -146,6 +154,7 @@
 	g.Go(func() error { return every(ctx, tickEvery, p.tick) })
 	g.Go(func() error { return every(ctx, tickEvery/2, p.push) })
 	g.Go(func() error { return every(ctx, forgetAfter, func(time.Time) { p.heard.forget(forgetAfter) }) })
+	g.Go(func() error { return every(ctx, expireEvery, p.expire) })
 	g.Go(func() error { return p.join(ctx) })
 	g.Go(func() error { return p.antiEntropy(ctx) })
 	g.Go(func() error { return p.reconnect(ctx) })
@@ -181,6 +190,9 @@
 	}
 	p.self.State = s
 	p.self.Sequence++
+	if !p.self.Alive() {
+		p.self.Ended = time.Now()
+	}
 	own := p.self
 	p.selfMu.Unlock()
 	p.announce(own)
@@ -216,9 +228,18 @@
 
 // Entries returns the live entries, those of the own data centre first.
 func (p *Peer) Entries() []record.Node {
-	all := p.index.allEntries()
-	own := p.options.Self.DataCentre
-	slices.SortStableFunc(all, func(a, b record.Node) int {
+	cached := p.entries.Load()
+	list := p.index.allEntries(cached)
+	if list != cached {
+		ownFirst(list.nodes, p.options.Self.DataCentre)
+		p.entries.Store(list)
+	}
+	return slices.Clone(list.nodes)
+}
+
+// ownFirst puts the nodes of a data centre before the others.
+func ownFirst(nodes []record.Node, own ident.DataCentre) {
+	slices.SortStableFunc(nodes, func(a, b record.Node) int {
 		switch {
 		case a.DataCentre == own && b.DataCentre != own:
 			return -1
@@ -227,7 +248,6 @@
 		}
 		return 0
 	})
-	return all
 }
 
 // Pool returns the service's agents that are joining, ready or draining and not in a scope that is down.
@@ -326,7 +346,7 @@
 	if p.refute(r) {
 		return false
 	}
-	if !p.store.Merge(r) {
+	if p.outlived(&r) || !p.store.Merge(r) {
 		return false
 	}
 	p.index.add(&r)
@@ -345,6 +365,28 @@
 	return true
 }
 
+// outlived tells whether a record of an ended node was removed here, and comes back from a peer that still holds it. One that replaces an
+// older record is taken in, and removed later: otherwise a node that ended would stay alive here.
+func (p *Peer) outlived(r *record.Record) bool {
+	if r.Node == nil || !r.Node.Expired(time.Now()) {
+		return false
+	}
+	_, known := p.store.Get(r.Key)
+	return !known
+}
+
+// expire removes the records of nodes that ended long ago, once in each step of the clock.
+func (p *Peer) expire(now time.Time) {
+	step := now.Truncate(record.ExpiryStep)
+	if step.Equal(p.expired) {
+		return
+	}
+	p.expired = step
+	for _, r := range p.store.Expire(now) {
+		p.index.remove(&r)
+	}
+}
+
 func (p *Peer) logNode(n *record.Node) {
 	_ = level.Debug(p.options.Logger).Log(logging.KeyMessage, "node record", "peer", n.Name, logging.KeyState, n.State)
 }
