settings: a spec waits for an address whose holder is about to release it

Cause: a deletion is accepted first and the address is released in a later step, up to a second after it. A spec that names the address and is looked at in between was refused for good as held by the service that was just deleted. Ruled out: a missing release (it came) and the data plane (no entry had bound the new service). Conclusion: a refusal is written only when the holder's newest revision uses the address or a newer claim is under way.

--- a/node/duty/cache.go
+++ b/node/duty/cache.go
@@ -195,6 +195,27 @@
 	}
 }
 
+// inUse returns the address that the newest revision names; the zero one if there is none or it is a deletion.
+func (e *entry) inUse(service ident.ServiceName) netip.AddrPort {
+	if e.newest == nil || e.newest.Deleted {
+		return netip.AddrPort{}
+	}
+	return e.address(service, e.newest.Spec)
+}
+
+// leaving tells whether the holder of an address is about to release it: its spec was deleted, or its newest revision names another
+// address.
+func (c *cache) leaving(object *settings.AddressObject) bool {
+	if object == nil {
+		return false
+	}
+	holder := c.services[object.Service]
+	if holder == nil || holder.newest == nil {
+		return false
+	}
+	return holder.spec == nil || settings.Unused(object, holder.newest, holder.inUse(object.Service))
+}
+
 // state returns what is known of a service.
 func (c *cache) state(service ident.ServiceName, now time.Time) settings.State {
 	e := c.entry(service)
@@ -212,12 +233,11 @@
 	if !e.newestDeleted {
 		s.NewestAt = e.newestVersion
 	}
-	if e.newest != nil && !e.newest.Deleted {
-		s.InUse = e.address(service, e.newest.Spec)
-	}
+	s.InUse = e.inUse(service)
 	if e.spec != nil {
 		if known := c.addresses[e.address(service, e.spec.Text)]; known != nil {
 			s.Wanted = known.object
+			s.Leaving = c.leaving(known.object)
 		}
 	}
 	for _, object := range e.held {
--- a/policy/settings/revision.go
+++ b/policy/settings/revision.go
@@ -16,6 +16,9 @@
 // release is in force everywhere.
 const AddressQuarantine = 10 * time.Second
 
+// releaseWait is the time between looks at an address whose holder is about to release it.
+const releaseWait = 500 * time.Millisecond
+
 // maxMissing bounds the names of missing nodes in a status, so that a lost data centre does not make it large.
 const maxMissing = 16
 
@@ -79,6 +82,7 @@
 	Recorded  uint64           // newest revision that this holder knows to be in the history
 	InUse     netip.AddrPort   // address that Newest names; invalid if there is none or it is a deletion
 	Wanted    *AddressObject   // object of the address that the spec names; nil: there is none
+	Leaving   bool             // the service that holds Wanted is about to release it
 	Held      []AddressObject  // addresses that the service holds
 	Status    Status
 	Progress  *Progress          // nil: not counted
@@ -260,6 +264,9 @@
 	if s.Wanted.Service == s.Service {
 		return step, ""
 	}
+	if s.Wanted.Released.IsZero() && s.Leaving {
+		return Step{Kind: Wait, Until: s.Now.Add(releaseWait)}, ""
+	}
 	if s.Wanted.Released.IsZero() {
 		return Step{}, fmt.Sprintf("address %s is held by service %s", a, s.Wanted.Service)
 	}
@@ -273,7 +280,7 @@
 // revision's spec, as a newer claim belongs to a revision that is about to be accepted.
 func (s *State) release() (Step, bool) {
 	for _, a := range s.Held {
-		if a.Held(s.Service) && a.Address != s.InUse && a.Source < s.newestSource() {
+		if a.Held(s.Service) && Unused(&a, s.Newest, s.InUse) {
 			released := a
 			released.Released = s.Now
 			return Step{Kind: ReleaseAddress, IfVersion: a.Version, Address: released}, true
@@ -282,6 +289,12 @@
 	return Step{}, false
 }
 
+// Unused tells whether the newest revision of the service that holds the address is newer than the claim and names another address,
+// which is inUse, or none.
+func Unused(a *AddressObject, newest *record.Revision, inUse netip.AddrPort) bool {
+	return newest != nil && a.Address != inUse && a.Source < newest.SourceVersion
+}
+
 func (s *State) accept(r record.Revision) Step {
 	r.Service = s.Service
 	r.Accepted = s.Now
--- a/policy/settings/revision_test.go
+++ b/policy/settings/revision_test.go
@@ -49,6 +49,8 @@
 		{name: "other team", state: State{ReadAt: 9, Spec: &SpecObject{Version: 5, Text: []byte(full), Writer: "x/y"}}, kind: WriteStatus, reason: "x/y"},
 		{name: "address of another", state: State{ReadAt: 9, Spec: spec(7), Newest: accepted, Status: inForce,
 			Wanted: &AddressObject{Version: 6, Address: at, Service: other}}, kind: WriteStatus, reason: "held by service team/other"},
+		{name: "address about to be released", state: State{ReadAt: 9, Spec: spec(7), Newest: accepted, Status: inForce, Leaving: true,
+			Wanted: &AddressObject{Version: 6, Address: at, Service: other}}, kind: Wait},
 		{name: "id of another", state: State{ReadAt: 9, Spec: spec(5), Wanted: mine, Collision: &other}, kind: WriteStatus, reason: "team/other"},
 		{name: "refused already", state: State{ReadAt: 9, Spec: spec(5), Status: Status{Version: 6, RefusedVersion: 5}}},
 		{name: "quarantine", state: State{ReadAt: 9, Spec: spec(5),
