--- a/node/agent/agent_test.go
+++ b/node/agent/agent_test.go
@@ -372,6 +372,29 @@
 	}
 }
 
+// Guards against the flows of an agent being placed elsewhere while entries that cannot reach it hold it dead and the pool still hears it.
+func TestMemberThatIsHeldDead(t *testing.T) {
+	b := newBench(t, 2, "")
+	a, other := b.agents[0], b.agents[1]
+	for _, c := range []struct {
+		state       record.State
+		incarnation ident.Incarnation
+		kept        bool
+	}{{record.Dead, 0, true}, {record.Dead, 1, false}, {record.Ready, 0, true}, {record.Left, 0, false}} {
+		b.mu.Lock()
+		n := b.nodes[other.self]
+		n.State = c.state
+		n.Incarnation += c.incarnation
+		b.nodes[other.self] = n
+		b.mu.Unlock()
+		a.refresh()
+		a.pool.mu.Lock()
+		_, kept := a.pool.view.Member(other.self)
+		a.pool.mu.Unlock()
+		assert.Equal(t, kept, c.kept, "state %s, incarnation +%d", c.state, c.incarnation)
+	}
+}
+
 // Guards against a deleted service taking datagrams from an entry that does not know of the deletion, and answering through it.
 func TestDeletedServiceTakesNothing(t *testing.T) {
 	b := newBench(t, 1, "")
--- a/node/agent/pool.go
+++ b/node/agent/pool.go
@@ -21,6 +21,9 @@
 const (
 	// entryTimeout is for how long an entry that was not heard is still used for return traffic.
 	entryTimeout = time.Second
+	// memberTimeout is for how long a member that was not heard is kept in the view against a record that holds it dead. It is shorter than
+	// the 3 s after which a silent node is declared dead, so a node that really died is not kept.
+	memberTimeout = time.Second
 	// sameReport is how far the times of arrival of one load report may differ when they are computed from its age.
 	sameReport = 50 * time.Millisecond
 )
@@ -172,10 +175,37 @@
 	if !present && self.Alive() {
 		out = appendMember(out, &spec, self)
 	}
+	for _, n := range a.heardMembers(nodes) {
+		out = appendMember(out, &spec, n)
+	}
 	slices.SortFunc(out, func(a, b view.Member) int { return cmp.Compare(a.Node.ID, b.Node.ID) })
 	return out
 }
 
+// heardMembers returns the members of the present view that the pool no longer has, though they are heard here and have not left.
+// Entries that cannot reach an agent hold it dead, until it refutes that. Without it in the view, its flows would be placed elsewhere.
+func (a *Agent) heardMembers(pool []record.Node) []record.Node {
+	live := map[ident.NodeID]bool{a.self: true}
+	for i := range pool {
+		live[pool[i].ID] = true
+	}
+	a.pool.mu.Lock()
+	v := a.pool.view
+	a.pool.mu.Unlock()
+	var out []record.Node
+	for i := range v.Members {
+		n := v.Members[i].Node
+		known, ok := a.options.Mesh.Node(n.ID)
+		if live[n.ID] || !ok || known.State == record.Left || known.Incarnation != n.Incarnation {
+			continue
+		}
+		if age, heard := a.options.Mesh.Heard(n.ID); heard && age <= memberTimeout {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
 func appendMember(out []view.Member, spec *settings.Spec, n record.Node) []view.Member {
 	weight := spec.Weight(n.DataCentre) * n.Weight
 	if weight <= 0 {
