agent: tests lock the fake mesh and look at a fresh view

Cause: New stores the load function in the fake mesh while loops of agents that run already read it, and TestDrainingTargetThatSaysReady could take a view from before its own agent was ready. Ruled out: the agent itself; both accesses are in the test file, and the real peer locks them. Conclusion: faults of the tests; no check was changed.

--- a/node/agent/agent_test.go
+++ b/node/agent/agent_test.go
@@ -57,7 +57,11 @@
 	m.nodes[m.id] = n
 }
 
-func (m *fakeMesh) SetLoad(f func() *lacewingv1.Load) { m.load = f }
+func (m *fakeMesh) SetLoad(f func() *lacewingv1.Load) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.load = f
+}
 
 func (m *fakeMesh) Node(id ident.NodeID) (record.Node, bool) {
 	m.mu.Lock()
@@ -95,27 +99,35 @@
 func (m *fakeMesh) Subscribe(func(peer.Change))              {}
 
 func (m *fakeMesh) Load(id ident.NodeID) (*lacewingv1.Load, time.Duration, bool) {
+	var load func() *lacewingv1.Load
 	m.mu.Lock()
-	other := m.meshes[id]
+	if other := m.meshes[id]; other != nil {
+		load = other.load
+	}
 	m.mu.Unlock()
-	if other == nil || other.load == nil {
+	if load == nil {
 		return nil, 0, false
 	}
-	return other.load(), 0, true
+	return load(), 0, true
 }
 
 func (m *fakeMesh) SendControl(id ident.NodeID, c *lacewingv1.Control) error {
+	var handler func(*lacewingv1.Control)
 	m.mu.Lock()
-	to := m.meshes[id]
+	if to := m.meshes[id]; to != nil {
+		handler = to.handler
+	}
 	m.mu.Unlock()
 	c.Sender = uint64(m.id)
-	if to != nil && to.handler != nil {
-		go to.handler(c)
+	if handler != nil {
+		go handler(c)
 	}
 	return nil
 }
 
 func (m *fakeMesh) HandleControl(f func(*lacewingv1.Control)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
 	before := m.handler
 	m.handler = func(c *lacewingv1.Control) {
 		if before != nil {
@@ -348,6 +360,7 @@
 func TestDrainingTargetThatSaysReady(t *testing.T) {
 	b := newBench(t, 2, "")
 	a := b.agents[1]
+	a.refresh() // the view may be older than the last agent's change to ready
 	a.pool.mu.Lock()
 	a.pool.spec.Drain = []string{"agent-a"}
 	v := a.pool.view
