fleet, request: one reader of metrics, no unused options

Cause: Fleet.Metric fetched and parsed the metrics page again beside Fleet.Metrics, and did not agree with it on an agent that moved to another place. HandlerOptions and ClientOptions of package request were set by nobody since it signs RPCs itself. Ruled out: dropping Transport.SendData, which the tests of agent and entry send single frames with. Before: two copies of the same request. After: Metric looks a name up in Metrics; tests of request and fleet pass with the race detector, and feed_forged, feed_place_taken and request_planned_stop pass.

--- a/bench/fleet/fleet.go
+++ b/bench/fleet/fleet.go
@@ -11,7 +11,6 @@
 	"net/http"
 	"os"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -433,27 +432,12 @@
 
 // Metric returns the value of a metric of a node, labels included in the name.
 func (f *Fleet) Metric(ctx context.Context, name, metric string) (float64, error) {
-	n, err := f.anyNode(name)
-	if err != nil {
-		return 0, err
-	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+f.common(n).Metrics+"/metrics", nil)
-	if err != nil {
-		return 0, err
-	}
-	answer, err := f.client.Do(request)
+	values, err := f.Metrics(ctx, name)
 	if err != nil {
 		return 0, err
 	}
-	defer answer.Body.Close()
-	text, err := io.ReadAll(answer.Body)
-	if err != nil {
-		return 0, err
-	}
-	for line := range strings.Lines(string(text)) {
-		if value, ok := strings.CutPrefix(line, metric+" "); ok {
-			return strconv.ParseFloat(strings.TrimSpace(value), 64)
-		}
+	if value, ok := values[metric]; ok {
+		return value, nil
 	}
 	return 0, errors.Errorf("%s has no metric %s", name, metric)
 }
--- a/bench/fleet/metrics.go
+++ b/bench/fleet/metrics.go
@@ -8,22 +8,15 @@
 	"net/http"
 	"strconv"
 	"strings"
-
-	"github.com/go-faster/errors"
 )
 
 // Metrics returns the metrics of an entry or an agent, by name with labels.
 func (f *Fleet) Metrics(ctx context.Context, name string) (map[string]float64, error) {
-	for _, n := range f.nodes {
-		if n.name == name {
-			return f.metrics(ctx, "http://"+f.at(n.host, portMetrics)+"/metrics")
-		}
+	n, err := f.anyNode(name)
+	if err != nil {
+		return nil, err
 	}
-	return nil, errors.Errorf("no node is called %q", name)
-}
-
-func (f *Fleet) metrics(ctx context.Context, url string) (map[string]float64, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+f.common(n).Metrics+"/metrics", nil)
 	if err != nil {
 		return nil, err
 	}
--- a/node/request/rpc.go
+++ b/node/request/rpc.go
@@ -47,7 +47,7 @@
 	byURL   map[string]lacewingv1connect.AgentServiceClient
 }
 
-func newClients(keys *wire.Keyring, local netip.Addr, options []connect.ClientOption) *clients {
+func newClients(keys *wire.Keyring, local netip.Addr) *clients {
 	base := &http.Transport{
 		DialContext:         rpcauth.Dialer(local).DialContext,
 		MaxIdleConnsPerHost: rpcIdlePerHost,
@@ -58,7 +58,7 @@
 	return &clients{
 		base:    base,
 		http:    &http.Client{Transport: &rpcauth.Transport{Keys: keys, Base: base}},
-		options: append(defaults, options...),
+		options: defaults,
 		byURL:   map[string]lacewingv1connect.AgentServiceClient{},
 	}
 }
--- a/node/request/server.go
+++ b/node/request/server.go
@@ -66,9 +66,6 @@
 	Load     func() *lacewingv1.Load // what the agent reports of the local target; nil: Server.Load
 	Logger   log.Logger
 	Metrics  *metrics.Set
-
-	HandlerOptions []connect.HandlerOption // of the RPC handler
-	ClientOptions  []connect.ClientOption  // of the RPC clients, which sign in any case
 }
 
 // Server is the HTTP/3 server, the coordinator of the requests that it receives, and the executor at the local target. It implements
@@ -128,7 +125,7 @@
 	s.keys.Store(o.Keys)
 	s.decisions = logging.NewDecisions(o.Logger)
 	s.metrics = newCounters(o.Metrics)
-	s.clients = newClients(o.Keys, o.Local, o.ClientOptions)
+	s.clients = newClients(o.Keys, o.Local)
 	s.executor = newExecutor(s.self.ID, target, o.Slots, defaultQueueLimit)
 	s.dispatch.dispatcher = dispatch.New(s.self.DataCentre, rand.IntN)
 	s.permits.flights = map[uint64]chan struct{}{}
@@ -185,8 +182,7 @@
 	if rest == nil {
 		rest = lacewingv1connect.UnimplementedAgentServiceHandler{}
 	}
-	options := append([]connect.HandlerOption{connect.WithReadMaxBytes(maxMessage)}, s.options.HandlerOptions...)
-	return lacewingv1connect.NewAgentServiceHandler(rpcs{AgentServiceHandler: rest, server: s}, options...)
+	return lacewingv1connect.NewAgentServiceHandler(rpcs{AgentServiceHandler: rest, server: s}, connect.WithReadMaxBytes(maxMessage))
 }
 
 // Load returns the busy slots, the queue and the mean service time of the local target, for the heartbeat. Connections, shedding and warmth
