--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Two commands do all set-up on a fresh machine: make demo and make test.
 GOLANGCI_VERSION := v2.12.0
-MODULES := policy node bench
+MODULES := policy platform node bench
 TOOLS := $(CURDIR)/.tools
 BIN := $(CURDIR)/bin
 # A scenario runs up to 30 processes. More of them at once starve each other of processor time and miss their bounds.
@@ -33,7 +33,7 @@
 	for m in $(MODULES); do (cd $$m && $(LINT) run --config $(CURDIR)/.golangci.yml ./...) || exit 1; done
 
 unit:
-	go test -race -timeout 300s $(shell go list ./policy/... ./node/... ./bench/... | grep -v /bench/scenario)
+	go test -race -timeout 300s $(shell go list ./policy/... ./platform/... ./node/... ./bench/... | grep -v /bench/scenario)
 
 scenarios: build
 	LACEWING_BIN=$(BIN) go test -count=1 -parallel $(SCENARIOS_AT_ONCE) -timeout 900s ./bench/scenario/...
--- a/node/cmd/lacewing-agent/main.go
+++ b/node/cmd/lacewing-agent/main.go
@@ -7,17 +7,26 @@
 	"os"
 
 	"lacewinglever.dev/node/agent"
+	"lacewinglever.dev/node/config"
 	"lacewinglever.dev/node/daemon"
+	"lacewinglever.dev/node/packetagent"
 	"lacewinglever.dev/node/request"
 )
 
 func main() {
 	daemon.Main("lacewing-agent", func(ctx context.Context, path string) error {
-		config, err := agent.LoadConfig(path)
+		mode, err := config.ReadMode(path)
 		if err != nil {
 			return err
 		}
-		return agent.Main(ctx, config, os.Stderr, newRequestServer)
+		if mode == config.ModeFlows {
+			return packetagent.Main(ctx, path, os.Stdout)
+		}
+		settings, err := agent.LoadConfig(path)
+		if err != nil {
+			return err
+		}
+		return agent.Main(ctx, settings, os.Stderr, newRequestServer)
 	})
 }
 
--- a/node/cmd/lacewing-entry/main.go
+++ b/node/cmd/lacewing-entry/main.go
@@ -5,16 +5,25 @@
 	"context"
 	"os"
 
+	"lacewinglever.dev/node/config"
 	"lacewinglever.dev/node/daemon"
 	"lacewinglever.dev/node/entry"
+	"lacewinglever.dev/node/packetentry"
 )
 
 func main() {
 	daemon.Main("lacewing-entry", func(ctx context.Context, path string) error {
-		config, err := entry.LoadConfig(path)
+		mode, err := config.ReadMode(path)
 		if err != nil {
 			return err
 		}
-		return entry.Main(ctx, config, os.Stderr)
+		if mode == config.ModeFlows {
+			return packetentry.Main(ctx, path, os.Stdout)
+		}
+		settings, err := entry.LoadConfig(path)
+		if err != nil {
+			return err
+		}
+		return entry.Main(ctx, settings, os.Stderr)
 	})
 }
--- a/node/config/config.go
+++ b/node/config/config.go
@@ -7,6 +7,7 @@
 	"os"
 
 	"github.com/go-faster/errors"
+	"github.com/goccy/go-yaml"
 
 	"lacewinglever.dev/node/wire"
 	"lacewinglever.dev/policy/yamlfile"
@@ -21,6 +22,35 @@
 	return yamlfile.Parse(path, text, defaults, check)
 }
 
+// Mode tells how callers' datagrams reach a program, which decides about its data path.
+type Mode string
+
+// Modes of a program.
+const (
+	// ModeDatagrams is the project's own interface: callers send to the services' addresses, and entries encapsulate what they forward.
+	ModeDatagrams Mode = ""
+	// ModeFlows is a fabric that delivers the packets of whole flows, whose targets know which flows they hold.
+	ModeFlows Mode = "flows"
+)
+
+// ReadMode returns the mode that a settings file names.
+func ReadMode(path string) (Mode, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return "", errors.Wrap(err, "read settings")
+	}
+	var file struct {
+		Mode Mode `yaml:"mode"`
+	}
+	if err := yaml.Unmarshal(text, &file); err != nil {
+		return "", errors.Errorf("%s: %s", path, yaml.FormatError(err, false, false))
+	}
+	if file.Mode != ModeDatagrams && file.Mode != ModeFlows {
+		return "", errors.Errorf("%s: $.mode: %q: want %q or none", path, file.Mode, ModeFlows)
+	}
+	return file.Mode, nil
+}
+
 // Address is where a node listens and what other nodes use to reach it.
 type Address struct {
 	Listen    string `yaml:"listen"`
--- /dev/null
+++ b/node/fleet/fleet.go
@@ -0,0 +1,438 @@
+// Package fleet connects a node with the others behind a fabric that delivers whole flows, and with the platform's store: who the other nodes are,
+// what their targets take, and which routes are in force. Nodes tell each other by heartbeats, and the store holds what must last: the
+// operator's routes and one record a node.
+package fleet
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-faster/errors"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
+
+	fleetv1 "lacewinglever.dev/node/gen/lacewing/fleet/v1"
+	"lacewinglever.dev/node/logging"
+	"lacewinglever.dev/platform"
+	"lacewinglever.dev/policy/ident"
+	"lacewinglever.dev/policy/roster"
+	"lacewinglever.dev/policy/routes"
+	"lacewinglever.dev/policy/steering"
+)
+
+const (
+	// loadEvery is the interval of agents' heartbeats to those who place flows on their targets.
+	loadEvery = 200 * time.Millisecond
+	// beatsPerRound is the number of such heartbeats of which one goes to every node.
+	beatsPerRound = 5
+	// joinEvery is the interval in which a node asks seeds for others until it knows enough.
+	joinEvery = 300 * time.Millisecond
+	// nodesPerMessage keeps answers to a joining node below the smallest usual MTU.
+	nodesPerMessage = 10
+	// socketBuffer is the size of socket buffers, in bytes.
+	socketBuffer = 1 << 20
+	// datagramSize is more than the largest frame, in bytes.
+	datagramSize = 4096
+)
+
+// Handler takes what concerns the data path.
+type Handler interface {
+	// Relay takes a caller's packet from another node. r and its packet are valid until Relay returns.
+	Relay(now time.Duration, r *Relay)
+	// Owner takes the word of an agent that its target holds a flow.
+	Owner(flow steering.Flow, owner ident.NodeID)
+	// Beat fills in what this node says of itself.
+	Beat(now time.Duration, b *roster.Beat)
+}
+
+// Options configure a Fleet.
+type Options struct {
+	Settings *Settings
+	Entry    bool
+	Service  string // expected service of an agent's target
+	Handler  Handler
+	Logger   log.Logger
+	Metrics  *metrics.Set
+}
+
+// Fleet is a node's part in the fleet.
+type Fleet struct {
+	options Options
+	Self    roster.Node
+	Roster  *roster.Roster
+	Routes  routes.Current
+	store   *platform.Store
+	conn    *net.UDPConn
+	seeds   atomic.Pointer[[]netip.AddrPort]
+	started time.Duration
+
+	listed   atomic.Bool // the store has named all nodes in this life
+	joined   atomic.Bool // a node has named those that it knows
+	leaving  atomic.Bool
+	wake     chan struct{} // a heartbeat to all is due
+	fetch    chan roster.Peer
+	sequence uint64 // of heartbeats; only used by beat
+	rounds   uint64
+
+	buffers   sync.Pool // *[]byte
+	received  *metrics.Counter
+	sent      *metrics.Counter
+	malformed *metrics.Counter
+	sendFails *metrics.Counter
+	storeSeen dependency
+}
+
+// New opens the node's socket. It sends nothing before Run.
+func New(o Options) (*Fleet, error) {
+	address, err := netip.ParseAddrPort(o.Settings.Fleet)
+	if err != nil {
+		return nil, errors.Wrap(err, "fleet address")
+	}
+	conn, err := ListenUDP(o.Settings.Fleet)
+	if err != nil {
+		return nil, err
+	}
+	f := &Fleet{
+		options: o,
+		Self: roster.Node{
+			ID: ident.NewNodeID(o.Settings.Name), Name: o.Settings.Name, Incarnation: ident.Incarnation(time.Now().UnixMicro()),
+			Entry: o.Entry, DataCentre: ident.DataCentre(o.Settings.DataCentre), Address: address,
+		},
+		conn: conn, started: Now(),
+		wake: make(chan struct{}, 1), fetch: make(chan roster.Peer, 16),
+		storeSeen: dependency{name: "store", logger: o.Logger},
+	}
+	f.setSeeds(o.Settings.Seeds)
+	f.Roster = roster.New(f.Self.ID)
+	f.store = platform.NewStore(o.Settings.Store, f.observeStore)
+	f.buffers.New = func() any { b := make([]byte, 0, datagramSize); return &b }
+	f.addMetrics(o.Metrics)
+	return f, nil
+}
+
+// ListenUDP opens a socket with buffers that hold a burst.
+func ListenUDP(address string) (*net.UDPConn, error) {
+	a, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen address")
+	}
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(a))
+	if err != nil {
+		return nil, errors.Wrap(err, "listen")
+	}
+	// Smaller buffers than asked for still serve, so that failures are only a loss under bursts.
+	_ = conn.SetReadBuffer(socketBuffer)
+	_ = conn.SetWriteBuffer(socketBuffer)
+	return conn, nil
+}
+
+func (f *Fleet) addMetrics(m *metrics.Set) {
+	f.received = m.NewCounter("lacewing_fleet_received_bytes_total")
+	f.sent = m.NewCounter("lacewing_fleet_sent_bytes_total")
+	f.malformed = m.NewCounter("lacewing_fleet_malformed_total")
+	f.sendFails = m.NewCounter("lacewing_fleet_send_failures_total")
+	m.NewGauge("lacewing_routes_revision", func() float64 { return float64(f.Routes.Revision()) })
+	m.NewGauge("lacewing_fleet_nodes", func() float64 { return float64(len(f.Roster.Peers())) })
+}
+
+// Run takes part in the fleet until the context ends.
+func (f *Fleet) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return f.receive(ctx) })
+	g.Go(func() error { f.beats(ctx); return nil })
+	g.Go(func() error { f.join(ctx); return nil })
+	g.Go(func() error { f.register(ctx); return nil })
+	g.Go(func() error { f.readRoutes(ctx); return nil })
+	g.Go(func() error { f.fetchRoutes(ctx); return nil })
+	g.Go(func() error { return f.serveRoutes(ctx) })
+	return g.Wait()
+}
+
+// Complete tells whether all nodes that may hold flows are known: the store or another node has named them, and they had time to be heard.
+func (f *Fleet) Complete(now time.Duration) bool {
+	return now-f.started > settleAfter && (f.listed.Load() || f.joined.Load())
+}
+
+// settleAfter is the time in which a node that starts hears all others: two rounds of heartbeats to all.
+const settleAfter = 2 * beatsPerRound * loadEvery
+
+// Leave announces that the process stops.
+func (f *Fleet) Leave() {
+	f.leaving.Store(true)
+	f.Announce()
+}
+
+// Announce sends a heartbeat to all nodes at once.
+func (f *Fleet) Announce() {
+	select {
+	case f.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Send sends a caller's packet to an agent.
+func (f *Fleet) Send(to netip.AddrPort, r *Relay) {
+	buffer := f.buffers.Get().(*[]byte)
+	defer f.buffers.Put(buffer)
+	*buffer = r.Append((*buffer)[:0])
+	f.write(to, *buffer)
+}
+
+// TellOwner tells an entry that this node's target holds a flow.
+func (f *Fleet) TellOwner(entry netip.AddrPort, flow steering.Flow) {
+	f.sendMessage(entry, &fleetv1.Message{FlowOwner: &fleetv1.FlowOwner{Flow: flow.Append(nil), Owner: f.Self.Name}})
+}
+
+func (f *Fleet) write(to netip.AddrPort, b []byte) {
+	if _, err := f.conn.WriteToUDPAddrPort(b, to); err != nil {
+		f.sendFails.Inc()
+		return
+	}
+	f.sent.Add(len(b))
+}
+
+func (f *Fleet) sendMessage(to netip.AddrPort, m *fleetv1.Message) {
+	f.write(to, encode(m))
+}
+
+func encode(m *fleetv1.Message) []byte {
+	b, err := proto.MarshalOptions{}.MarshalAppend([]byte{kindControl}, m)
+	if err != nil {
+		panic("message can't be encoded: " + err.Error()) // only for text that is not UTF-8, which settings exclude
+	}
+	return b
+}
+
+// beats sends heartbeats until the context ends.
+func (f *Fleet) beats(ctx context.Context) {
+	ticker := time.NewTicker(loadEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			f.rounds++
+			f.beat(f.rounds%beatsPerRound == 0)
+		case <-f.wake:
+			f.beat(true)
+		}
+	}
+}
+
+// beat sends a heartbeat to all nodes, or to those that place flows on this node's target.
+func (f *Fleet) beat(all bool) {
+	if f.options.Entry && !all {
+		return
+	}
+	now := Now()
+	message := f.heartbeat(now, false)
+	service := message.GetHeartbeat().GetTarget().GetService()
+	b := encode(message)
+	for _, p := range f.Roster.Peers() {
+		if all || p.Health(now) == roster.Live && (p.Entry || p.Service == service) {
+			f.write(p.Address, b)
+		}
+	}
+	if all {
+		f.forget(now)
+	}
+}
+
+func (f *Fleet) heartbeat(now time.Duration, join bool) *fleetv1.Message {
+	b := roster.Beat{Revision: f.Routes.Revision(), Leaving: f.leaving.Load()}
+	f.options.Handler.Beat(now, &b)
+	b.Sequence = atomic.AddUint64(&f.sequence, 1)
+	return &fleetv1.Message{Heartbeat: toHeartbeat(&f.Self, &b, join)}
+}
+
+// forget removes nodes that were silent for long.
+func (f *Fleet) forget(now time.Duration) {
+	for _, p := range f.Roster.Forget(now) {
+		_ = level.Info(f.options.Logger).Log(logging.KeyMessage, "node forgotten", logging.KeyPeer, p.Name, logging.KeyAge, now-p.Heard)
+	}
+}
+
+// join asks the seeds for nodes until one has answered, and less often while the roster may lack some.
+func (f *Fleet) join(ctx context.Context) {
+	for sleep(ctx, joinEvery) {
+		if f.joined.Load() {
+			return
+		}
+		message := encode(f.heartbeat(Now(), true))
+		for _, seed := range *f.seeds.Load() {
+			if seed != f.Self.Address {
+				f.write(seed, message)
+			}
+		}
+		for _, p := range f.Roster.Peers() {
+			f.write(p.Address, message)
+		}
+	}
+}
+
+// receive reads datagrams of other nodes until the context ends.
+func (f *Fleet) receive(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = f.conn.Close() })
+	defer stop()
+	buffer := make([]byte, datagramSize)
+	known := names{}
+	var relay Relay
+	for {
+		n, _, err := f.conn.ReadFromUDPAddrPort(buffer)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			f.malformed.Inc()
+			continue
+		}
+		f.received.Add(n)
+		if n == 0 {
+			continue
+		}
+		now := Now()
+		switch buffer[0] {
+		case kindRelay:
+			if relay.decode(buffer[1:n], known) != nil {
+				f.malformed.Inc()
+				continue
+			}
+			f.options.Handler.Relay(now, &relay)
+		case kindControl:
+			f.control(now, buffer[1:n])
+		default:
+			f.malformed.Inc()
+		}
+	}
+}
+
+func (f *Fleet) control(now time.Duration, b []byte) {
+	var m fleetv1.Message
+	if proto.Unmarshal(b, &m) != nil {
+		f.malformed.Inc()
+		return
+	}
+	if h := m.GetHeartbeat(); h != nil {
+		f.hear(now, h)
+	}
+	for _, n := range m.GetNodes() {
+		f.learn(now, n, "node")
+	}
+	if len(m.GetNodes()) > 0 {
+		f.joined.Store(true)
+	}
+	if o := m.GetFlowOwner(); o != nil {
+		flow, err := steering.DecodeFlow(o.GetFlow())
+		if err != nil {
+			f.malformed.Inc()
+			return
+		}
+		f.options.Handler.Owner(flow, ident.NewNodeID(o.GetOwner()))
+	}
+}
+
+// hear takes a heartbeat, answers a node that is new here, and asks it for newer routes.
+func (f *Fleet) hear(now time.Duration, h *fleetv1.Heartbeat) {
+	n, b, err := fromHeartbeat(h)
+	if err != nil {
+		f.malformed.Inc()
+		return
+	}
+	if n.ID == f.Self.ID {
+		return
+	}
+	change := f.Roster.Hear(now, n, b)
+	if change == roster.Joined || h.GetJoin() {
+		f.sendMessage(n.Address, f.heartbeat(now, false))
+	}
+	if h.GetJoin() {
+		f.sendNodes(n)
+	}
+	if change > roster.Same {
+		f.logBelief(&n, &b, change)
+	}
+	if b.Revision > f.Routes.Revision() {
+		p, _ := f.Roster.Find(n.ID)
+		select {
+		case f.fetch <- p:
+		default: // as many fetches wait as are useful
+		}
+	}
+}
+
+func (f *Fleet) logBelief(n *roster.Node, b *roster.Beat, change roster.Change) {
+	_ = level.Info(f.options.Logger).Log(
+		logging.KeyMessage, "node "+changeNames[change], logging.KeyPeer, n.Name, "incarnation", uint64(n.Incarnation), "sequence", b.Sequence,
+		"leaving", b.Leaving, logging.KeyService, b.Target.Service, logging.KeyTarget, b.Target.ID, "accepting", b.Target.Accepting,
+		"absent", b.Target.Absent, logging.KeyRevision, b.Revision)
+}
+
+var changeNames = map[roster.Change]string{roster.Returned: "heard again", roster.Different: "changed", roster.Joined: "joined"}
+
+// learn adds a node that the store or another node names, and introduces this node to it.
+func (f *Fleet) learn(now time.Duration, n *fleetv1.Node, source string) {
+	node, err := fromNode(n)
+	if err != nil {
+		f.malformed.Inc()
+		return
+	}
+	f.learnNode(now, node, "", source)
+}
+
+func (f *Fleet) learnNode(now time.Duration, n roster.Node, service, source string) {
+	if !f.Roster.Learn(now, n, service) {
+		return
+	}
+	_ = level.Info(f.options.Logger).Log(logging.KeyMessage, "node learnt", logging.KeyPeer, n.Name, "from", source, logging.KeyService, service)
+	f.sendMessage(n.Address, f.heartbeat(now, false))
+}
+
+// sendNodes tells a joining node which others there are.
+func (f *Fleet) sendNodes(to roster.Node) {
+	now := Now()
+	nodes := []*fleetv1.Node{toNode(&f.Self)}
+	for _, p := range f.Roster.Peers() {
+		if p.Health(now) != roster.Gone {
+			nodes = append(nodes, toNode(&p.Node))
+		}
+	}
+	for len(nodes) > 0 {
+		n := min(nodesPerMessage, len(nodes))
+		f.sendMessage(to.Address, &fleetv1.Message{Nodes: nodes[:n]})
+		nodes = nodes[n:]
+	}
+}
+
+// setSeeds replaces the nodes that are asked for others. Seeds that can't be read are left out.
+func (f *Fleet) setSeeds(seeds []string) {
+	var addresses []netip.AddrPort
+	for _, seed := range seeds {
+		a, err := netip.ParseAddrPort(seed)
+		if err != nil {
+			_ = level.Warn(f.options.Logger).Log(logging.KeyMessage, "seed left out", "seed", seed, logging.KeyError, err)
+			continue
+		}
+		addresses = append(addresses, netip.AddrPortFrom(a.Addr(), f.Self.Address.Port()))
+	}
+	f.seeds.Store(&addresses)
+}
+
+// sleep waits, and returns false if the context ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/node/fleet/settings.go
@@ -0,0 +1,43 @@
+package fleet
+
+import (
+	"time"
+
+	"lacewinglever.dev/node/config"
+	"lacewinglever.dev/policy/yamlfile"
+)
+
+// Settings are the part of the settings file that entries and agents behind a fabric of flows share.
+type Settings struct {
+	Mode       string   `yaml:"mode"` // config.ModeFlows
+	Name       string   `yaml:"name"`
+	DataCentre string   `yaml:"data_centre"`
+	Fleet      string   `yaml:"fleet"`   // host:port for datagrams and RPCs between nodes; all nodes use one port
+	Metrics    string   `yaml:"metrics"` // host:port of the metrics and health endpoint
+	Seeds      []string `yaml:"seeds"`   // host:port of some nodes, possibly stale; only the hosts are used
+	Store      string   `yaml:"store"`   // host:port of the platform's store
+	LogLevel   string   `yaml:"log_level"`
+	// MaxFlowAge is the age from which the fabric no longer expects a flow to be kept.
+	MaxFlowAge time.Duration `yaml:"max_flow_age"`
+	// MemoryMB is the limit above which the process is killed, in MiB.
+	MemoryMB int64 `yaml:"memory_mb"`
+}
+
+// Check reports the faults of the shared part.
+func (s *Settings) Check(f *yamlfile.Faults) {
+	if s.Name == "" {
+		f.Add("$.name", "is required")
+	}
+	if s.DataCentre == "" {
+		f.Add("$.data_centre", "is required")
+	}
+	config.CheckHostPort(f, "$.fleet", s.Fleet)
+	config.CheckHostPort(f, "$.metrics", s.Metrics)
+	config.CheckHostPort(f, "$.store", s.Store)
+	if s.MaxFlowAge <= 0 {
+		f.Add("$.max_flow_age", "%v: want more than 0", s.MaxFlowAge)
+	}
+	if s.MemoryMB <= 0 {
+		f.Add("$.memory_mb", "%d: want more than 0", s.MemoryMB)
+	}
+}
--- /dev/null
+++ b/node/fleet/store.go
@@ -0,0 +1,153 @@
+package fleet
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"lacewinglever.dev/node/logging"
+	"lacewinglever.dev/platform"
+	"lacewinglever.dev/policy/ident"
+	"lacewinglever.dev/policy/roster"
+)
+
+const (
+	firstBackoff = 100 * time.Millisecond
+	maxBackoff   = time.Second
+	// relistEvery is the interval in which a node reads all records again, to find nodes that its heartbeats missed. Its own record is
+	// written again if it is gone.
+	relistEvery = 20 * time.Second
+)
+
+// dependency logs when something this node needs is lost and regained.
+type dependency struct {
+	name   string
+	logger log.Logger
+
+	mu   sync.Mutex
+	lost bool
+	at   time.Time
+}
+
+func (d *dependency) seen(ok bool, detail string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if ok != d.lost {
+		return
+	}
+	d.lost = !ok
+	if ok {
+		_ = level.Info(d.logger).Log(logging.KeyMessage, "dependency regained", "dependency", d.name, "away", time.Since(d.at))
+		return
+	}
+	d.at = time.Now()
+	_ = level.Warn(d.logger).Log(logging.KeyMessage, "dependency lost", "dependency", d.name, logging.KeyReason, detail)
+}
+
+func (f *Fleet) observeStore(r platform.Result) {
+	m := f.options.Metrics
+	m.GetOrCreateCounter(`lacewing_store_calls_total{call="` + r.Call + `",status="` + r.Status + `"}`).Inc()
+	if r.Call != "watch" {
+		m.GetOrCreateHistogram(`lacewing_store_call_seconds{call="` + r.Call + `"}`).Update(r.Took.Seconds())
+	}
+}
+
+// noteStore logs what a failed call says of the store. Answers that refuse one call show that the store serves.
+func (f *Fleet) noteStore(err error) {
+	ok := err == nil || errors.Is(err, platform.ErrNotFound) || errors.Is(err, platform.ErrConflict) || errors.Is(err, platform.ErrHistoryGone)
+	detail := ""
+	if !ok {
+		detail = err.Error()
+	}
+	f.storeSeen.seen(ok, detail)
+}
+
+// backoff is the pause between failed calls. It is jittered, so that nodes that failed together don't return together.
+type backoff struct{ next time.Duration }
+
+func (b *backoff) reset() { b.next = 0 }
+
+func (b *backoff) wait(ctx context.Context) bool {
+	if b.next == 0 {
+		b.next = firstBackoff
+	}
+	d := b.next/2 + rand.N(b.next)
+	b.next = min(2*b.next, maxBackoff)
+	return sleep(ctx, d)
+}
+
+// register writes the node's record, then reads those of all nodes. The order ensures that of two nodes that start together at least one finds
+// the other.
+func (f *Fleet) register(ctx context.Context) {
+	record := platform.NodeRecord{
+		Name: f.Self.Name, Incarnation: uint64(f.Self.Incarnation), Entry: f.Self.Entry, DataCentre: string(f.Self.DataCentre),
+		Address: f.Self.Address.String(), Service: f.options.Service,
+	}
+	var pause backoff
+	written := false
+	for {
+		err := error(nil)
+		if !written {
+			err = f.store.Register(ctx, record)
+		}
+		if err == nil {
+			written, err = f.list(ctx)
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		f.noteStore(err)
+		if err == nil && written {
+			pause.reset()
+			if !sleep(ctx, relistEvery/2+rand.N(relistEvery)) {
+				return
+			}
+			continue
+		}
+		if !pause.wait(ctx) {
+			return
+		}
+	}
+}
+
+// list learns the nodes that the store names. It returns whether this node's own record is among them.
+func (f *Fleet) list(ctx context.Context) (bool, error) {
+	records, unreadable, err := f.store.Nodes(ctx)
+	if unreadable > 0 {
+		_ = level.Warn(f.options.Logger).Log(logging.KeyMessage, "unreadable node records", "count", unreadable)
+	}
+	if err != nil {
+		return true, err
+	}
+	own := false
+	now := Now()
+	for i := range records {
+		r := &records[i]
+		if r.Name == f.Self.Name {
+			own = r.Incarnation == uint64(f.Self.Incarnation)
+			continue
+		}
+		address, err := netip.ParseAddrPort(r.Address)
+		if err != nil || r.Incarnation == 0 {
+			_ = level.Warn(f.options.Logger).Log(logging.KeyMessage, "node record without address or incarnation", logging.KeyPeer, r.Name)
+			continue
+		}
+		f.learnNode(now, roster.Node{
+			ID: ident.NewNodeID(r.Name), Name: r.Name, Incarnation: ident.Incarnation(r.Incarnation), Entry: r.Entry,
+			DataCentre: ident.DataCentre(r.DataCentre), Address: address,
+		}, r.Service, "store")
+	}
+	f.listed.Store(true)
+	return own, nil
+}
+
+// Deregister removes the node's record, when it will not come back.
+func (f *Fleet) Deregister(ctx context.Context) error {
+	return f.store.Deregister(ctx, f.Self.Name, 0)
+}
--- a/node/logging/logging.go
+++ b/node/logging/logging.go
@@ -12,19 +12,23 @@
 
 // Keys of log lines.
 const (
+	KeyAge      = "age"
 	KeyCaller   = "caller"
 	KeyDecision = "decision"
 	KeyError    = "err"
 	KeyHome     = "home"
 	KeyMessage  = "msg"
 	KeyNode     = "node"
+	KeyFlow     = "flow"
 	KeyOwner    = "owner"
+	KeyPeer     = "peer"
 	KeyReason   = "reason"
 	KeyRequest  = "request"
 	KeyRevision = "revision"
 	KeyService  = "service"
 	KeyState    = "state"
 	KeySkipped  = "skipped"
+	KeyTarget   = "target"
 	KeyTime     = "ts"
 )
 
@@ -38,10 +42,11 @@
 	return level.NewFilter(logger, level.Allow(level.ParseDefault(lowest, level.InfoValue())))
 }
 
-// Decisions logs routing and placement decisions, at most decisionsPerSecond. A line tells how many were skipped before it.
+// Decisions logs routing and placement decisions, at most a number a second. A line tells how many were skipped before it.
 type Decisions struct {
 	logger log.Logger
 	now    func() time.Time
+	limit  int // lines a second
 
 	mu      sync.Mutex
 	second  int64
@@ -50,7 +55,15 @@
 }
 
 // NewDecisions returns a decision log on logger.
-func NewDecisions(logger log.Logger) *Decisions { return &Decisions{logger: logger, now: time.Now} }
+func NewDecisions(logger log.Logger) *Decisions {
+	return NewDecisionsWithLimit(logger, decisionsPerSecond)
+}
+
+// NewDecisionsWithLimit returns a decision log of at most limit lines a second. A program that keeps a log of its own for unusual decisions
+// doesn't lose them among the usual ones.
+func NewDecisionsWithLimit(logger log.Logger, limit int) *Decisions {
+	return &Decisions{logger: logger, now: time.Now, limit: limit}
+}
 
 // Allow tells whether a line may be written now. Callers ask before they build the line, so that a skipped one costs little.
 func (d *Decisions) Allow() bool {
@@ -59,7 +72,7 @@
 	if second := d.now().Unix(); second != d.second {
 		d.second, d.lines = second, 0
 	}
-	if d.lines >= decisionsPerSecond {
+	if d.lines >= d.limit {
 		d.skipped++
 		return false
 	}
--- /dev/null
+++ b/node/packetagent/agent.go
@@ -0,0 +1,427 @@
+package packetagent
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-faster/errors"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"lacewinglever.dev/node/fleet"
+	"lacewinglever.dev/node/logging"
+	"lacewinglever.dev/platform"
+	"lacewinglever.dev/policy/ident"
+	"lacewinglever.dev/policy/inflight"
+	"lacewinglever.dev/policy/lifecycle"
+	"lacewinglever.dev/policy/roster"
+	"lacewinglever.dev/policy/steering"
+)
+
+const (
+	// usualLines and unusualLines bound the decision logs, in lines a second.
+	usualLines   = 100
+	unusualLines = 50
+	// checkEvery is the interval in which the agent notices what the target's silence says.
+	checkEvery = 50 * time.Millisecond
+	// expireChecks is the number of checks of which one forgets idle flows.
+	expireChecks = 20
+	// stopGrace is how long an agent goes on passing packets after it announced its stop, for those on the way. Its target may live on,
+	// so that a short absence is better than a long goodbye.
+	stopGrace = 300 * time.Millisecond
+	// deregisterTimeout bounds the removal of the record at the stop.
+	deregisterTimeout = time.Second
+	// idleFlow is the idle time after which a flow no longer counts as load.
+	idleFlow = 20 * time.Second
+)
+
+// Agent passes packets between callers and the target beside it.
+type Agent struct {
+	settings *Settings
+	logger   log.Logger
+	fleet    *fleet.Fleet
+	conn     *net.UDPConn // towards the target and the callers
+	target   netip.AddrPort
+	port     uint16 // of callers' addresses
+	life     *lifecycle.Target
+	flows    *inflight.Table
+	offers   offers
+	status   atomic.Pointer[lifecycle.Status] // at the last check
+	usual    *logging.Decisions
+	unusual  *logging.Decisions
+	counters counters
+	scratch  sync.Pool // *[]roster.Peer
+}
+
+type counters struct {
+	set       *metrics.Set
+	delivered *metrics.Counter
+	returned  *metrics.Counter
+	toCallers *metrics.Counter
+	passedOn  *metrics.Counter
+}
+
+func newCounters(set *metrics.Set) counters {
+	return counters{
+		set:       set,
+		delivered: set.NewCounter("lacewing_packets_delivered_total"),
+		returned:  set.NewCounter("lacewing_packets_given_back_total"),
+		toCallers: set.NewCounter("lacewing_packets_to_callers_total"),
+		passedOn:  set.NewCounter("lacewing_packets_passed_on_total"),
+	}
+}
+
+func (c *counters) dropped(reason string) {
+	c.set.GetOrCreateCounter(`lacewing_packets_dropped_total{reason="` + reason + `"}`).Inc()
+}
+
+func (c *counters) reset(reason string) {
+	c.set.GetOrCreateCounter(`lacewing_flows_reset_total{reason="` + reason + `"}`).Inc()
+}
+
+// Main runs an agent until the context ends.
+func Main(ctx context.Context, path string, logs io.Writer) error {
+	settings, err := LoadSettings(path)
+	if err != nil {
+		return err
+	}
+	p := fleet.NewProgram(&settings.Settings, logs)
+	a, err := newAgent(settings, p)
+	if err != nil {
+		return err
+	}
+	return p.Run(ctx, a.stop,
+		a.fleet.Run, a.receive, a.watch,
+		fleet.Serve(settings.Reports, platform.TargetHandler(a)),
+		fleet.Serve(settings.Ready, platform.ReadyHandler(func() bool { return true })),
+		fleet.WatchSettings(p, a.fleet, path, settings, LoadSettings, func(s *Settings) *fleet.Settings { return &s.Settings }),
+	)
+}
+
+func newAgent(s *Settings, p *fleet.Program) (*Agent, error) {
+	a := &Agent{
+		settings: s, logger: p.Logger, counters: newCounters(p.Metrics), flows: inflight.New(),
+		life:    lifecycle.New(fleet.Now(), lifecycle.Options{Heartbeat: s.Heartbeat, AddressReuse: s.AddressReuse}),
+		usual:   logging.NewDecisionsWithLimit(p.Logger, usualLines),
+		unusual: logging.NewDecisionsWithLimit(p.Logger, unusualLines),
+	}
+	a.scratch.New = func() any { return new([]roster.Peer) }
+	a.status.Store(&lifecycle.Status{})
+	p.Metrics.NewGauge("lacewing_flows", func() float64 { n, _ := a.flows.Load(fleet.Now()); return float64(n) })
+	p.Metrics.NewGauge("lacewing_requests_in_progress", func() float64 { _, busy := a.flows.Load(fleet.Now()); return busy })
+	callers, err := netip.ParseAddrPort(s.CallersAddress)
+	if err != nil {
+		return nil, errors.Wrap(err, "callers_address")
+	}
+	a.port = callers.Port()
+	if a.target, err = netip.ParseAddrPort(s.Target); err != nil {
+		return nil, errors.Wrap(err, "target")
+	}
+	if a.conn, err = fleet.ListenUDP(s.FromTarget); err != nil {
+		return nil, err
+	}
+	a.fleet, err = fleet.New(fleet.Options{Settings: &s.Settings, Service: s.Service, Handler: a, Logger: p.Logger, Metrics: p.Metrics})
+	return a, err
+}
+
+// Owner counts a message that was sent to an agent by mistake.
+func (a *Agent) Owner(steering.Flow, ident.NodeID) { a.counters.dropped("owner told to an agent") }
+
+// Beat tells what the target takes.
+func (a *Agent) Beat(now time.Duration, b *roster.Beat) {
+	s := a.life.Status(now)
+	flows, busy := a.flows.Load(now)
+	b.Target = roster.Target{
+		Service: a.service(&s), ID: s.ID, Born: s.Born, Accepting: s.Accepting, Absent: s.Absent, Cold: s.Cold, Slots: s.Slots,
+		Flows: flows, Busy: busy,
+	}
+}
+
+// service returns the service of the target: the one that it has reported, else the one that the settings expect.
+func (a *Agent) service(s *lifecycle.Status) string {
+	if s.Service != "" {
+		return s.Service
+	}
+	return a.settings.Service
+}
+
+// Heartbeat takes a report of the target.
+func (a *Agent) Heartbeat(r lifecycle.Report, address string) error {
+	if from, err := netip.ParseAddrPort(address); err != nil || from != a.target {
+		return errors.Errorf("report of %s names another target: %q", r.ID, address)
+	}
+	if t := a.fleet.Routes.Load(); t != nil {
+		if _, ok := t.Services[r.Service]; !ok {
+			return errors.Errorf("report of %s names unknown service %q", r.ID, r.Service)
+		}
+	}
+	now := fleet.Now()
+	before := a.life.Status(now)
+	verdict := a.life.Report(now, r)
+	if verdict == lifecycle.Accepted {
+		return nil
+	}
+	if before.Born != r.Born && verdict == lifecycle.Changed {
+		a.flows.Clear()
+	}
+	a.believe("report "+string(verdict), &r)
+	return nil
+}
+
+// Leave takes the target's word that it ends.
+func (a *Agent) Leave(id string) {
+	a.believe("leave "+string(a.life.Leave(id)), &lifecycle.Report{ID: id})
+}
+
+// believe logs what a call of the target changed, and tells the fleet.
+func (a *Agent) believe(what string, r *lifecycle.Report) {
+	_ = level.Info(a.logger).Log(
+		logging.KeyMessage, "target: "+what, logging.KeyTarget, r.ID, logging.KeyService, r.Service, "version", r.Version, "born", r.Born,
+		"sequence", r.Sequence, "draining", r.Draining, "cold", r.ColdFor, "slots", r.Slots)
+	a.fleet.Announce()
+}
+
+// Malformed counts and logs a call that names no target to use.
+func (a *Agent) Malformed(call string, err error) {
+	a.counters.set.GetOrCreateCounter(`lacewing_target_calls_refused_total{call="` + call + `"}`).Inc()
+	if a.unusual.Allow() {
+		a.unusual.Log("target call refused", "call", call, logging.KeyError, err)
+	}
+}
+
+// watch notices changes that time brings, until the context ends.
+func (a *Agent) watch(ctx context.Context) error {
+	ticker := time.NewTicker(checkEvery)
+	defer ticker.Stop()
+	for round := 0; ; round++ {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		now := fleet.Now()
+		if round%expireChecks == 0 {
+			a.flows.Expire(now, idleFlow)
+		}
+		s := a.life.Status(now)
+		before := a.status.Swap(&s)
+		if s.Accepting == before.Accepting && s.Absent == before.Absent {
+			continue
+		}
+		if s.Absent && !before.Absent {
+			a.flows.Clear()
+		}
+		_ = level.Info(a.logger).Log(
+			logging.KeyMessage, "target state", logging.KeyTarget, s.ID, logging.KeyService, s.Service, "accepting", s.Accepting,
+			"absent", s.Absent, logging.KeyReason, s.Reason, logging.KeyAge, s.Age)
+		a.fleet.Announce()
+	}
+}
+
+// stop announces the stop and passes on what is on the way. The record goes only if the target has ended: else the process is being restarted.
+func (a *Agent) stop(ctx context.Context) {
+	a.fleet.Leave()
+	if a.life.Draining() {
+		bounded, cancel := context.WithTimeout(ctx, deregisterTimeout)
+		defer cancel()
+		if err := a.fleet.Deregister(bounded); err != nil {
+			_ = level.Warn(a.logger).Log(logging.KeyMessage, "record not removed", logging.KeyError, err)
+		}
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(stopGrace):
+	}
+}
+
+// receive reads what the target sends until the context ends.
+func (a *Agent) receive(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = a.conn.Close() })
+	defer stop()
+	buffer := make([]byte, 2*platform.MaxPacketSize)
+	for {
+		n, err := a.conn.Read(buffer)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			a.counters.dropped("read failed")
+			continue
+		}
+		p, err := platform.ParsePacket(buffer[:n])
+		if err != nil {
+			a.counters.dropped("malformed")
+			continue
+		}
+		now := fleet.Now()
+		a.life.Sent(now)
+		if p.Returned() {
+			a.givenBack(now, p)
+			continue
+		}
+		a.toCaller(now, p)
+	}
+}
+
+// event returns what a packet says of its flow.
+func event(p platform.Packet) inflight.Event {
+	return inflight.Event{Data: p.HasData(), Finishes: p.Finishes(), Resets: p.Resets()}
+}
+
+// toCaller sends a packet of the target to its caller.
+func (a *Agent) toCaller(now time.Duration, p platform.Packet) {
+	flow := p.FromTarget()
+	a.flows.Sent(now, flow, event(p))
+	a.counters.toCallers.Inc()
+	a.send(netip.AddrPortFrom(flow.Caller().Addr(), a.port), p)
+	if entry, ok := a.offers.asker(flow); ok {
+		a.fleet.TellOwner(entry, flow)
+	}
+}
+
+func (a *Agent) send(to netip.AddrPort, p platform.Packet) {
+	if _, err := a.conn.WriteToUDPAddrPort(p, to); err != nil {
+		a.counters.dropped("send failed")
+	}
+}
+
+// Relay takes a caller's packet from another node.
+func (a *Agent) Relay(now time.Duration, r *fleet.Relay) {
+	p, err := platform.ParsePacket(r.Packet)
+	if err != nil {
+		a.counters.dropped("malformed")
+		return
+	}
+	s := a.life.Status(now)
+	if p.Opens() {
+		if reason := a.refuses(&s, p, r); reason != "" {
+			a.passOpening(now, r, p, reason)
+			return
+		}
+		a.life.Offered(now)
+		if a.usual.Allow() {
+			flows, busy := a.flows.Load(now)
+			a.usual.Log("flow offered", logging.KeyFlow, p.FromCaller(), "copy", p.Copy(), logging.KeyService, s.Service,
+				logging.KeyTarget, s.ID, logging.KeyRevision, r.Revision, "tried", len(r.Tried), "flows", flows, "busy", float32(busy),
+				logging.KeyAge, s.Age)
+		}
+	} else if s.Absent || r.Service != "" && r.Service != a.service(&s) {
+		a.passOn(now, r, p)
+		return
+	}
+	a.deliver(now, r, p)
+}
+
+// refuses returns why the target may not take a new flow, empty if it may.
+func (a *Agent) refuses(s *lifecycle.Status, p platform.Packet, r *fleet.Relay) string {
+	if !s.Accepting {
+		return s.Reason
+	}
+	if r.Service != s.Service {
+		return "target of another service"
+	}
+	// Routes that are newer here than at the entry decide; the entry's are checked by the service that it names.
+	if t := a.fleet.Routes.Load(); t != nil && t.Revision >= r.Revision {
+		if route, ok := t.Lookup(p.FromCaller().Service()); !ok || !route.Has(s.Service) {
+			return "route changed"
+		}
+	}
+	return ""
+}
+
+// deliver passes a packet to the target.
+func (a *Agent) deliver(now time.Duration, r *fleet.Relay, p platform.Packet) {
+	flow := p.FromCaller()
+	p.ClearReturned()
+	p.SetToken(a.offers.add(flow, r))
+	if !p.Opens() {
+		a.flows.Delivered(now, flow, event(p))
+	}
+	a.counters.delivered.Inc()
+	a.send(a.target, p)
+}
+
+// givenBack handles a packet whose flow the target doesn't hold or can't accept.
+func (a *Agent) givenBack(now time.Duration, p platform.Packet) {
+	flow := p.FromCaller()
+	a.counters.returned.Inc()
+	a.flows.Refused(now, flow)
+	r, ok := a.offers.take(p.Token(), flow)
+	if !ok {
+		a.counters.dropped("given back without an offer")
+		return
+	}
+	p.ClearReturned()
+	r.Packet = p
+	if p.Opens() {
+		a.passOpening(now, &r, p, "given back by the target")
+		return
+	}
+	a.passOn(now, &r, p)
+}
+
+// ranked calls f with the agents of the relay's service, in the order for the flow.
+func (a *Agent) ranked(flow steering.Flow, r *fleet.Relay, f func([]roster.Peer)) {
+	agents := a.scratch.Get().(*[]roster.Peer)
+	defer a.scratch.Put(agents)
+	*agents = a.fleet.Roster.Agents((*agents)[:0], r.Service)
+	steering.Rank(flow.Hash(), r.Origin, *agents)
+	f(*agents)
+}
+
+// passOpening offers a new flow to another target.
+func (a *Agent) passOpening(now time.Duration, r *fleet.Relay, p platform.Packet, reason string) {
+	flow := p.FromCaller()
+	r.Tried = append(r.Tried, a.fleet.Self.ID)
+	a.ranked(flow, r, func(agents []roster.Peer) {
+		at := steering.Place(now, r.Origin, agents, r.Tried)
+		to := ""
+		if at >= 0 {
+			to = agents[at].Name
+			a.counters.passedOn.Inc()
+			r.Search = true
+			a.fleet.Send(agents[at].Address, r)
+		} else {
+			a.counters.dropped("no target accepts")
+		}
+		if a.unusual.Allow() {
+			a.unusual.Log("flow not accepted", logging.KeyFlow, flow, "copy", p.Copy(), logging.KeyReason, reason, logging.KeyService, r.Service,
+				"to", to, "tried", len(r.Tried), "candidates", len(agents))
+		}
+	})
+}
+
+// passOn passes a packet of an open flow to the next agent that may hold it. If there is none, the flow is reset.
+func (a *Agent) passOn(now time.Duration, r *fleet.Relay, p platform.Packet) {
+	flow := p.FromCaller()
+	r.Tried = append(r.Tried, a.fleet.Self.ID)
+	a.ranked(flow, r, func(agents []roster.Peer) {
+		at, verdict := steering.Next(now, agents, r.Tried, r.Service != "" && a.fleet.Complete(now))
+		outcome := ""
+		switch verdict {
+		case steering.Continue:
+			outcome = "passed on to " + agents[at].Name
+			a.counters.passedOn.Inc()
+			a.fleet.Send(agents[at].Address, r)
+		case steering.Unknown:
+			outcome = "dropped"
+			a.counters.dropped("agents unknown")
+		case steering.Nowhere:
+			outcome = "reset"
+			if !p.Resets() {
+				a.counters.reset("no target holds the flow")
+				a.send(netip.AddrPortFrom(flow.Caller().Addr(), a.port), platform.NewReset(p))
+			}
+		}
+		if a.unusual.Allow() {
+			a.unusual.Log("flow not held", logging.KeyFlow, flow, "sequence", p.Sequence(), logging.KeyService, r.Service,
+				logging.KeyRevision, r.Revision, "outcome", outcome, "tried", len(r.Tried), "candidates", len(agents))
+		}
+	})
+}
--- /dev/null
+++ b/node/packetentry/entry.go
@@ -0,0 +1,352 @@
+package packetentry
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-faster/errors"
+
+	"lacewinglever.dev/node/fleet"
+	"lacewinglever.dev/node/logging"
+	"lacewinglever.dev/platform"
+	"lacewinglever.dev/policy/ident"
+	"lacewinglever.dev/policy/roster"
+	"lacewinglever.dev/policy/routes"
+	"lacewinglever.dev/policy/steering"
+)
+
+const (
+	// forwardGrace is how long an entry goes on forwarding after it told the fabric that it isn't ready: the fabric asks twice a second and
+	// takes an entry out after two misses.
+	forwardGrace = 2200 * time.Millisecond
+	// lastCopy is the copy of an opening packet, sent 600 ms after the first, that goes to another target than those before it. The one
+	// before it may only have lost a packet.
+	lastCopy = 2
+	// usualLines and unusualLines bound the decision logs, in lines a second.
+	usualLines   = 100
+	unusualLines = 50
+	// expireEvery is the interval in which idle flows are forgotten.
+	expireEvery = time.Second
+	// idleSlack is added to the idle timeout of flows, for clocks and packets on the way.
+	idleSlack = 5 * time.Second
+	// defaultIdle is the idle timeout while no routes are known.
+	defaultIdle = 30 * time.Second
+)
+
+// Entry passes callers' packets to agents.
+type Entry struct {
+	settings *Settings
+	fleet    *fleet.Fleet
+	conn     *net.UDPConn
+	port     uint16 // of callers' addresses
+	flows    *flowTable
+	stopping atomic.Bool
+	started  atomic.Bool // was ready once
+	usual    *logging.Decisions
+	unusual  *logging.Decisions
+	counters counters
+	agents   []roster.Peer // scratch of the one reader
+}
+
+type counters struct {
+	set      *metrics.Set
+	opened   *metrics.Counter
+	carried  *metrics.Counter
+	searched *metrics.Counter
+	seconds  *metrics.Histogram
+}
+
+func newCounters(set *metrics.Set) counters {
+	return counters{
+		set:      set,
+		opened:   set.NewCounter("lacewing_flows_opened_total"),
+		carried:  set.NewCounter("lacewing_packets_carried_total"),
+		searched: set.NewCounter("lacewing_packets_searched_total"),
+		seconds:  set.NewHistogram("lacewing_forward_seconds"),
+	}
+}
+
+// dropped counts packets that went nowhere.
+func (c *counters) dropped(reason string) {
+	c.set.GetOrCreateCounter(`lacewing_packets_dropped_total{reason="` + reason + `"}`).Inc()
+}
+
+// reset counts flows that were reset.
+func (c *counters) reset(reason string) {
+	c.set.GetOrCreateCounter(`lacewing_flows_reset_total{reason="` + reason + `"}`).Inc()
+}
+
+// Main runs an entry until the context ends, then lets it leave.
+func Main(ctx context.Context, path string, logs io.Writer) error {
+	settings, err := LoadSettings(path)
+	if err != nil {
+		return err
+	}
+	p := fleet.NewProgram(&settings.Settings, logs)
+	e, err := newEntry(settings, p)
+	if err != nil {
+		return err
+	}
+	return p.Run(ctx, e.stop,
+		e.fleet.Run, e.receive, e.expire,
+		fleet.Serve(settings.Ready, platform.ReadyHandler(e.ready)),
+		fleet.WatchSettings(p, e.fleet, path, settings, LoadSettings, func(s *Settings) *fleet.Settings { return &s.Settings }),
+	)
+}
+
+func newEntry(s *Settings, p *fleet.Program) (*Entry, error) {
+	address, err := netip.ParseAddrPort(s.Callers)
+	if err != nil {
+		return nil, errors.Wrap(err, "callers")
+	}
+	e := &Entry{
+		settings: s, port: address.Port(), flows: newFlowTable(), counters: newCounters(p.Metrics),
+		usual:   logging.NewDecisionsWithLimit(p.Logger, usualLines),
+		unusual: logging.NewDecisionsWithLimit(p.Logger, unusualLines),
+	}
+	p.Metrics.NewGauge("lacewing_flows", func() float64 { return float64(e.flows.size()) })
+	if e.conn, err = fleet.ListenUDP(s.Callers); err != nil {
+		return nil, err
+	}
+	e.fleet, err = fleet.New(fleet.Options{Settings: &s.Settings, Entry: true, Handler: e, Logger: p.Logger, Metrics: p.Metrics})
+	return e, err
+}
+
+// Relay counts a packet that was sent to an entry by mistake.
+func (e *Entry) Relay(time.Duration, *fleet.Relay) { e.counters.dropped("relayed to an entry") }
+
+// Owner remembers which agent's target holds a flow.
+func (e *Entry) Owner(flow steering.Flow, owner ident.NodeID) { e.flows.put(fleet.Now(), flow, owner) }
+
+// Beat has nothing to add.
+func (e *Entry) Beat(time.Duration, *roster.Beat) {}
+
+// ready tells whether the fabric may deliver packets here. An entry stays ready until it stops, because what it knows holds on when the store is
+// away.
+func (e *Entry) ready() bool {
+	if e.stopping.Load() {
+		return false
+	}
+	if e.started.Load() {
+		return true
+	}
+	if e.fleet.Routes.Load() == nil {
+		return false
+	}
+	now := fleet.Now()
+	for _, p := range e.fleet.Roster.Agents(nil, "") {
+		if steering.Accepts(&p, now) {
+			e.started.Store(true)
+			return true
+		}
+	}
+	return false
+}
+
+// stop goes on forwarding until the fabric has taken the entry out.
+func (e *Entry) stop(ctx context.Context) {
+	e.stopping.Store(true)
+	e.fleet.Leave()
+	select {
+	case <-ctx.Done():
+	case <-time.After(forwardGrace):
+	}
+}
+
+// expire forgets idle flows until the context ends.
+func (e *Entry) expire(ctx context.Context) error {
+	ticker := time.NewTicker(expireEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			idle := defaultIdle
+			if t := e.fleet.Routes.Load(); t != nil && t.IdleTimeout > 0 {
+				idle = t.IdleTimeout
+			}
+			e.flows.expire(fleet.Now(), idle+idleSlack)
+		}
+	}
+}
+
+// receive passes on callers' packets until the context ends.
+func (e *Entry) receive(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = e.conn.Close() })
+	defer stop()
+	buffer := make([]byte, 2*platform.MaxPacketSize)
+	for {
+		n, err := e.conn.Read(buffer)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			e.counters.dropped("read failed")
+			continue
+		}
+		p, err := platform.ParsePacket(buffer[:n])
+		if err != nil || p.Returned() || p.Accepts() {
+			e.counters.dropped("malformed")
+			continue
+		}
+		now := fleet.Now()
+		if p.Opens() {
+			e.open(now, p)
+		} else {
+			e.carry(now, p)
+		}
+		e.counters.seconds.Update((fleet.Now() - now).Seconds())
+	}
+}
+
+// open chooses the target at which a new flow opens.
+func (e *Entry) open(now time.Duration, p platform.Packet) {
+	flow := p.FromCaller()
+	table := e.fleet.Routes.Load()
+	if table == nil {
+		e.drop(flow, "no routes known yet", 0)
+		return
+	}
+	route, ok := table.Lookup(flow.Service())
+	if !ok {
+		e.reset(flow, p, "no route", table)
+		return
+	}
+	service := route.Service(flow.Hash())
+	agents := e.ranked(flow, service)
+	at, tried := e.choose(now, flow, p, agents)
+	if at < 0 {
+		if e.fleet.Complete(now) && allAbsent(agents) {
+			e.reset(flow, p, "service without targets", table)
+			return
+		}
+		e.drop(flow, "no target accepts", table.Revision)
+		return
+	}
+	a := &agents[at]
+	e.flows.put(now, flow, a.ID)
+	e.fleet.Roster.Place(a.ID)
+	e.counters.opened.Inc()
+	e.send(a, &fleet.Relay{Service: service, Revision: table.Revision, Tried: tried, Packet: p})
+	if e.usual.Allow() {
+		e.usual.Log("flow opens", logging.KeyFlow, flow, "copy", p.Copy(), "route", route.Name, logging.KeyService, service,
+			logging.KeyRevision, table.Revision, logging.KeyPeer, a.Name, logging.KeyTarget, a.Target.ID,
+			"load", float32(steering.Load(a, e.fleet.Self.DataCentre)), logging.KeyAge, now-a.Heard, "candidates", len(agents))
+	}
+}
+
+// choose returns the index of the agent for an opening packet, and the agents that are not to be tried again. A copy goes where the first went,
+// unless that agent no longer accepts or has left two copies unanswered.
+func (e *Entry) choose(now time.Duration, flow steering.Flow, p platform.Packet, agents []roster.Peer) (int, []ident.NodeID) {
+	var tried []ident.NodeID
+	if before, ok := e.flows.get(now, flow); ok && p.Copy() > 0 {
+		for i := range agents {
+			if agents[i].ID == before && steering.Accepts(&agents[i], now) && p.Copy() < lastCopy {
+				return i, nil
+			}
+		}
+		tried = append(tried, before)
+	}
+	at := steering.Place(now, e.fleet.Self.DataCentre, agents, tried)
+	if at < 0 && len(tried) > 0 {
+		return steering.Place(now, e.fleet.Self.DataCentre, agents, nil), nil
+	}
+	return at, tried
+}
+
+func allAbsent(agents []roster.Peer) bool {
+	for i := range agents {
+		if !agents[i].Target.Absent {
+			return false
+		}
+	}
+	return true
+}
+
+// carry passes on a packet of an open flow.
+func (e *Entry) carry(now time.Duration, p platform.Packet) {
+	flow := p.FromCaller()
+	table := e.fleet.Routes.Load()
+	revision := uint64(0)
+	if table != nil {
+		revision = table.Revision
+	}
+	if owner, ok := e.flows.get(now, flow); ok {
+		if a, ok := e.fleet.Roster.Find(owner); ok && a.Health(now) != roster.Gone && !a.Target.Absent {
+			e.counters.carried.Inc()
+			e.send(&a, &fleet.Relay{Service: a.Service, Revision: revision, Packet: p})
+			return
+		}
+	}
+	e.search(now, flow, p, table)
+}
+
+// search passes a packet of a flow without a known target to the first agent that may hold it.
+func (e *Entry) search(now time.Duration, flow steering.Flow, p platform.Packet, table *routes.Table) {
+	service, revision := "", uint64(0)
+	if table != nil {
+		route, ok := table.Lookup(flow.Service())
+		if !ok {
+			e.reset(flow, p, "route removed", table)
+			return
+		}
+		service, revision = route.Service(flow.Hash()), table.Revision
+	}
+	agents := e.ranked(flow, service)
+	at, verdict := steering.Next(now, agents, nil, table != nil && e.fleet.Complete(now))
+	switch verdict {
+	case steering.Continue:
+		e.counters.searched.Inc()
+		e.send(&agents[at], &fleet.Relay{Service: service, Revision: revision, Search: true, Packet: p})
+		if e.unusual.Allow() {
+			e.unusual.Log("flow searched", logging.KeyFlow, flow, "sequence", p.Sequence(), logging.KeyService, service,
+				logging.KeyRevision, revision, logging.KeyPeer, agents[at].Name, "candidates", len(agents))
+		}
+	case steering.Nowhere:
+		e.reset(flow, p, "no target holds the flow", table)
+	case steering.Unknown:
+		e.drop(flow, "agents unknown", revision)
+	}
+}
+
+// ranked returns the agents of a service in the order for a flow. The result is valid until the next call.
+func (e *Entry) ranked(flow steering.Flow, service string) []roster.Peer {
+	e.agents = e.fleet.Roster.Agents(e.agents[:0], service)
+	steering.Rank(flow.Hash(), e.fleet.Self.DataCentre, e.agents)
+	return e.agents
+}
+
+func (e *Entry) send(a *roster.Peer, r *fleet.Relay) {
+	r.Entry, r.Origin = e.fleet.Self.Address, e.fleet.Self.DataCentre
+	e.fleet.Send(a.Address, r)
+}
+
+// reset ends a flow that no target holds.
+func (e *Entry) reset(flow steering.Flow, p platform.Packet, reason string, table *routes.Table) {
+	if p.Resets() {
+		return
+	}
+	e.counters.reset(reason)
+	to := netip.AddrPortFrom(flow.Caller().Addr(), e.port)
+	if _, err := e.conn.WriteToUDPAddrPort(platform.NewReset(p), to); err != nil {
+		e.counters.dropped("send failed")
+	}
+	if e.unusual.Allow() {
+		e.unusual.Log("flow reset", logging.KeyFlow, flow, "sequence", p.Sequence(), "opening", p.Opens(), logging.KeyReason, reason,
+			logging.KeyRevision, table.Revision)
+	}
+}
+
+// drop leaves a packet to be sent again by its caller.
+func (e *Entry) drop(flow steering.Flow, reason string, revision uint64) {
+	e.counters.dropped(reason)
+	if e.unusual.Allow() {
+		e.unusual.Log("packet dropped", logging.KeyFlow, flow, logging.KeyReason, reason, logging.KeyRevision, revision)
+	}
+}
--- /dev/null
+++ b/node/packetentry/settings.go
@@ -0,0 +1,28 @@
+// Package packetentry is the entry behind a fabric that delivers whole flows: it receives callers' packets and passes each to the agent whose target
+// holds its flow, or where a new flow opens.
+package packetentry
+
+import (
+	"lacewinglever.dev/node/config"
+	"lacewinglever.dev/node/fleet"
+	"lacewinglever.dev/policy/yamlfile"
+)
+
+// Settings is the settings file of lacewing-entry in the mode flows.
+type Settings struct {
+	fleet.Settings `yaml:",inline"`
+	Callers        string `yaml:"callers"` // host:port at which the fabric delivers callers' packets
+	Ready          string `yaml:"ready"`   // host:port at which the fabric asks whether to deliver
+}
+
+// Check reports the faults of the file.
+func (s *Settings) Check(f *yamlfile.Faults) {
+	s.Settings.Check(f)
+	config.CheckHostPort(f, "$.callers", s.Callers)
+	config.CheckHostPort(f, "$.ready", s.Ready)
+}
+
+// LoadSettings reads and checks a settings file.
+func LoadSettings(path string) (*Settings, error) {
+	return config.Load(path, Settings{}, (*Settings).Check)
+}
--- /dev/null
+++ b/policy/lifecycle/target.go
@@ -0,0 +1,196 @@
+// Package lifecycle decides what an agent believes of the target beside it: which one it is, whether it takes new flows, and whether it is gone.
+package lifecycle
+
+import (
+	"sync"
+	"time"
+)
+
+// Report is what a target says of itself.
+type Report struct {
+	ID       string
+	Service  string
+	Version  string // of the target's software
+	Born     int64  // start of the target, Unix milliseconds
+	Sequence uint64 // increases with each report of one life
+	Draining bool
+	ColdFor  time.Duration // how much longer the target is slow after its start
+	Slots    int
+}
+
+// Verdict is what became of a report.
+type Verdict string
+
+// Verdicts.
+const (
+	Accepted Verdict = "accepted"
+	Changed  Verdict = "accepted, target changed" // another target, another life of it or another state
+	Late     Verdict = "late"                     // overtaken by a newer report, or from an earlier life
+	Unknown  Verdict = "not the current target"
+)
+
+const (
+	// openingsUnanswered is the number of flows offered without any packet from the target that make it unresponsive. One opening packet
+	// may be lost.
+	openingsUnanswered = 2
+	// answerWithin is how long a live target takes at most to answer an opening packet, which it does without queueing.
+	answerWithin = 150 * time.Millisecond
+	// silentBeats is how many heartbeats a target may miss before it gets no new flows. It is below two, because its address may be
+	// reused by another service soon after its end.
+	silentBeats = 1.5
+	// goneBeats is how many heartbeats a target may miss, and send no packet, before it counts as gone. Heartbeats come at about their
+	// interval and may be retried after a second.
+	goneBeats = 2
+	goneSlack = time.Second
+	// reuseMargin is kept between the end of new flows to a silent target and the earliest reuse of its address.
+	reuseMargin = 100 * time.Millisecond
+)
+
+// Options are the bounds that the platform keeps to.
+type Options struct {
+	Heartbeat    time.Duration // interval of reports
+	AddressReuse time.Duration // earliest reuse of an ended target's address; 0 if unknown
+}
+
+// Status is what is believed of the target at one moment.
+type Status struct {
+	ID        string
+	Service   string // empty while no target has reported
+	Born      int64
+	Accepting bool // takes new flows
+	Absent    bool // gone: holds no flow
+	Cold      bool // slow after its start
+	Slots     int
+	Reason    string // why it isn't accepting
+	Age       time.Duration
+}
+
+// Target follows one target. Times are those of a clock that counts suspension. Its methods may be called from any goroutine.
+type Target struct {
+	silent time.Duration // without a report, until new flows end
+	gone   time.Duration // without a report or packet, until the target counts as gone
+
+	mu         sync.Mutex
+	started    time.Duration // when the agent began to listen
+	report     Report
+	known      bool
+	left       bool
+	reported   time.Duration // time of the last report
+	sent       time.Duration // time of the last packet from the target
+	unanswered int           // opening packets since then
+	offered    time.Duration // time of the first of them
+}
+
+// New returns a target of which nothing is known at the time now.
+func New(now time.Duration, o Options) *Target {
+	t := &Target{started: now, silent: time.Duration(silentBeats * float64(o.Heartbeat)), gone: goneBeats*o.Heartbeat + goneSlack}
+	if o.AddressReuse > reuseMargin {
+		t.silent = min(t.silent, o.AddressReuse-reuseMargin)
+	}
+	return t
+}
+
+// Report takes a report.
+func (t *Target) Report(now time.Duration, r Report) Verdict {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.known && !t.newer(now, &r) {
+		return Late
+	}
+	changed := !t.known || t.left || r.ID != t.report.ID || r.Born != t.report.Born || r.Service != t.report.Service || r.Draining != t.report.Draining
+	if !t.known || r.Born != t.report.Born {
+		t.left = false
+	}
+	t.report, t.known, t.reported = r, true, now
+	t.unanswered = 0
+	if changed {
+		return Changed
+	}
+	return Accepted
+}
+
+// newer tells whether r is of a later life than the last report, or later in the same life.
+func (t *Target) newer(now time.Duration, r *Report) bool {
+	switch {
+	case r.Born != t.report.Born:
+		return r.Born > t.report.Born
+	case r.ID != t.report.ID:
+		return t.left || now-t.reported > t.silent
+	}
+	return r.Sequence > t.report.Sequence
+}
+
+// Leave takes a target's word that it ends.
+func (t *Target) Leave(id string) Verdict {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.known || t.report.ID != id {
+		return Unknown
+	}
+	t.left = true
+	return Changed
+}
+
+// Sent notes a packet from the target.
+func (t *Target) Sent(now time.Duration) {
+	t.mu.Lock()
+	t.sent, t.unanswered = now, 0
+	t.mu.Unlock()
+}
+
+// Offered notes that an opening packet was passed to the target.
+func (t *Target) Offered(now time.Duration) {
+	t.mu.Lock()
+	if t.unanswered == 0 {
+		t.offered = now
+	}
+	t.unanswered++
+	t.mu.Unlock()
+}
+
+// Status returns what is believed now.
+func (t *Target) Status(now time.Duration) Status {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := Status{Age: now - t.reported}
+	if t.known {
+		s.ID, s.Service, s.Born, s.Slots = t.report.ID, t.report.Service, t.report.Born, t.report.Slots
+		s.Cold = t.report.ColdFor > now-t.reported
+	}
+	s.Reason = t.refusal(now)
+	s.Accepting = s.Reason == ""
+	s.Absent = t.absent(now)
+	return s
+}
+
+// refusal returns why the target takes no new flows, empty if it does.
+func (t *Target) refusal(now time.Duration) string {
+	switch {
+	case !t.known:
+		return "no report yet"
+	case t.left:
+		return "left"
+	case t.report.Draining:
+		return "draining"
+	case now-t.reported > t.silent:
+		return "no report for too long"
+	case t.unanswered >= openingsUnanswered && now-t.offered > answerWithin:
+		return "doesn't answer"
+	}
+	return ""
+}
+
+// absent tells whether the target holds no flow any more.
+func (t *Target) absent(now time.Duration) bool {
+	if t.left {
+		return now-t.sent > t.gone-goneSlack
+	}
+	return now-max(t.reported, t.sent, t.started) > t.gone
+}
+
+// Draining tells whether the target has announced its end.
+func (t *Target) Draining() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.known && (t.left || t.report.Draining)
+}
--- /dev/null
+++ b/policy/lifecycle/target_test.go
@@ -0,0 +1,87 @@
+package lifecycle_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lacewinglever.dev/policy/lifecycle"
+)
+
+const second = time.Second
+
+func newTarget() *lifecycle.Target {
+	return lifecycle.New(0, lifecycle.Options{Heartbeat: 1200 * time.Millisecond, AddressReuse: 2 * second})
+}
+
+func report(born int64, sequence uint64) lifecycle.Report {
+	return lifecycle.Report{ID: "i-1", Service: "a", Born: born, Sequence: sequence, Slots: 3}
+}
+
+// Guards against new flows to a target that drains, and to one that nobody has heard of yet.
+func TestOnlyReadyTargetsAccept(t *testing.T) {
+	target := newTarget()
+	assert.Equal(t, target.Status(second).Reason, "no report yet")
+	assert.Equal(t, target.Report(second, report(10, 1)), lifecycle.Changed)
+	assert.Assert(t, target.Status(second).Accepting)
+	r := report(10, 2)
+	r.Draining = true
+	assert.Equal(t, target.Report(2*second, r), lifecycle.Changed)
+	assert.Equal(t, target.Status(2*second).Reason, "draining")
+	assert.Assert(t, !target.Status(2*second).Absent)
+}
+
+// Guards against a late report that revives a target which has announced its end, or an earlier life of it.
+func TestLateReports(t *testing.T) {
+	target := newTarget()
+	drained := report(10, 5)
+	drained.Draining = true
+	target.Report(second, drained)
+	assert.Equal(t, target.Report(second, report(10, 4)), lifecycle.Late)
+	assert.Equal(t, target.Status(second).Reason, "draining")
+	assert.Equal(t, target.Report(second, report(20, 1)), lifecycle.Changed)
+	assert.Equal(t, target.Report(second, report(10, 6)), lifecycle.Late)
+	assert.Equal(t, target.Status(second).Born, int64(20))
+}
+
+// Guards against new flows to an address that another service has taken over: silence ends them before the address can be reused.
+func TestSilenceEndsNewFlowsBeforeReuse(t *testing.T) {
+	target := newTarget()
+	target.Report(10*second, report(10, 1))
+	assert.Assert(t, target.Status(11700*time.Millisecond).Accepting)
+	s := target.Status(11950 * time.Millisecond)
+	assert.Assert(t, !s.Accepting && !s.Absent, "%+v", s)
+}
+
+// Guards against a reset of a flow whose target lives: a target that sends packets is not gone, however late its reports are.
+func TestPacketsProveLife(t *testing.T) {
+	target := newTarget()
+	target.Report(second, report(10, 1))
+	target.Sent(4 * second)
+	assert.Assert(t, !target.Status(5*second).Absent)
+	assert.Assert(t, target.Status(9*second).Absent)
+}
+
+// Guards against opening packets that are passed to a dead target until its silence shows.
+func TestUnansweredOpenings(t *testing.T) {
+	target := newTarget()
+	target.Report(second, report(10, 1))
+	target.Offered(second)
+	target.Offered(second + 10*time.Millisecond)
+	assert.Assert(t, target.Status(second+100*time.Millisecond).Accepting)
+	assert.Equal(t, target.Status(second+200*time.Millisecond).Reason, "doesn't answer")
+	target.Sent(second + 210*time.Millisecond)
+	assert.Assert(t, target.Status(second+220*time.Millisecond).Accepting)
+}
+
+// Guards against a target that left and comes back under the same id but is not used again.
+func TestRestartUnderSameID(t *testing.T) {
+	target := newTarget()
+	target.Report(second, report(10, 7))
+	assert.Equal(t, target.Leave("i-1"), lifecycle.Changed)
+	assert.Equal(t, target.Leave("i-2"), lifecycle.Unknown)
+	assert.Equal(t, target.Status(second).Reason, "left")
+	assert.Equal(t, target.Report(3*second, report(20, 1)), lifecycle.Changed)
+	assert.Assert(t, target.Status(3*second).Accepting)
+}
--- /dev/null
+++ b/policy/roster/roster.go
@@ -0,0 +1,216 @@
+// Package roster holds what a node believes of the other nodes of the fleet: who they are, when they were last heard and what they said. Its times
+// are those of a clock that counts suspension, so that a node that was frozen does not take old beliefs for fresh ones.
+package roster
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"lacewinglever.dev/policy/ident"
+)
+
+const (
+	// quietAfter is the silence after which a node gets no new flows. Agents send a heartbeat every 200 ms, of which two may be lost.
+	quietAfter = 700 * time.Millisecond
+	// goneAfter is the silence after which a node is taken to hold no flow. A killed process is usually back within a second, with the
+	// flows of its target intact.
+	goneAfter = 1500 * time.Millisecond
+	// returnWithin is how long a node that announced its stop may take to come back. Its target may live on and keep its flows.
+	returnWithin = 8 * time.Second
+	// forgetAfter is the silence after which a node is removed.
+	forgetAfter = time.Minute
+)
+
+// Node is what does not change in one life of a process.
+type Node struct {
+	ID          ident.NodeID
+	Name        string
+	Incarnation ident.Incarnation
+	Entry       bool
+	DataCentre  ident.DataCentre
+	Address     netip.AddrPort // for datagrams and RPCs of the fleet
+}
+
+// Target is what an agent says of the target beside it.
+type Target struct {
+	Service   string // empty while no target has reported
+	ID        string
+	Born      int64 // Unix milliseconds
+	Accepting bool  // takes new flows
+	Absent    bool  // gone: holds no flow
+	Cold      bool
+	Flows     int
+	Slots     int
+	Busy      float64 // requests in progress, smoothed
+}
+
+// Beat is what a node says in one heartbeat.
+type Beat struct {
+	Sequence uint64
+	Revision uint64 // of the routes in force there
+	Leaving  bool   // the process was told to stop
+	Target   Target // agents only
+}
+
+// Health tells how much a node's silence says.
+type Health uint8
+
+// Health of a node.
+const (
+	Live  Health = iota
+	Quiet        // unheard for a while, may be back: gets no new flows
+	Gone         // unheard for so long that no flow waits for it
+)
+
+// Peer is what is believed of one node.
+type Peer struct {
+	Node
+	Beat
+	Service string        // of its target, from its heartbeats or, before the first of them, from its record
+	Heard   time.Duration // time of the last heartbeat, or of learning of the node
+	Ever    bool          // a heartbeat was received
+	Placed  int           // flows placed there since its last heartbeat
+}
+
+// Health returns what the peer's silence says at the time now.
+func (p *Peer) Health(now time.Duration) Health {
+	silence := now - p.Heard
+	switch {
+	case p.Leaving && silence > returnWithin, !p.Leaving && silence > goneAfter:
+		return Gone
+	case silence > quietAfter || !p.Ever:
+		return Quiet
+	}
+	return Live
+}
+
+// Change tells what a heartbeat changed.
+type Change uint8
+
+// Changes, of which the greatest is returned.
+const (
+	Stale     Change = iota // overtaken by a later heartbeat
+	Same                    // only the load
+	Returned                // heard again after silence
+	Different               // the target or the state of the process
+	Joined                  // unknown node, or a new life of a known one
+)
+
+// Roster is the set of known nodes. Its methods may be called from any goroutine.
+type Roster struct {
+	mu    sync.RWMutex
+	self  ident.NodeID
+	peers map[ident.NodeID]*Peer
+}
+
+// New returns a roster without peers. The node self is never added.
+func New(self ident.NodeID) *Roster {
+	return &Roster{self: self, peers: map[ident.NodeID]*Peer{}}
+}
+
+// Learn adds a node that a record or another node names. It returns whether the node, or this life of it, was unknown.
+func (r *Roster) Learn(now time.Duration, n Node, service string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if n.ID == r.self {
+		return false
+	}
+	if p, ok := r.peers[n.ID]; ok && p.Incarnation >= n.Incarnation {
+		return false
+	}
+	r.peers[n.ID] = &Peer{Node: n, Service: service, Heard: now}
+	return true
+}
+
+// Hear takes a heartbeat.
+func (r *Roster) Hear(now time.Duration, n Node, b Beat) Change {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if n.ID == r.self {
+		return Stale
+	}
+	p, ok := r.peers[n.ID]
+	if ok && (p.Incarnation > n.Incarnation || p.Incarnation == n.Incarnation && p.Ever && p.Sequence >= b.Sequence) {
+		return Stale
+	}
+	change := Same
+	switch {
+	case !ok || !p.Ever || p.Incarnation != n.Incarnation:
+		change = Joined
+	case differs(&p.Beat, &b):
+		change = Different
+	case p.Health(now) != Live:
+		change = Returned
+	}
+	service := b.Target.Service
+	if service == "" && ok {
+		service = p.Service
+	}
+	r.peers[n.ID] = &Peer{Node: n, Beat: b, Service: service, Heard: now, Ever: true}
+	return change
+}
+
+func differs(a, b *Beat) bool {
+	x, y := a.Target, b.Target
+	return a.Leaving != b.Leaving || x.Service != y.Service || x.Born != y.Born || x.ID != y.ID || x.Accepting != y.Accepting || x.Absent != y.Absent
+}
+
+// Place counts a flow that was placed on a node, until its next heartbeat.
+func (r *Roster) Place(id ident.NodeID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if p, ok := r.peers[id]; ok {
+		p.Placed++
+	}
+}
+
+// Find returns what is believed of a node.
+func (r *Roster) Find(id ident.NodeID) (Peer, bool) {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	if p, ok := r.peers[id]; ok {
+		return *p, true
+	}
+	return Peer{}, false
+}
+
+// Peers returns all nodes, in the order of their ids.
+func (r *Roster) Peers() []Peer {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	all := make([]Peer, 0, len(r.peers))
+	for _, p := range r.peers {
+		all = append(all, *p)
+	}
+	slices.SortFunc(all, func(a, b Peer) int { return cmp.Compare(a.ID, b.ID) })
+	return all
+}
+
+// Agents appends the agents of a service, those of all services if it is empty.
+func (r *Roster) Agents(agents []Peer, service string) []Peer {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	for _, p := range r.peers {
+		if !p.Entry && (service == "" || p.Service == service) {
+			agents = append(agents, *p)
+		}
+	}
+	return agents
+}
+
+// Forget removes nodes that were not heard for long, and returns them.
+func (r *Roster) Forget(now time.Duration) []Peer {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var gone []Peer
+	for id, p := range r.peers {
+		if now-p.Heard > forgetAfter {
+			gone = append(gone, *p)
+			delete(r.peers, id)
+		}
+	}
+	return gone
+}
--- /dev/null
+++ b/policy/roster/roster_test.go
@@ -0,0 +1,53 @@
+package roster_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lacewinglever.dev/policy/ident"
+	"lacewinglever.dev/policy/roster"
+)
+
+func node(name string, incarnation uint64) roster.Node {
+	return roster.Node{ID: ident.NewNodeID(name), Name: name, Incarnation: ident.Incarnation(incarnation)}
+}
+
+// Guards against a delayed heartbeat that brings back an older state, or an earlier life, of a node.
+func TestOldHeartbeatsAreStale(t *testing.T) {
+	r := roster.New(ident.NewNodeID("self"))
+	assert.Equal(t, r.Hear(0, node("a", 2), roster.Beat{Sequence: 5}), roster.Joined)
+	assert.Equal(t, r.Hear(0, node("a", 2), roster.Beat{Sequence: 4}), roster.Stale)
+	assert.Equal(t, r.Hear(0, node("a", 1), roster.Beat{Sequence: 9}), roster.Stale)
+	assert.Equal(t, r.Hear(0, node("a", 2), roster.Beat{Sequence: 6, Leaving: true}), roster.Different)
+	assert.Equal(t, r.Hear(0, node("a", 3), roster.Beat{Sequence: 1}), roster.Joined)
+	assert.Equal(t, r.Hear(0, node("self", 3), roster.Beat{Sequence: 1}), roster.Stale)
+}
+
+// Guards against flows of a target that are given up while the agent beside it is only being restarted.
+func TestPlannedStopKeepsFlowsLonger(t *testing.T) {
+	r := roster.New(1)
+	r.Hear(0, node("a", 1), roster.Beat{Sequence: 1})
+	r.Hear(0, node("b", 1), roster.Beat{Sequence: 1, Leaving: true})
+	at := 3 * time.Second
+	a, _ := r.Find(ident.NewNodeID("a"))
+	b, _ := r.Find(ident.NewNodeID("b"))
+	assert.Equal(t, a.Health(at), roster.Gone)
+	assert.Equal(t, b.Health(at), roster.Quiet)
+	assert.Equal(t, b.Health(9*time.Second), roster.Gone)
+}
+
+// Guards against new flows at a node that a record names but that nobody has heard.
+func TestLearnedNodeIsNotLive(t *testing.T) {
+	r := roster.New(1)
+	assert.Assert(t, r.Learn(0, node("a", 1), "s"))
+	assert.Assert(t, !r.Learn(0, node("a", 1), "s"))
+	p := r.Agents(nil, "s")[0]
+	assert.Equal(t, p.Health(0), roster.Quiet)
+	assert.Equal(t, r.Hear(time.Second, node("a", 1), roster.Beat{Sequence: 1}), roster.Joined)
+	p = r.Agents(nil, "s")[0]
+	assert.Equal(t, p.Health(time.Second), roster.Live)
+	assert.Equal(t, len(r.Forget(2*time.Minute)), 1)
+	assert.Equal(t, len(r.Peers()), 0)
+}
--- /dev/null
+++ b/policy/routes/routes.go
@@ -0,0 +1,92 @@
+// Package routes holds the routes in force at a node: which service new flows to an address open at. Tables only ever replace older ones.
+package routes
+
+import (
+	"net/netip"
+	"sync/atomic"
+	"time"
+)
+
+// Share is a service's part of a route's new flows.
+type Share struct {
+	Service string
+	Weight  float64
+}
+
+// Route tells where the flows to one address go.
+type Route struct {
+	Name   string
+	Shares []Share // at least one
+}
+
+// Service returns the service of a new flow with this hash.
+func (r *Route) Service(hash uint64) string {
+	total := 0.0
+	for _, s := range r.Shares {
+		total += s.Weight
+	}
+	if total <= 0 {
+		return r.Shares[0].Service
+	}
+	at := float64(hash>>11) / (1 << 53) * total
+	for _, s := range r.Shares {
+		if at < s.Weight {
+			return s.Service
+		}
+		at -= s.Weight
+	}
+	return r.Shares[len(r.Shares)-1].Service
+}
+
+// Has tells whether new flows may open at the service.
+func (r *Route) Has(service string) bool {
+	for _, s := range r.Shares {
+		if s.Service == service && (s.Weight > 0 || len(r.Shares) == 1) {
+			return true
+		}
+	}
+	return false
+}
+
+// Table is one accepted version of all routes. It is not changed once made.
+type Table struct {
+	Revision    uint64 // of the stored object; increases with each change
+	Version     int64  // the operator's number
+	IdleTimeout time.Duration
+	Routes      map[netip.AddrPort]Route
+	Services    map[string]struct{}
+	Encoded     []byte // as stored, for other nodes
+}
+
+// Lookup returns the route of an address.
+func (t *Table) Lookup(a netip.AddrPort) (*Route, bool) {
+	r, ok := t.Routes[a]
+	return &r, ok
+}
+
+// Current is the newest table that a node knows. Its methods may be called from any goroutine.
+type Current struct{ table atomic.Pointer[Table] }
+
+// Load returns the table in force, nil if none is known.
+func (c *Current) Load() *Table { return c.table.Load() }
+
+// Revision returns the revision in force, 0 if none is known.
+func (c *Current) Revision() uint64 {
+	if t := c.table.Load(); t != nil {
+		return t.Revision
+	}
+	return 0
+}
+
+// Offer puts a table in force unless the present one is as new. It returns the table that was in force before, and whether t is in force now.
+func (c *Current) Offer(t *Table) (*Table, bool) {
+	for {
+		old := c.table.Load()
+		if old != nil && old.Revision >= t.Revision {
+			return old, false
+		}
+		if c.table.CompareAndSwap(old, t) {
+			return old, true
+		}
+	}
+}
--- /dev/null
+++ b/policy/routes/routes_test.go
@@ -0,0 +1,33 @@
+package routes_test
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"lacewinglever.dev/policy/routes"
+)
+
+// Guards against a node that goes back to older routes, for example when an answer of the store arrives late.
+func TestOlderTableIsRefused(t *testing.T) {
+	var c routes.Current
+	_, ok := c.Offer(&routes.Table{Revision: 5})
+	assert.Assert(t, ok)
+	_, ok = c.Offer(&routes.Table{Revision: 4})
+	assert.Assert(t, !ok)
+	_, ok = c.Offer(&routes.Table{Revision: 5})
+	assert.Assert(t, !ok)
+	assert.Equal(t, c.Revision(), uint64(5))
+}
+
+// Guards against flows at a service whose share of a route is zero.
+func TestShares(t *testing.T) {
+	r := routes.Route{Shares: []routes.Share{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}, {Service: "c"}}}
+	count := map[string]int{}
+	for i := range uint64(1000) {
+		count[r.Service(i*0x9e3779b97f4a7c15)]++
+	}
+	assert.Assert(t, count["a"] > 850 && count["a"] < 950, "%v", count)
+	assert.Equal(t, count["c"], 0)
+	assert.Assert(t, r.Has("b") && !r.Has("c") && !r.Has("d"))
+}
--- /dev/null
+++ b/policy/steering/place.go
@@ -0,0 +1,131 @@
+package steering
+
+import (
+	"slices"
+	"time"
+
+	"lacewinglever.dev/policy/ident"
+	"lacewinglever.dev/policy/rendezvous"
+	"lacewinglever.dev/policy/roster"
+)
+
+const (
+	// choices is the number of first-ranked targets among which a new flow goes to the least loaded. A node without a record of the flow
+	// then finds it within as many steps.
+	choices = 4
+	// nearWeight is the weight of targets in the caller's data centre in the ranking. Bytes between data centres cost more.
+	nearWeight = 8
+	// flowLoad is the part of a slot that an open flow takes in the mean, between its requests.
+	flowLoad = 0.03
+	// placedLoad is the part of a slot that a flow placed since the last heartbeat is expected to take.
+	placedLoad = 0.4
+	// farLoad and coldLoad are added to the load per slot of targets in another data centre, and of targets that have just started.
+	farLoad  = 0.15
+	coldLoad = 0.3
+)
+
+// Load returns the load per slot that a new flow of a caller in the data centre origin would meet at a target.
+func Load(p *roster.Peer, origin ident.DataCentre) float64 {
+	load := (p.Target.Busy + flowLoad*float64(p.Target.Flows) + placedLoad*float64(p.Placed)) / float64(max(p.Target.Slots, 1))
+	if p.DataCentre != origin {
+		load += farLoad
+	}
+	if p.Target.Cold {
+		load += coldLoad
+	}
+	return load
+}
+
+// Rank sorts the agents of a service in the order in which a flow is offered to them and looked for, the same at every node that knows the same
+// agents.
+func Rank(flow uint64, origin ident.DataCentre, agents []roster.Peer) {
+	score := func(p *roster.Peer) float64 {
+		if p.DataCentre == origin {
+			return rendezvous.Score(flow, uint64(p.ID), nearWeight)
+		}
+		return rendezvous.Score(flow, uint64(p.ID), 1)
+	}
+	type ranked struct {
+		score float64
+		peer  roster.Peer
+	}
+	order := make([]ranked, len(agents))
+	for i := range agents {
+		order[i] = ranked{score(&agents[i]), agents[i]}
+	}
+	slices.SortFunc(order, func(a, b ranked) int {
+		switch {
+		case a.score > b.score:
+			return -1
+		case a.score < b.score:
+			return 1
+		}
+		return 0
+	})
+	for i := range order {
+		agents[i] = order[i].peer
+	}
+}
+
+// Accepts tells whether new flows may be placed at an agent.
+func Accepts(p *roster.Peer, now time.Duration) bool {
+	return p.Health(now) == roster.Live && p.Target.Accepting && !p.Leaving
+}
+
+// Place returns the index of the agent at which a new flow opens, -1 if none accepts it. agents are ranked; those in tried have refused.
+func Place(now time.Duration, origin ident.DataCentre, agents []roster.Peer, tried []ident.NodeID) int {
+	best, lowest, seen := -1, 0.0, 0
+	for i := range agents {
+		p := &agents[i]
+		if !Accepts(p, now) || slices.Contains(tried, p.ID) {
+			continue
+		}
+		if load := Load(p, origin); best < 0 || load < lowest {
+			best, lowest = i, load
+		}
+		if seen++; seen == choices {
+			break
+		}
+	}
+	return best
+}
+
+// Verdict tells what the search for a flow's target came to.
+type Verdict uint8
+
+// Verdicts.
+const (
+	Continue Verdict = iota // another agent may hold the flow
+	Nowhere                 // no target holds the flow: it can be reset
+	Unknown                 // an agent that may hold the flow can't be asked at present
+)
+
+// Next returns the index of the next agent that may hold a flow. agents are ranked; those in tried have given the flow's packet back. complete
+// tells that agents are all that exist.
+func Next(now time.Duration, agents []roster.Peer, tried []ident.NodeID, complete bool) (int, Verdict) {
+	waiting := false
+	quiet := -1
+	for i := range agents {
+		p := &agents[i]
+		if slices.Contains(tried, p.ID) || p.Target.Absent {
+			continue
+		}
+		switch p.Health(now) {
+		case roster.Live:
+			return i, Continue
+		case roster.Quiet:
+			waiting = true
+			if quiet < 0 {
+				quiet = i
+			}
+		case roster.Gone:
+		}
+	}
+	switch {
+	case waiting && len(tried) == 0:
+		return quiet, Continue // nobody else is left to ask
+	case waiting || !complete:
+		return -1, Unknown
+	}
+	return -1, Nowhere
+}
