readmission, holding: resets of lost flows as fast as targets take their callers back

Cause: after the loss of everything, entries waited 2 s before any reset, because they counted time instead of the nodes that the store names; and packets that arrived before the nodes knew each other were dropped, so that callers waited for their next retransmission or their deadline.

Resets now wait only for nodes that the store or a peer names and that were not heard. Packets without a possible decision are held for up to 1 s, the latest first. Resets are paced by the load of the pool, and agents tell changes of their load at once.

--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -77,6 +77,7 @@
 	joined   atomic.Bool // a node has named those that it knows
 	leaving  atomic.Bool
 	wake     chan struct{} // a heartbeat to all is due
+	loaded   chan struct{} // a heartbeat to those that place flows is due
 	fetch    chan roster.Peer
 	sequence uint64 // of heartbeats; only used by beat
 	rounds   uint64
@@ -106,7 +107,7 @@
 			Entry: o.Entry, DataCentre: ident.DataCentre(o.Settings.DataCentre), Address: address,
 		},
 		conn: conn, started: Now(),
-		wake: make(chan struct{}, 1), fetch: make(chan roster.Peer, 16),
+		wake: make(chan struct{}, 1), loaded: make(chan struct{}, 1), fetch: make(chan roster.Peer, 16),
 		storeSeen: dependency{name: "store", logger: o.Logger},
 	}
 	f.setSeeds(o.Settings.Seeds)
@@ -155,13 +156,14 @@
 	return g.Wait()
 }
 
-// Complete tells whether all nodes that may hold flows are known: the store or another node has named them, and they had time to be heard.
+// Complete tells whether all nodes that may hold flows are in the roster: the store has named those that registered, and another node, or the
+// heartbeats of one round, those that could not register. Whether each of them was heard is for the roster to tell.
 func (f *Fleet) Complete(now time.Duration) bool {
-	return now-f.started > settleAfter && (f.listed.Load() || f.joined.Load())
+	return f.listed.Load() && (f.joined.Load() || now-f.started > oneRound)
 }
 
-// settleAfter is the time in which a node that starts hears all others: two rounds of heartbeats to all.
-const settleAfter = 2 * beatsPerRound * loadEvery
+// oneRound is the time in which every node that knows this one sends it a heartbeat.
+const oneRound = (beatsPerRound + 1) * loadEvery
 
 // Leave announces that the process stops.
 func (f *Fleet) Leave() {
@@ -177,6 +179,14 @@
 	}
 }
 
+// AnnounceLoad sends a heartbeat at once to those that place flows on this node's target.
+func (f *Fleet) AnnounceLoad() {
+	select {
+	case f.loaded <- struct{}{}:
+	default:
+	}
+}
+
 // Send sends a caller's packet to an agent.
 func (f *Fleet) Send(to netip.AddrPort, r *Relay) {
 	buffer := f.buffers.Get().(*[]byte)
@@ -223,6 +233,8 @@
 			f.beat(f.rounds%beatsPerRound == 0)
 		case <-f.wake:
 			f.beat(true)
+		case <-f.loaded:
+			f.beat(false)
 		}
 	}
 }
--- a/node/packetagent/agent.go
+++ b/node/packetagent/agent.go
@@ -1,10 +1,13 @@
 package packetagent
 
 import (
+	"bytes"
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -17,9 +20,11 @@
 	"lacewinglever.dev/node/fleet"
 	"lacewinglever.dev/node/logging"
 	"lacewinglever.dev/platform"
+	"lacewinglever.dev/policy/holding"
 	"lacewinglever.dev/policy/ident"
 	"lacewinglever.dev/policy/inflight"
 	"lacewinglever.dev/policy/lifecycle"
+	"lacewinglever.dev/policy/readmission"
 	"lacewinglever.dev/policy/roster"
 	"lacewinglever.dev/policy/steering"
 )
@@ -30,6 +35,9 @@
 	unusualLines = 50
 	// checkEvery is the interval in which the agent notices what the target's silence says.
 	checkEvery = 50 * time.Millisecond
+	// tellLoad is the change of the load, in requests a slot, that is told between two heartbeats. Entries that act on old loads all
+	// place on the same target.
+	tellLoad = 0.25
 	// expireChecks is the number of checks of which one forgets idle flows.
 	expireChecks = 20
 	// stopGrace is how long an agent goes on passing packets after it announced its stop, for those on the way. Its target may live on,
@@ -53,10 +61,13 @@
 	flows    *inflight.Table
 	offers   offers
 	status   atomic.Pointer[lifecycle.Status] // at the last check
+	told     atomic.Uint64                    // load in the last heartbeat, the bits of a float64
 	usual    *logging.Decisions
 	unusual  *logging.Decisions
 	counters counters
 	scratch  sync.Pool // *[]roster.Peer
+	held     holding.Queue[fleet.Relay]
+	pacer    readmission.Pacer
 }
 
 type counters struct {
@@ -97,7 +108,7 @@
 		return err
 	}
 	return p.Run(ctx, a.stop,
-		a.fleet.Run, a.receive, a.watch,
+		a.fleet.Run, a.receive, a.retry, a.watch,
 		fleet.Serve(settings.Reports, platform.TargetHandler(a)),
 		fleet.Serve(settings.Ready, platform.ReadyHandler(func() bool { return true })),
 		fleet.WatchSettings(p, a.fleet, path, settings, LoadSettings, func(s *Settings) *fleet.Settings { return &s.Settings }),
@@ -137,6 +148,7 @@
 func (a *Agent) Beat(now time.Duration, b *roster.Beat) {
 	s := a.life.Status(now)
 	flows, busy := a.flows.Load(now)
+	a.told.Store(math.Float64bits(busy))
 	b.Target = roster.Target{
 		Service: a.service(&s), ID: s.ID, Born: s.Born, Accepting: s.Accepting, Absent: s.Absent, Cold: s.Cold, Slots: s.Slots,
 		Flows: flows, Busy: busy,
@@ -211,6 +223,9 @@
 		}
 		s := a.life.Status(now)
 		before := a.status.Swap(&s)
+		if _, busy := a.flows.Load(now); math.Abs(busy-math.Float64frombits(a.told.Load())) > tellLoad*float64(max(s.Slots, 1)) {
+			a.fleet.AnnounceLoad()
+		}
 		if s.Accepting == before.Accepting && s.Absent == before.Absent {
 			continue
 		}
@@ -292,7 +307,52 @@
 }
 
 // Relay takes a caller's packet from another node.
-func (a *Agent) Relay(now time.Duration, r *fleet.Relay) {
+func (a *Agent) Relay(now time.Duration, r *fleet.Relay) { a.handle(now, now, r) }
+
+// retry decides again about packets that were held, until the context ends.
+func (a *Agent) retry(ctx context.Context) error {
+	ticker := time.NewTicker(holding.RetryEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			for _, item := range a.held.Take() {
+				a.again(fleet.Now(), item)
+			}
+		}
+	}
+}
+
+// again decides about a held packet. A new flow may open at any target by now; an open flow is not held by those that gave its packet back.
+func (a *Agent) again(now time.Duration, item holding.Item[fleet.Relay]) {
+	r := &item.Value
+	p := platform.Packet(r.Packet)
+	if p.Opens() {
+		r.Tried = nil
+		a.handle(now, item.Since, r)
+		return
+	}
+	a.passOn(now, item.Since, r, p)
+}
+
+// hold keeps a packet until a decision is possible. A packet that can't be kept is left to be sent again by its caller.
+func (a *Agent) hold(now, since time.Duration, r *fleet.Relay, reason string) bool {
+	item := holding.Item[fleet.Relay]{Flow: platform.Packet(r.Packet).FromCaller(), Since: since, Value: *r}
+	if since == now { // the buffers are used for the next packet
+		item.Value.Packet = bytes.Clone(r.Packet)
+		item.Value.Tried = slices.Clone(r.Tried)
+	}
+	kept := a.held.Put(now, item)
+	if !kept {
+		a.counters.dropped(reason)
+	}
+	return kept
+}
+
+// handle takes a caller's packet that arrived at the time since.
+func (a *Agent) handle(now, since time.Duration, r *fleet.Relay) {
 	p, err := platform.ParsePacket(r.Packet)
 	if err != nil {
 		a.counters.dropped("malformed")
@@ -301,7 +361,7 @@
 	s := a.life.Status(now)
 	if p.Opens() {
 		if reason := a.refuses(&s, p, r); reason != "" {
-			a.passOpening(now, r, p, reason)
+			a.passOpening(now, since, r, p, reason)
 			return
 		}
 		a.life.Offered(now)
@@ -312,7 +372,7 @@
 				logging.KeyAge, s.Age)
 		}
 	} else if s.Absent || r.Service != "" && r.Service != a.service(&s) {
-		a.passOn(now, r, p)
+		a.passOn(now, since, r, p)
 		return
 	}
 	a.deliver(now, r, p)
@@ -360,10 +420,10 @@
 	p.ClearReturned()
 	r.Packet = p
 	if p.Opens() {
-		a.passOpening(now, &r, p, "given back by the target")
+		a.passOpening(now, now, &r, p, "given back by the target")
 		return
 	}
-	a.passOn(now, &r, p)
+	a.passOn(now, now, &r, p)
 }
 
 // ranked calls f with the agents of the relay's service, in the order for the flow.
@@ -375,10 +435,33 @@
 	f(*agents)
 }
 
+// reset ends a flow that no target holds, as fast as the targets take its callers back. It returns what became of the packet.
+func (a *Agent) reset(now, since time.Duration, r *fleet.Relay, p platform.Packet, load float64) string {
+	if p.Resets() {
+		return "dropped"
+	}
+	if !a.pacer.Admit(now, a.life.Status(now).Slots, load) {
+		if a.hold(now, since, r, "reset paced") {
+			return "held"
+		}
+		return "dropped"
+	}
+	a.counters.reset("no target holds the flow")
+	a.send(netip.AddrPortFrom(p.FromCaller().Caller().Addr(), a.port), platform.NewReset(p))
+	return "reset"
+}
+
+// tried notes that the own target doesn't take or hold the flow.
+func (a *Agent) tried(r *fleet.Relay) {
+	if !slices.Contains(r.Tried, a.fleet.Self.ID) {
+		r.Tried = append(r.Tried, a.fleet.Self.ID)
+	}
+}
+
 // passOpening offers a new flow to another target.
-func (a *Agent) passOpening(now time.Duration, r *fleet.Relay, p platform.Packet, reason string) {
+func (a *Agent) passOpening(now, since time.Duration, r *fleet.Relay, p platform.Packet, reason string) {
 	flow := p.FromCaller()
-	r.Tried = append(r.Tried, a.fleet.Self.ID)
+	a.tried(r)
 	a.ranked(flow, r, func(agents []roster.Peer) {
 		at := steering.Place(now, r.Origin, agents, r.Tried)
 		to := ""
@@ -388,9 +471,9 @@
 			r.Search = true
 			a.fleet.Send(agents[at].Address, r)
 		} else {
-			a.counters.dropped("no target accepts")
+			a.hold(now, since, r, "no target accepts")
 		}
-		if a.unusual.Allow() {
+		if (at >= 0 || since == now) && a.unusual.Allow() {
 			a.unusual.Log("flow not accepted", logging.KeyFlow, flow, "copy", p.Copy(), logging.KeyReason, reason, logging.KeyService, r.Service,
 				"to", to, "tried", len(r.Tried), "candidates", len(agents))
 		}
@@ -398,9 +481,9 @@
 }
 
 // passOn passes a packet of an open flow to the next agent that may hold it. If there is none, the flow is reset.
-func (a *Agent) passOn(now time.Duration, r *fleet.Relay, p platform.Packet) {
+func (a *Agent) passOn(now, since time.Duration, r *fleet.Relay, p platform.Packet) {
 	flow := p.FromCaller()
-	r.Tried = append(r.Tried, a.fleet.Self.ID)
+	a.tried(r)
 	a.ranked(flow, r, func(agents []roster.Peer) {
 		at, verdict := steering.Next(now, agents, r.Tried, r.Service != "" && a.fleet.Complete(now))
 		outcome := ""
@@ -410,16 +493,14 @@
 			a.counters.passedOn.Inc()
 			a.fleet.Send(agents[at].Address, r)
 		case steering.Unknown:
-			outcome = "dropped"
-			a.counters.dropped("agents unknown")
-		case steering.Nowhere:
-			outcome = "reset"
-			if !p.Resets() {
-				a.counters.reset("no target holds the flow")
-				a.send(netip.AddrPortFrom(flow.Caller().Addr(), a.port), platform.NewReset(p))
+			outcome = "held"
+			if !a.hold(now, since, r, "agents unknown") {
+				outcome = "dropped"
 			}
+		case steering.Nowhere:
+			outcome = a.reset(now, since, r, p, steering.MeanLoad(now, agents))
 		}
-		if a.unusual.Allow() {
+		if (outcome != "held" || since == now) && a.unusual.Allow() {
 			a.unusual.Log("flow not held", logging.KeyFlow, flow, "sequence", p.Sequence(), logging.KeyService, r.Service,
 				logging.KeyRevision, r.Revision, "outcome", outcome, "tried", len(r.Tried), "candidates", len(agents))
 		}
--- a/node/packetentry/entry.go
+++ b/node/packetentry/entry.go
@@ -1,10 +1,12 @@
 package packetentry
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -14,6 +16,7 @@
 	"lacewinglever.dev/node/fleet"
 	"lacewinglever.dev/node/logging"
 	"lacewinglever.dev/platform"
+	"lacewinglever.dev/policy/holding"
 	"lacewinglever.dev/policy/ident"
 	"lacewinglever.dev/policy/roster"
 	"lacewinglever.dev/policy/routes"
@@ -50,7 +53,10 @@
 	usual    *logging.Decisions
 	unusual  *logging.Decisions
 	counters counters
-	agents   []roster.Peer // scratch of the one reader
+	held     holding.Queue[platform.Packet]
+
+	mu     sync.Mutex    // one packet at a time
+	agents []roster.Peer // scratch, see ranked
 }
 
 type counters struct {
@@ -93,7 +99,7 @@
 		return err
 	}
 	return p.Run(ctx, e.stop,
-		e.fleet.Run, e.receive, e.expire,
+		e.fleet.Run, e.receive, e.retry, e.expire,
 		fleet.Serve(settings.Ready, platform.ReadyHandler(e.ready)),
 		fleet.WatchSettings(p, e.fleet, path, settings, LoadSettings, func(s *Settings) *fleet.Settings { return &s.Settings }),
 	)
@@ -196,21 +202,44 @@
 			continue
 		}
 		now := fleet.Now()
-		if p.Opens() {
-			e.open(now, p)
-		} else {
-			e.carry(now, p)
-		}
+		e.pass(now, now, p)
 		e.counters.seconds.Update((fleet.Now() - now).Seconds())
 	}
 }
 
+// retry decides again about packets that were held, until the context ends.
+func (e *Entry) retry(ctx context.Context) error {
+	ticker := time.NewTicker(holding.RetryEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+			for _, item := range e.held.Take() {
+				e.pass(fleet.Now(), item.Since, item.Value)
+			}
+		}
+	}
+}
+
+// pass passes on a packet that arrived at the time since.
+func (e *Entry) pass(now, since time.Duration, p platform.Packet) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if p.Opens() {
+		e.open(now, since, p)
+	} else {
+		e.carry(now, since, p)
+	}
+}
+
 // open chooses the target at which a new flow opens.
-func (e *Entry) open(now time.Duration, p platform.Packet) {
+func (e *Entry) open(now, since time.Duration, p platform.Packet) {
 	flow := p.FromCaller()
 	table := e.fleet.Routes.Load()
 	if table == nil {
-		e.drop(flow, "no routes known yet", 0)
+		e.hold(now, since, p, "no routes known yet", 0)
 		return
 	}
 	route, ok := table.Lookup(flow.Service())
@@ -226,7 +255,7 @@
 			e.reset(flow, p, "service without targets", table)
 			return
 		}
-		e.drop(flow, "no target accepts", table.Revision)
+		e.hold(now, since, p, "no target accepts", table.Revision)
 		return
 	}
 	a := &agents[at]
@@ -270,7 +299,7 @@
 }
 
 // carry passes on a packet of an open flow.
-func (e *Entry) carry(now time.Duration, p platform.Packet) {
+func (e *Entry) carry(now, since time.Duration, p platform.Packet) {
 	flow := p.FromCaller()
 	table := e.fleet.Routes.Load()
 	revision := uint64(0)
@@ -284,11 +313,11 @@
 			return
 		}
 	}
-	e.search(now, flow, p, table)
+	e.search(now, since, flow, p, table)
 }
 
 // search passes a packet of a flow without a known target to the first agent that may hold it.
-func (e *Entry) search(now time.Duration, flow steering.Flow, p platform.Packet, table *routes.Table) {
+func (e *Entry) search(now, since time.Duration, flow steering.Flow, p platform.Packet, table *routes.Table) {
 	service, revision := "", uint64(0)
 	if table != nil {
 		route, ok := table.Lookup(flow.Service())
@@ -311,7 +340,7 @@
 	case steering.Nowhere:
 		e.reset(flow, p, "no target holds the flow", table)
 	case steering.Unknown:
-		e.drop(flow, "agents unknown", revision)
+		e.hold(now, since, p, "agents unknown", revision)
 	}
 }
 
@@ -343,10 +372,19 @@
 	}
 }
 
-// drop leaves a packet to be sent again by its caller.
-func (e *Entry) drop(flow steering.Flow, reason string, revision uint64) {
-	e.counters.dropped(reason)
-	if e.unusual.Allow() {
-		e.unusual.Log("packet dropped", logging.KeyFlow, flow, logging.KeyReason, reason, logging.KeyRevision, revision)
+// hold keeps a packet until a decision is possible. A packet that can't be kept is left to be sent again by its caller.
+func (e *Entry) hold(now, since time.Duration, p platform.Packet, reason string, revision uint64) {
+	flow := p.FromCaller()
+	item := holding.Item[platform.Packet]{Flow: flow, Since: since, Value: p}
+	if since == now {
+		item.Value = platform.Packet(bytes.Clone(p)) // the buffer is used for the next packet
+	}
+	kept := e.held.Put(now, item)
+	if !kept {
+		e.counters.dropped(reason)
+	}
+	if (!kept || since == now) && e.unusual.Allow() {
+		e.unusual.Log("packet held", logging.KeyFlow, flow, "sequence", p.Sequence(), "opening", p.Opens(), logging.KeyReason, reason,
+			"kept", kept, logging.KeyAge, now-since, logging.KeyRevision, revision)
 	}
 }
--- /dev/null
+++ b/policy/holding/holding.go
@@ -0,0 +1,71 @@
+// Package holding keeps packets for which no decision is possible yet, because a node that has just started doesn't know all others. Callers send
+// an unanswered packet again after ever longer pauses, so that a packet that is dropped shortly before the decision costs them a second.
+package holding
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"lacewinglever.dev/policy/steering"
+)
+
+const (
+	// For is how long a packet is kept. Nodes that start together know each other within this time.
+	For = time.Second
+	// RetryEvery is the interval in which decisions are tried again.
+	RetryEvery = 50 * time.Millisecond
+	// limit bounds the flows of which a packet is kept, at about 1 KB each.
+	limit = 4096
+)
+
+// Item is the last packet of one flow.
+type Item[T any] struct {
+	Flow  steering.Flow
+	Since time.Duration // when the packet arrived
+	Value T
+}
+
+// Queue holds at most one packet a flow. Its methods may be called from any goroutine.
+type Queue[T any] struct {
+	mu    sync.Mutex
+	items map[steering.Flow]Item[T]
+}
+
+// Put keeps a packet, in place of an earlier one of its flow. It returns false if the packet is too old or there are too many.
+func (q *Queue[T]) Put(now time.Duration, item Item[T]) bool {
+	if now-item.Since > For {
+		return false
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.items == nil {
+		q.items = map[steering.Flow]Item[T]{}
+	}
+	held, ok := q.items[item.Flow]
+	if ok && held.Since > item.Since {
+		return true // a later packet of the flow stands for this one
+	}
+	if !ok && len(q.items) >= limit {
+		return false
+	}
+	q.items[item.Flow] = item
+	return true
+}
+
+// Take removes and returns all packets, to be decided again, the latest first: the callers of the oldest are late in any case.
+func (q *Queue[T]) Take() []Item[T] {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.items) == 0 {
+		return nil
+	}
+	all := make([]Item[T], 0, len(q.items))
+	for _, item := range q.items {
+		all = append(all, item)
+	}
+	clear(q.items)
+	slices.SortFunc(all, func(a, b Item[T]) int { return cmp.Compare(b.Since, a.Since) })
+	return all
+}
--- /dev/null
+++ b/policy/holding/holding_test.go
@@ -0,0 +1,37 @@
+package holding_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lacewinglever.dev/policy/holding"
+	"lacewinglever.dev/policy/steering"
+)
+
+// Guards against a queue that grows with retransmissions, and against packets that are kept after their caller has sent them again.
+func TestOnePacketAFlowForALimitedTime(t *testing.T) {
+	var q holding.Queue[string]
+	flow := steering.Flow{CallerPort: 1}
+	assert.Assert(t, q.Put(0, holding.Item[string]{Flow: flow, Value: "first"}))
+	assert.Assert(t, q.Put(0, holding.Item[string]{Flow: flow, Since: 10 * time.Millisecond, Value: "second"}))
+	assert.Assert(t, q.Put(0, holding.Item[string]{Flow: flow, Value: "first again"}))
+	items := q.Take()
+	assert.Equal(t, len(items), 1)
+	assert.Equal(t, items[0].Value, "second")
+	assert.Assert(t, !q.Put(2*time.Second, items[0]))
+	assert.Equal(t, len(q.Take()), 0)
+}
+
+// Guards against memory without bound while nothing can be decided.
+func TestLimit(t *testing.T) {
+	var q holding.Queue[int]
+	kept := 0
+	for i := range 10_000 {
+		if q.Put(0, holding.Item[int]{Flow: steering.Flow{CallerPort: uint16(i)}, Value: i}) {
+			kept++
+		}
+	}
+	assert.Equal(t, kept, 4096)
+}
--- a/policy/inflight/inflight.go
+++ b/policy/inflight/inflight.go
@@ -9,8 +9,8 @@
 	"lacewinglever.dev/policy/steering"
 )
 
-// smoothing is the time constant of the number of requests in progress. Placement acts on heartbeats that are some 200 ms apart.
-const smoothing = 400 * time.Millisecond
+// smoothing is the time constant of the number of requests in progress: a few requests long, so that a burst shows in the next heartbeat.
+const smoothing = 100 * time.Millisecond
 
 // Event is what one packet says of its flow.
 type Event struct {
--- a/policy/steering/place.go
+++ b/policy/steering/place.go
@@ -17,8 +17,8 @@
 	nearWeight = 8
 	// flowLoad is the part of a slot that an open flow takes in the mean, between its requests.
 	flowLoad = 0.03
-	// placedLoad is the part of a slot that a flow placed since the last heartbeat is expected to take.
-	placedLoad = 0.4
+	// placedLoad is the part of a slot that a flow placed since the last heartbeat takes: it opens with a request.
+	placedLoad = 1
 	// farLoad and coldLoad are added to the load per slot of targets in another data centre, and of targets that have just started.
 	farLoad  = 0.15
 	coldLoad = 0.3
@@ -36,6 +36,21 @@
 	return load
 }
 
+// MeanLoad returns the mean number of requests in progress a slot of the live agents, 0 if there are none.
+func MeanLoad(now time.Duration, agents []roster.Peer) float64 {
+	busy, slots := 0.0, 0
+	for i := range agents {
+		if p := &agents[i]; p.Health(now) == roster.Live && !p.Target.Absent {
+			busy += p.Target.Busy
+			slots += p.Target.Slots
+		}
+	}
+	if slots == 0 {
+		return 0
+	}
+	return busy / float64(slots)
+}
+
 // Rank sorts the agents of a service in the order in which a flow is offered to them and looked for, the same at every node that knows the same
 // agents.
 func Rank(flow uint64, origin ident.DataCentre, agents []roster.Peer) {
