flows: the programs behind stand-ins of the platform, scenarios and a fault soak

platform/platformtest has stand-ins that speak the published protocol: the store with its faults, targets and callers. bench/flows runs the real programs between them, with proxies before the store and between nodes, and checks the promises from what callers and targets see.

Ruled out: the stand-ins of the own interface, whose store and targets speak another protocol.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 SCENARIOS_AT_ONCE := 4
 LINT := $(TOOLS)/golangci-lint-$(GOLANGCI_VERSION)
 
-.PHONY: build demo test format-check vet lint unit scenarios measure generate clean
+.PHONY: build demo soak test format-check vet lint unit scenarios measure generate clean
 
 build:
 	mkdir -p $(BIN)
@@ -33,10 +33,10 @@
 	for m in $(MODULES); do (cd $$m && $(LINT) run --config $(CURDIR)/.golangci.yml ./...) || exit 1; done
 
 unit:
-	go test -race -timeout 300s $(shell go list ./policy/... ./platform/... ./node/... ./bench/... | grep -v /bench/scenario)
+	go test -race -timeout 300s $(shell go list ./policy/... ./platform/... ./node/... ./bench/... | grep -v -e /bench/scenario -e /bench/flows)
 
 scenarios: build
-	LACEWING_BIN=$(BIN) go test -count=1 -parallel $(SCENARIOS_AT_ONCE) -timeout 900s ./bench/scenario/...
+	LACEWING_BIN=$(BIN) go test -count=1 -parallel $(SCENARIOS_AT_ONCE) -timeout 900s ./bench/scenario/... ./bench/flows/...
 
 measure: build
 	go run ./bench/cmd/measure --bin $(BIN) --out measure-out
@@ -46,3 +46,9 @@
 
 clean:
 	rm -rf $(BIN) $(TOOLS) measure-out
+
+# Runs the fault soak by hand: make soak RUNS=50 SEED=1
+SEED := 0
+RUNS := 10
+soak: build
+	$(BIN)/flowsoak --bin $(BIN) --runs $(RUNS) --seed $(SEED)
--- /dev/null
+++ b/bench/cmd/flowsoak/main.go
@@ -0,0 +1,90 @@
+// Command flowsoak runs the fault soak of the mode for a fabric of flows: a seed a run, some runs side by side.
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"lacewinglever.dev/bench/flows"
+)
+
+type options struct {
+	Bin    string        `long:"bin" description:"directory of the programs" required:"true"`
+	Out    string        `long:"out" description:"directory for settings files and logs" default:"soak-out"`
+	Seed   uint64        `long:"seed" description:"first seed; 0 draws one"`
+	Runs   int           `long:"runs" description:"number of seeds" default:"1"`
+	AtOnce int           `long:"at-once" description:"runs side by side" default:"3"`
+	Faults time.Duration `long:"faults" description:"how long faults come in each run" default:"12s"`
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		if flags.WroteHelp(err) {
+			return
+		}
+		os.Exit(2)
+	}
+	if o.Seed == 0 {
+		o.Seed = uint64(time.Now().UnixNano()) % 1_000_000
+	}
+	seeds := make(chan uint64)
+	var workers sync.WaitGroup
+	var mu sync.Mutex
+	failed := 0
+	for worker := range o.AtOnce {
+		workers.Go(func() {
+			for seed := range seeds {
+				ok := run(&o, seed, worker)
+				mu.Lock()
+				if !ok {
+					failed++
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	for i := range uint64(o.Runs) {
+		seeds <- o.Seed + i
+	}
+	close(seeds)
+	workers.Wait()
+	fmt.Printf("%d runs from seed %d, %d with a broken promise\n", o.Runs, o.Seed, failed)
+	if failed > 0 {
+		os.Exit(1)
+	}
+}
+
+func run(o *options, seed uint64, worker int) bool {
+	dir, err := filepath.Abs(filepath.Join(o.Out, fmt.Sprint("seed-", seed)))
+	if err == nil {
+		err = os.MkdirAll(dir, 0o700)
+	}
+	if err != nil {
+		fmt.Println(err)
+		return false
+	}
+	log, err := os.Create(filepath.Join(dir, "faults.log"))
+	if err != nil {
+		fmt.Println(err)
+		return false
+	}
+	defer log.Close()
+	violations, err := flows.Soak(flows.SoakOptions{
+		Cluster: flows.Options{Bin: o.Bin, Dir: dir, Subnet: 50 + worker, Zones: 3, Targets: map[string]int{"a": 4, "b": 3}},
+		Seed:    seed, Faults: o.Faults, Callers: 8, Log: log,
+	})
+	if err != nil {
+		violations = append(violations, err.Error())
+	}
+	for _, v := range violations {
+		fmt.Printf("seed %d: %s\n", seed, v)
+		fmt.Fprintln(log, v)
+	}
+	return len(violations) == 0
+}
--- /dev/null
+++ b/bench/flows/flows_test.go
@@ -0,0 +1,219 @@
+package flows_test
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"net/netip"
+	"os"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lacewinglever.dev/bench/flows"
+	"lacewinglever.dev/platform/platformtest"
+)
+
+var (
+	serviceA = netip.MustParseAddrPort("198.18.0.1:8443")
+	subnet   atomic.Int32 // clusters run side by side in loopback subnets of their own
+)
+
+// bin returns the directory of the programs, which make builds before the tests.
+func bin(t *testing.T) string {
+	t.Helper()
+	dir := os.Getenv("LACEWING_BIN")
+	assert.Assert(t, dir != "", "LACEWING_BIN names the directory of the programs; use make test")
+	return dir
+}
+
+func routesOf(extra ...platformtest.Route) []platformtest.Route {
+	return append([]platformtest.Route{
+		{Name: "a", Host: "198.18.0.1", Port: 8443, Service: "a"},
+		{Name: "b", Host: "198.18.0.2", Port: 8443, Service: "b"},
+	}, extra...)
+}
+
+// fixture is a cluster with one caller that can open flows.
+type fixture struct {
+	*flows.Cluster
+	caller *platformtest.Caller
+}
+
+func start(t *testing.T, targets map[string]int) *fixture {
+	t.Helper()
+	n := 80 + int(subnet.Add(1))
+	o := flows.Options{Bin: bin(t), Dir: t.TempDir(), Subnet: n, Zones: 2, Targets: targets}
+	c, err := flows.Start(o, func(platformtest.Run) {}, func() { t.Error("a target got a packet that its sender didn't write so") })
+	assert.NilError(t, err)
+	t.Cleanup(c.Close)
+	c.Store.PutRoutes(1, []string{"a", "b"}, routesOf())
+	caller, err := platformtest.NewCaller(netip.MustParseAddrPort(fmt.Sprintf("127.%d.220.1:7500", n)), c.Route)
+	assert.NilError(t, err)
+	t.Cleanup(caller.Close)
+	f := &fixture{c, caller}
+	for until := time.Now().Add(10 * time.Second); ; {
+		if flow := caller.Open(serviceA); flow != nil {
+			flow.Close()
+			return f
+		}
+		assert.Assert(t, time.Now().Before(until), "no flow opens")
+	}
+}
+
+func (f *fixture) open(t *testing.T) *platformtest.Flow {
+	t.Helper()
+	for range 5 {
+		if flow := f.caller.Open(serviceA); flow != nil {
+			return flow
+		}
+	}
+	t.Fatal("no flow opens")
+	return nil
+}
+
+func ask(t *testing.T, flow *platformtest.Flow, id string, want platformtest.Outcome) {
+	t.Helper()
+	got, _, _ := flow.Request(id, 4*time.Second)
+	assert.Equal(t, got, want, "%s on %s", id, flow.ID)
+}
+
+// Guards against flows that end with the agent beside their target: the target keeps them, the agent's memory is only a hint.
+func TestFlowsOutliveTheirAgent(t *testing.T) {
+	t.Parallel()
+	f := start(t, map[string]int{"a": 3})
+	flow := f.open(t)
+	ask(t, flow, "r-1", platformtest.Answered)
+	for _, n := range f.Agents {
+		n.Kill()
+		assert.NilError(t, n.Launch())
+	}
+	ask(t, flow, "r-2", platformtest.Answered)
+}
+
+// Guards against flows that end with the entry that knows where they are: another one searches them.
+func TestFlowsOutliveTheirEntries(t *testing.T) {
+	t.Parallel()
+	f := start(t, map[string]int{"a": 4})
+	flow := f.open(t)
+	ask(t, flow, "r-1", platformtest.Answered)
+	for i, n := range f.Entries {
+		n.Stop()
+		assert.NilError(t, n.Launch())
+		ask(t, flow, fmt.Sprint("r-", i+2), platformtest.Answered)
+	}
+}
+
+// Guards against callers that wait for their deadline on a flow that no target holds any more.
+func TestLostFlowsAreReset(t *testing.T) {
+	t.Parallel()
+	f := start(t, map[string]int{"a": 2})
+	flow := f.open(t)
+	ask(t, flow, "r-1", platformtest.Answered)
+	for _, n := range f.Agents {
+		target, service := f.Target(n)
+		target.Crash()
+		assert.NilError(t, f.StartTarget(n, service))
+	}
+	begun := time.Now()
+	ask(t, flow, "r-2", platformtest.WasReset)
+	assert.Assert(t, time.Since(begun) < 2*time.Second, "reset after %v", time.Since(begun))
+}
+
+// Guards against new flows at a target that has announced its end, and against flows that its announcement cuts.
+func TestDrainingTargetGetsNoNewFlow(t *testing.T) {
+	t.Parallel()
+	f := start(t, map[string]int{"a": 2})
+	first, _ := f.Target(f.Agents[0])
+	first.Drain()
+	assert.Assert(t, !first.Confirmed().IsZero(), "the drain was not confirmed")
+	before := first.Open()
+	for range 20 {
+		f.open(t).Close()
+	}
+	assert.Assert(t, first.Open() <= before, "a draining target took a flow")
+}
+
+// Guards against routes that stay old because a watch hears nothing, its history is gone, or the store serves only some nodes.
+func TestRoutesReachAllNodesWithoutWatches(t *testing.T) {
+	t.Parallel()
+	f := start(t, map[string]int{"a": 2, "b": 1})
+	f.CutStore(f.Entries[0], flows.Silence)
+	f.Store.Compact(time.Second)
+	f.Store.PutRoutes(7, []string{"a", "b"}, routesOf(platformtest.Route{Name: "new", Host: "198.18.0.3", Port: 9000, Service: "b"}))
+	time.Sleep(3 * time.Second)
+	to := netip.MustParseAddrPort("198.18.0.3:9000")
+	for i := range 8 {
+		flow := f.caller.Open(to)
+		assert.Assert(t, flow != nil, "flow %d on the new route was refused", i)
+		flow.Close()
+	}
+}
+
+// Guards against a node that can't serve because it starts while the store is away: it gets nodes and routes from its seeds.
+func TestEntryStartsWhileTheStoreIsAway(t *testing.T) {
+	t.Parallel()
+	f := start(t, map[string]int{"a": 2})
+	time.Sleep(time.Second)
+	f.Store.Fail(platformtest.Silent)
+	last := f.Entries[1]
+	last.Kill()
+	assert.NilError(t, last.Launch())
+	for until := time.Now().Add(5 * time.Second); !f.Ready(last); time.Sleep(100 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(until), "the entry doesn't become ready")
+	}
+}
+
+// Guards against a process that ends on a signal to reload, or on settings that it can't read.
+func TestHangupDoesNotEndAProcess(t *testing.T) {
+	t.Parallel()
+	f := start(t, map[string]int{"a": 1})
+	for _, n := range append(f.Entries, f.Agents...) {
+		n.Signal(syscall.SIGHUP)
+	}
+	time.Sleep(500 * time.Millisecond)
+	f.open(t).Close()
+	for _, n := range append(f.Entries, f.Agents...) {
+		assert.Equal(t, n.Exits(), 0, n.Name)
+	}
+}
+
+// Guards against reports of other writers that end the process or displace the target.
+func TestForeignReportsNameNoTarget(t *testing.T) {
+	t.Parallel()
+	f := start(t, map[string]int{"a": 1})
+	url := "http://" + f.ReportsAddress(f.Agents[0]) + "/" + "Backends.Heartbeat" + "/x"
+	for _, body := range []string{
+		"", "{", "[]", `{"service":3}`, `{"service":"a","state":"asleep"}`, strings.Repeat("x", 1<<20),
+		`{"service":"zz","address":"1.2.3.4:5","slots":1,"state":"ready","cold_remaining_ms":0,"sequence":9}`,
+		`{"service":"b","address":"127.0.0.1:1","slots":1,"state":"draining","cold_remaining_ms":0,"sequence":9,"born":99999999999999}`,
+	} {
+		response, err := http.Post(url, "application/json", bytes.NewBufferString(body))
+		assert.NilError(t, err)
+		assert.Equal(t, response.StatusCode, http.StatusBadRequest, "%.60s", body)
+		assert.NilError(t, response.Body.Close())
+	}
+	f.open(t).Close()
+}
+
+// The soak's short run: one seed of planned work, which excuses nothing, and one of any faults. Seeds that ever failed stand here as well, each with
+// its cause.
+func TestSoak(t *testing.T) {
+	for _, seed := range []uint64{3, 4} {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			violations, err := flows.Soak(flows.SoakOptions{
+				Cluster: flows.Options{
+					Bin: bin(t), Dir: t.TempDir(), Subnet: 80 + int(subnet.Add(1)), Zones: 2, Targets: map[string]int{"a": 3, "b": 3},
+				},
+				Seed: seed, Faults: 8 * time.Second, Callers: 6, Log: os.Stderr,
+			})
+			assert.NilError(t, err)
+			assert.Equal(t, len(violations), 0, strings.Join(violations, "\n"))
+		})
+	}
+}
--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -92,9 +92,9 @@
 
 // New opens the node's socket. It sends nothing before Run.
 func New(o Options) (*Fleet, error) {
-	address, err := netip.ParseAddrPort(o.Settings.Fleet)
+	address, err := netip.ParseAddrPort(o.Settings.Advertise)
 	if err != nil {
-		return nil, errors.Wrap(err, "fleet address")
+		return nil, errors.Wrap(err, "advertised address")
 	}
 	conn, err := ListenUDP(o.Settings.Fleet)
 	if err != nil {
--- a/node/fleet/settings.go
+++ b/node/fleet/settings.go
@@ -12,10 +12,11 @@
 	Mode       string   `yaml:"mode"` // config.ModeFlows
 	Name       string   `yaml:"name"`
 	DataCentre string   `yaml:"data_centre"`
-	Fleet      string   `yaml:"fleet"`   // host:port for datagrams and RPCs between nodes; all nodes use one port
-	Metrics    string   `yaml:"metrics"` // host:port of the metrics and health endpoint
-	Seeds      []string `yaml:"seeds"`   // host:port of some nodes, possibly stale; only the hosts are used
-	Store      string   `yaml:"store"`   // host:port of the platform's store
+	Fleet      string   `yaml:"fleet"`     // host:port for datagrams and RPCs between nodes; all nodes use one port
+	Advertise  string   `yaml:"advertise"` // host:port at which other nodes reach the fleet address; the same if empty
+	Metrics    string   `yaml:"metrics"`   // host:port of the metrics and health endpoint
+	Seeds      []string `yaml:"seeds"`     // host:port of some nodes, possibly stale; only the hosts are used
+	Store      string   `yaml:"store"`     // host:port of the platform's store
 	LogLevel   string   `yaml:"log_level"`
 	// MaxFlowAge is the age from which the fabric no longer expects a flow to be kept.
 	MaxFlowAge time.Duration `yaml:"max_flow_age"`
@@ -32,6 +33,10 @@
 		f.Add("$.data_centre", "is required")
 	}
 	config.CheckHostPort(f, "$.fleet", s.Fleet)
+	if s.Advertise == "" {
+		s.Advertise = s.Fleet
+	}
+	config.CheckHostPort(f, "$.advertise", s.Advertise)
 	config.CheckHostPort(f, "$.metrics", s.Metrics)
 	config.CheckHostPort(f, "$.store", s.Store)
 	if s.MaxFlowAge <= 0 {
