steering: new flows wait at the entry while all targets are full

Cause: after an outage all entries place what they hold at the same moment, on loads that nobody knows yet.

A target with three requests a slot gets no new flow. An entry counts each flow that it places as often as there are entries, until the target's next heartbeat. What finds no room waits at the entry, the latest first.

--- a/bench/cmd/flowsoak/main.go
+++ b/bench/cmd/flowsoak/main.go
@@ -74,7 +74,7 @@
 		fmt.Println(err)
 		return false
 	}
-	defer log.Close()
+	defer func() { _ = log.Close() }() // nothing of it is needed after a failed write
 	violations, err := flows.Soak(flows.SoakOptions{
 		Cluster: flows.Options{Bin: o.Bin, Dir: dir, Subnet: 50 + worker, Zones: 3, Targets: map[string]int{"a": 4, "b": 3}},
 		Seed:    seed, Faults: o.Faults, Callers: 8, Log: log,
--- a/node/packetagent/agent.go
+++ b/node/packetagent/agent.go
@@ -463,7 +463,7 @@
 	flow := p.FromCaller()
 	a.tried(r)
 	a.ranked(flow, r, func(agents []roster.Peer) {
-		at := steering.Place(now, r.Origin, agents, r.Tried)
+		at := steering.Place(now, r.Origin, a.fleet.Roster.LiveEntries(now), agents, r.Tried)
 		to := ""
 		if at >= 0 {
 			to = agents[at].Name
--- a/node/packetentry/entry.go
+++ b/node/packetentry/entry.go
@@ -251,6 +251,10 @@
 	agents := e.ranked(flow, service)
 	at, tried := e.choose(now, flow, p, agents)
 	if at < 0 {
+		if full(now, agents) {
+			e.hold(now, since, p, "all targets are full", table.Revision)
+			return
+		}
 		if e.fleet.Complete(now) && allAbsent(agents) {
 			e.reset(flow, p, "service without targets", table)
 			return
@@ -282,13 +286,24 @@
 		}
 		tried = append(tried, before)
 	}
-	at := steering.Place(now, e.fleet.Self.DataCentre, agents, tried)
+	entries := 1 + e.fleet.Roster.LiveEntries(now)
+	at := steering.Place(now, e.fleet.Self.DataCentre, entries, agents, tried)
 	if at < 0 && len(tried) > 0 {
-		return steering.Place(now, e.fleet.Self.DataCentre, agents, nil), nil
+		return steering.Place(now, e.fleet.Self.DataCentre, entries, agents, nil), nil
 	}
 	return at, tried
 }
 
+// full tells whether a target accepts flows and only lacks room.
+func full(now time.Duration, agents []roster.Peer) bool {
+	for i := range agents {
+		if steering.Accepts(&agents[i], now) {
+			return true
+		}
+	}
+	return false
+}
+
 func allAbsent(agents []roster.Peer) bool {
 	for i := range agents {
 		if !agents[i].Target.Absent {
--- a/policy/holding/holding.go
+++ b/policy/holding/holding.go
@@ -1,5 +1,9 @@
-// Package holding keeps packets for which no decision is possible yet, because a node that has just started doesn't know all others. Callers send
-// an unanswered packet again after ever longer pauses, so that a packet that is dropped shortly before the decision costs them a second.
+// Package holding keeps packets for a short time: those for which no decision is possible yet, because a node that has just started doesn't know all
+// others, and those of new flows for which no target has room. Callers send an unanswered packet again after ever longer pauses, so that a packet
+// that is dropped shortly before the decision costs them a second.
+//
+// The latest packets are decided first. After an outage or in a burst, those that waited longest are late in any case, and serving them first makes
+// all others late as well.
 package holding
 
 import (
@@ -20,7 +24,7 @@
 	limit = 4096
 )
 
-// Item is the last packet of one flow.
+// Item is one packet of a flow.
 type Item[T any] struct {
 	Flow  steering.Flow
 	Since time.Duration // when the packet arrived
@@ -33,7 +37,8 @@
 	items map[steering.Flow]Item[T]
 }
 
-// Put keeps a packet, in place of an earlier one of its flow. It returns false if the packet is too old or there are too many.
+// Put keeps a packet, unless one of its flow is kept: copies don't make a caller younger. It returns false if the packet is too old or there are too
+// many.
 func (q *Queue[T]) Put(now time.Duration, item Item[T]) bool {
 	if now-item.Since > For {
 		return false
@@ -44,10 +49,12 @@
 		q.items = map[steering.Flow]Item[T]{}
 	}
 	held, ok := q.items[item.Flow]
-	if ok && held.Since > item.Since {
-		return true // a later packet of the flow stands for this one
+	if ok {
+		held.Since = min(held.Since, item.Since)
+		q.items[item.Flow] = held
+		return true
 	}
-	if !ok && len(q.items) >= limit {
+	if len(q.items) >= limit {
 		return false
 	}
 	q.items[item.Flow] = item
--- a/policy/readmission/readmission.go
+++ b/policy/readmission/readmission.go
@@ -1,6 +1,8 @@
 // Package readmission paces the resets of flows that no target holds. Each reset brings the caller back at once with a new flow and the request that
 // it waits for. After the loss of many targets, all callers would come back within the same moment on targets that have just started.
 //
+// Callers that come with a request of this moment go before those that wait since the loss: the latter are late in any case.
+//
 // The load that it answers: a pool whose targets have all lost their flows, with one request waiting on each. A target with a queue of some
 // 4 requests a slot, at twice the usual time of a request, sheds what comes faster than it can take.
 package readmission
--- a/policy/roster/roster.go
+++ b/policy/roster/roster.go
@@ -201,6 +201,19 @@
 	return agents
 }
 
+// LiveEntries returns the number of live entries.
+func (r *Roster) LiveEntries(now time.Duration) int {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	n := 0
+	for _, p := range r.peers {
+		if p.Entry && p.Health(now) == Live && !p.Leaving {
+			n++
+		}
+	}
+	return n
+}
+
 // Forget removes nodes that were not heard for long, and returns them.
 func (r *Roster) Forget(now time.Duration) []Peer {
 	r.mu.Lock()
--- a/policy/steering/place.go
+++ b/policy/steering/place.go
@@ -19,6 +19,9 @@
 	flowLoad = 0.03
 	// placedLoad is the part of a slot that a flow placed since the last heartbeat takes: it opens with a request.
 	placedLoad = 1
+	// fullLoad is the number of requests a slot from which a target gets no new flow: two more than are served. What comes on top waits
+	// longer in the target than its caller's latency objective allows, and the target sheds from some five a slot.
+	fullLoad = 3
 	// farLoad and coldLoad are added to the load per slot of targets in another data centre, and of targets that have just started.
 	farLoad  = 0.15
 	coldLoad = 0.3
@@ -87,12 +90,23 @@
 	return p.Health(now) == roster.Live && p.Target.Accepting && !p.Leaving
 }
 
-// Place returns the index of the agent at which a new flow opens, -1 if none accepts it. agents are ranked; those in tried have refused.
-func Place(now time.Duration, origin ident.DataCentre, agents []roster.Peer, tried []ident.NodeID) int {
+// Full tells whether requests queue so long at a target that a new flow had better wait for another to have room. Each of the entries is taken to have
+// placed as many flows since the target's last heartbeat as this one: after an outage all of them hold packets, and place them at the same moment.
+func Full(p *roster.Peer, entries int) bool {
+	placed := placedLoad * float64(p.Placed*max(entries, 1))
+	return p.Target.Busy+placed >= fullLoad*float64(max(p.Target.Slots, 1))
+}
+
+// Place returns the index of the agent at which a new flow opens, -1 if none accepts it or has room. entries is the
+// number of nodes that place flows. agents are ranked; those in tried have refused.
+//
+// The load that it answers: bursts, and callers that come back together after an outage, at up to twice what the pool serves. The new flow then
+// waits at the entry (package holding) and not in the queue of a target, which serves in the order of arrival and sheds when it is full.
+func Place(now time.Duration, origin ident.DataCentre, entries int, agents []roster.Peer, tried []ident.NodeID) int {
 	best, lowest, seen := -1, 0.0, 0
 	for i := range agents {
 		p := &agents[i]
-		if !Accepts(p, now) || slices.Contains(tried, p.ID) {
+		if !Accepts(p, now) || Full(p, entries) || slices.Contains(tried, p.ID) {
 			continue
 		}
 		if load := Load(p, origin); best < 0 || load < lowest {
