--- a/bench/flows/cluster.go
+++ b/bench/flows/cluster.go
@@ -118,7 +118,7 @@
 
 func (c *Cluster) addEntry(zone int) error {
 	n := &Node{Zone: zone, host: fmt.Sprintf("127.%d.%d.1", c.o.Subnet, zone), Process: &Process{Name: fmt.Sprintf("entry-%d", zone)}}
-	own := fmt.Sprintf("callers: %q\nready: %q\n", address(n.host, portCallers), address(n.host, portReady))
+	own := fmt.Sprintf("callers: %q\nready: %q\nstop_grace: %v\n", address(n.host, portCallers), address(n.host, portReady), stopGrace)
 	if err := c.prepare(n, "lacewing-entry", own); err != nil {
 		return err
 	}
--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -249,7 +249,7 @@
 	service := message.GetHeartbeat().GetTarget().GetService()
 	b := encode(message)
 	for _, p := range f.Roster.Peers() {
-		if all || p.Health(now) == roster.Live && (p.Entry || p.Service == service) {
+		if all || p.Running(now) && (p.Entry || p.Service == service) {
 			f.write(p.Address, b)
 		}
 	}
@@ -412,7 +412,7 @@
 	now := Now()
 	nodes := []*fleetv1.Node{toNode(&f.Self)}
 	for _, p := range f.Roster.Peers() {
-		if p.Health(now) != roster.Gone {
+		if p.Running(now) {
 			nodes = append(nodes, toNode(&p.Node))
 		}
 	}
--- a/node/fleet/routes.go
+++ b/node/fleet/routes.go
@@ -39,7 +39,7 @@
 	now := Now()
 	var live []ident.NodeID
 	for _, p := range f.Roster.Peers() {
-		if p.DataCentre == f.Self.DataCentre && p.Health(now) == roster.Live && !p.Leaving {
+		if p.DataCentre == f.Self.DataCentre && p.Running(now) {
 			live = append(live, p.ID)
 		}
 	}
--- a/node/operator/operator.go
+++ b/node/operator/operator.go
@@ -43,6 +43,8 @@
 	Delete   deleteCommand   `command:"delete" description:"delete a service"`
 	Explain  explainCommand  `command:"explain" description:"tell which agents are the home and the owner of a caller's flow, and why"`
 
+	Trace traceCommand `command:"trace" description:"collect what logs say of a flow behind a fabric of flows"`
+
 	out io.Writer
 }
 
@@ -113,6 +115,8 @@
 		return &p.Undrain
 	case "explain":
 		return &p.Explain
+	case "trace":
+		return &p.Trace
 	}
 	return &p.Delete
 }
--- a/node/packetagent/agent.go
+++ b/node/packetagent/agent.go
@@ -420,6 +420,7 @@
 	p.ClearReturned()
 	r.Packet = p
 	if p.Opens() {
+		a.life.Refused(now)
 		a.passOpening(now, now, &r, p, "given back by the target")
 		return
 	}
@@ -463,7 +464,7 @@
 	flow := p.FromCaller()
 	a.tried(r)
 	a.ranked(flow, r, func(agents []roster.Peer) {
-		at := steering.Place(now, r.Origin, a.fleet.Roster.LiveEntries(now), agents, r.Tried)
+		at := steering.Place(now, r.Origin, a.fleet.Roster.RunningEntries(now), agents, r.Tried)
 		to := ""
 		if at >= 0 {
 			to = agents[at].Name
--- a/node/packetentry/entry.go
+++ b/node/packetentry/entry.go
@@ -27,6 +27,10 @@
 	// forwardGrace is how long an entry goes on forwarding after it told the fabric that it isn't ready: the fabric asks twice a second and
 	// takes an entry out after two misses.
 	forwardGrace = 2200 * time.Millisecond
+	// stopMargin is kept between the end of the process and the moment at which it would be killed.
+	stopMargin = 500 * time.Millisecond
+	// turnCheck is the interval in which a stopping entry looks whether it is its turn.
+	turnCheck = 50 * time.Millisecond
 	// lastCopy is the copy of an opening packet, sent 600 ms after the first, that goes to another target than those before it. The one
 	// before it may only have lost a packet.
 	lastCopy = 2
@@ -154,8 +158,17 @@
 	return false
 }
 
-// stop goes on forwarding until the fabric has taken the entry out.
+// stop waits for the other entries of the data centre that are being restarted, as long as the grace allows, then goes on forwarding until the
+// fabric has taken the entry out.
 func (e *Entry) stop(ctx context.Context) {
+	turn, cancel := context.WithTimeout(ctx, e.settings.StopGrace-forwardGrace-stopMargin)
+	defer cancel()
+	for turn.Err() == nil && e.fleet.Roster.EntryLeaves(fleet.Now(), e.fleet.Self.DataCentre) {
+		select {
+		case <-turn.Done():
+		case <-time.After(turnCheck):
+		}
+	}
 	e.stopping.Store(true)
 	e.fleet.Leave()
 	select {
@@ -286,7 +299,7 @@
 		}
 		tried = append(tried, before)
 	}
-	entries := 1 + e.fleet.Roster.LiveEntries(now)
+	entries := 1 + e.fleet.Roster.RunningEntries(now)
 	at := steering.Place(now, e.fleet.Self.DataCentre, entries, agents, tried)
 	if at < 0 && len(tried) > 0 {
 		return steering.Place(now, e.fleet.Self.DataCentre, entries, agents, nil), nil
--- a/node/packetentry/settings.go
+++ b/node/packetentry/settings.go
@@ -3,6 +3,8 @@
 package packetentry
 
 import (
+	"time"
+
 	"lacewinglever.dev/node/config"
 	"lacewinglever.dev/node/fleet"
 	"lacewinglever.dev/policy/yamlfile"
@@ -13,6 +15,8 @@
 	fleet.Settings `yaml:",inline"`
 	Callers        string `yaml:"callers"` // host:port at which the fabric delivers callers' packets
 	Ready          string `yaml:"ready"`   // host:port at which the fabric asks whether to deliver
+	// StopGrace is the time after which a process that was told to stop is killed.
+	StopGrace time.Duration `yaml:"stop_grace"`
 }
 
 // Check reports the faults of the file.
@@ -20,6 +24,9 @@
 	s.Settings.Check(f)
 	config.CheckHostPort(f, "$.callers", s.Callers)
 	config.CheckHostPort(f, "$.ready", s.Ready)
+	if s.StopGrace < forwardGrace+stopMargin {
+		f.Add("$.stop_grace", "%v: want at least %v, to forward until the fabric sends no more", s.StopGrace, forwardGrace+stopMargin)
+	}
 }
 
 // LoadSettings reads and checks a settings file.
--- a/policy/inflight/inflight.go
+++ b/policy/inflight/inflight.go
@@ -50,13 +50,10 @@
 func (t *Table) Delivered(now time.Duration, id steering.Flow, e Event) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.advance(now)
-	f := t.flows[id]
+	f := t.touch(now, id, e)
 	if f == nil {
-		f = &flow{}
-		t.flows[id] = f
+		return
 	}
-	f.last = now
 	if e.Resets {
 		t.remove(id, f)
 		return
@@ -72,13 +69,10 @@
 func (t *Table) Sent(now time.Duration, id steering.Flow, e Event) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.advance(now)
-	f := t.flows[id]
+	f := t.touch(now, id, e)
 	if f == nil {
-		f = &flow{}
-		t.flows[id] = f
+		return
 	}
-	f.last = now
 	if e.Data {
 		t.answered(f)
 	}
@@ -89,6 +83,22 @@
 	t.finish(id, f, e)
 }
 
+// touch returns a flow that a packet belongs to, nil if it is none: only bytes of the connection open one here, because the acknowledgement of a
+// flow's end comes after it.
+func (t *Table) touch(now time.Duration, id steering.Flow, e Event) *flow {
+	t.advance(now)
+	f := t.flows[id]
+	if f == nil {
+		if !e.Data {
+			return nil
+		}
+		f = &flow{}
+		t.flows[id] = f
+	}
+	f.last = now
+	return f
+}
+
 // Refused notes that the target gave a packet of the flow back.
 func (t *Table) Refused(now time.Duration, id steering.Flow) {
 	t.mu.Lock()
--- a/policy/inflight/inflight_test.go
+++ b/policy/inflight/inflight_test.go
@@ -35,8 +35,11 @@
 func TestFlowsEnd(t *testing.T) {
 	table := inflight.New()
 	end := inflight.Event{Finishes: true}
+	table.Delivered(0, a, data)
 	table.Delivered(0, a, end)
 	table.Sent(0, a, end)
+	table.Delivered(0, a, inflight.Event{}) // the acknowledgement of the end
+	table.Sent(0, a, inflight.Event{})
 	table.Delivered(0, b, data)
 	table.Sent(0, b, inflight.Event{Resets: true})
 	flows, _ := table.Load(0)
--- a/policy/lifecycle/target.go
+++ b/policy/lifecycle/target.go
@@ -42,6 +42,8 @@
 	// interval and may be retried after a second.
 	goneBeats = 2
 	goneSlack = time.Second
+	// refusedFor is how long a target gets no new flows after it gave one back. It is then offered the next one.
+	refusedFor = 250 * time.Millisecond
 	// reuseMargin is kept between the end of new flows to a silent target and the earliest reuse of its address.
 	reuseMargin = 100 * time.Millisecond
 )
@@ -79,6 +81,7 @@
 	sent       time.Duration // time of the last packet from the target
 	unanswered int           // opening packets since then
 	offered    time.Duration // time of the first of them
+	refused    time.Duration // time of the last opening packet that the target gave back
 }
 
 // New returns a target of which nothing is known at the time now.
@@ -148,6 +151,13 @@
 	t.mu.Unlock()
 }
 
+// Refused notes that the target gave an opening packet back: it has no room, or has crashed.
+func (t *Target) Refused(now time.Duration) {
+	t.mu.Lock()
+	t.refused = now
+	t.mu.Unlock()
+}
+
 // Status returns what is believed now.
 func (t *Target) Status(now time.Duration) Status {
 	t.mu.Lock()
@@ -176,6 +186,8 @@
 		return "no report for too long"
 	case t.unanswered >= openingsUnanswered && now-t.offered > answerWithin:
 		return "doesn't answer"
+	case t.refused != 0 && now-t.refused < refusedFor:
+		return "refuses new flows"
 	}
 	return ""
 }
--- a/policy/lifecycle/target_test.go
+++ b/policy/lifecycle/target_test.go
@@ -85,3 +85,12 @@
 	assert.Equal(t, target.Report(3*second, report(20, 1)), lifecycle.Changed)
 	assert.Assert(t, target.Status(3*second).Accepting)
 }
+
+// Guards against new flows that each take the way over a target without room.
+func TestRefusal(t *testing.T) {
+	target := newTarget()
+	target.Report(second, report(10, 1))
+	target.Refused(second)
+	assert.Equal(t, target.Status(second+10*time.Millisecond).Reason, "refuses new flows")
+	assert.Assert(t, target.Status(second+300*time.Millisecond).Accepting)
+}
--- a/policy/roster/roster.go
+++ b/policy/roster/roster.go
@@ -13,8 +13,12 @@
 )
 
 const (
-	// quietAfter is the silence after which a node gets no new flows. Agents send a heartbeat every 200 ms, of which two may be lost.
+	// quietAfter is the silence after which an agent gets no new flows. Agents send a heartbeat every 200 ms to those that place flows on
+	// their target, of which two may be lost.
 	quietAfter = 700 * time.Millisecond
+	// absentAfter is the silence after which a node doesn't count as running. All nodes send a heartbeat to all others every second, of
+	// which one may be lost.
+	absentAfter = 2500 * time.Millisecond
 	// goneAfter is the silence after which a node is taken to hold no flow. A killed process is usually back within a second, with the
 	// flows of its target intact.
 	goneAfter = 1500 * time.Millisecond
@@ -87,6 +91,11 @@
 	return Live
 }
 
+// Running tells whether the peer was heard as recently as any node can expect. Health is for agents of a service that one places flows on.
+func (p *Peer) Running(now time.Duration) bool {
+	return p.Ever && !p.Leaving && now-p.Heard <= absentAfter
+}
+
 // Change tells what a heartbeat changed.
 type Change uint8
 
@@ -142,7 +151,7 @@
 		change = Joined
 	case differs(&p.Beat, &b):
 		change = Different
-	case p.Health(now) != Live:
+	case !p.Leaving && !p.Running(now):
 		change = Returned
 	}
 	service := b.Target.Service
@@ -201,19 +210,32 @@
 	return agents
 }
 
-// LiveEntries returns the number of live entries.
-func (r *Roster) LiveEntries(now time.Duration) int {
+// RunningEntries returns the number of entries that run.
+func (r *Roster) RunningEntries(now time.Duration) int {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	n := 0
 	for _, p := range r.peers {
-		if p.Entry && p.Health(now) == Live && !p.Leaving {
+		if p.Entry && p.Running(now) {
 			n++
 		}
 	}
 	return n
 }
 
+// EntryLeaves tells whether another entry of a data centre has announced its stop and is not back. While half of the entries of a data centre are
+// out, the fabric uses all of them, stopped ones included.
+func (r *Roster) EntryLeaves(now time.Duration, dc ident.DataCentre) bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	for _, p := range r.peers {
+		if p.Entry && p.DataCentre == dc && p.Leaving && p.Health(now) != Gone {
+			return true
+		}
+	}
+	return false
+}
+
 // Forget removes nodes that were not heard for long, and returns them.
 func (r *Roster) Forget(now time.Duration) []Peer {
 	r.mu.Lock()
--- a/policy/roster/roster_test.go
+++ b/policy/roster/roster_test.go
@@ -51,3 +51,28 @@
 	assert.Equal(t, len(r.Forget(2*time.Minute)), 1)
 	assert.Equal(t, len(r.Peers()), 0)
 }
+
+// Guards against entries that count as lost between two heartbeats, which come once a second: agents would stop telling them their load.
+func TestNodesRunBetweenHeartbeats(t *testing.T) {
+	r := roster.New(1)
+	entry := node("e", 1)
+	entry.Entry = true
+	r.Hear(0, entry, roster.Beat{Sequence: 1})
+	assert.Equal(t, r.RunningEntries(990*time.Millisecond), 1)
+	assert.Equal(t, r.Hear(time.Second, entry, roster.Beat{Sequence: 2}), roster.Same)
+	assert.Equal(t, r.RunningEntries(4*time.Second), 0)
+	assert.Equal(t, r.Hear(5*time.Second, entry, roster.Beat{Sequence: 3}), roster.Returned)
+}
+
+// Guards against entries of one data centre that stop one on top of the other, so that the fabric sends packets to stopped ones.
+func TestEntriesLeaveInTurn(t *testing.T) {
+	r := roster.New(1)
+	entry := node("e", 1)
+	entry.Entry, entry.DataCentre = true, "dc"
+	r.Hear(0, entry, roster.Beat{Sequence: 1, Leaving: true})
+	assert.Assert(t, r.EntryLeaves(2*time.Second, "dc"))
+	assert.Assert(t, !r.EntryLeaves(2*time.Second, "other"))
+	entry.Incarnation++
+	r.Hear(3*time.Second, entry, roster.Beat{Sequence: 1})
+	assert.Assert(t, !r.EntryLeaves(3*time.Second, "dc"))
+}
