steering: placed flows count as load for the time of a request

Cause: a flow that an entry had placed counted, times the number of entries, until the target's next heartbeat, up to 200 ms later.

Placed flows now decay with a constant of 40 ms.

Ruled out: heartbeats at every change, which cost what they tell.

--- a/node/packetentry/entry.go
+++ b/node/packetentry/entry.go
@@ -277,13 +277,13 @@
 	}
 	a := &agents[at]
 	e.flows.put(now, flow, a.ID)
-	e.fleet.Roster.Place(a.ID)
+	e.fleet.Roster.Place(now, a.ID)
 	e.counters.opened.Inc()
 	e.send(a, &fleet.Relay{Service: service, Revision: table.Revision, Tried: tried, Packet: p})
 	if e.usual.Allow() {
 		e.usual.Log("flow opens", logging.KeyFlow, flow, "copy", p.Copy(), "route", route.Name, logging.KeyService, service,
 			logging.KeyRevision, table.Revision, logging.KeyPeer, a.Name, logging.KeyTarget, a.Target.ID,
-			"load", float32(steering.Load(a, e.fleet.Self.DataCentre)), logging.KeyAge, now-a.Heard, "candidates", len(agents))
+			"load", float32(steering.Load(now, a, e.fleet.Self.DataCentre)), logging.KeyAge, now-a.Heard, "candidates", len(agents))
 	}
 }
 
--- a/policy/roster/roster.go
+++ b/policy/roster/roster.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"math"
 	"net/netip"
 	"slices"
 	"sync"
@@ -22,6 +23,8 @@
 	// goneAfter is the silence after which a node is taken to hold no flow. A killed process is usually back within a second, with the
 	// flows of its target intact.
 	goneAfter = 1500 * time.Millisecond
+	// placedFor is the time constant with which flows that were placed on a node stop counting: requests last some tens of milliseconds.
+	placedFor = 40 * time.Millisecond
 	// returnWithin is how long a node that announced its stop may take to come back. Its target may live on and keep its flows.
 	returnWithin = 8 * time.Second
 	// forgetAfter is the silence after which a node is removed.
@@ -76,7 +79,23 @@
 	Service string        // of its target, from its heartbeats or, before the first of them, from its record
 	Heard   time.Duration // time of the last heartbeat, or of learning of the node
 	Ever    bool          // a heartbeat was received
-	Placed  int           // flows placed there since its last heartbeat
+
+	placed   float64 // flows placed there since its last heartbeat, as many as count at placedAt
+	placedAt time.Duration
+}
+
+// Placed returns how many of the flows that were placed on the peer since its last heartbeat count as load now.
+func (p *Peer) Placed(now time.Duration) float64 {
+	if p.placed == 0 {
+		return 0
+	}
+	return p.placed * math.Exp(-float64(now-p.placedAt)/float64(placedFor))
+}
+
+// Place counts a flow that is placed on the peer.
+func (p *Peer) Place(now time.Duration) {
+	p.placed = p.Placed(now) + 1
+	p.placedAt = now
 }
 
 // Health returns what the peer's silence says at the time now.
@@ -168,11 +187,11 @@
 }
 
 // Place counts a flow that was placed on a node, until its next heartbeat.
-func (r *Roster) Place(id ident.NodeID) {
+func (r *Roster) Place(now time.Duration, id ident.NodeID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if p, ok := r.peers[id]; ok {
-		p.Placed++
+		p.Place(now)
 	}
 }
 
--- a/policy/steering/place.go
+++ b/policy/steering/place.go
@@ -28,8 +28,8 @@
 )
 
 // Load returns the load per slot that a new flow of a caller in the data centre origin would meet at a target.
-func Load(p *roster.Peer, origin ident.DataCentre) float64 {
-	load := (p.Target.Busy + flowLoad*float64(p.Target.Flows) + placedLoad*float64(p.Placed)) / float64(max(p.Target.Slots, 1))
+func Load(now time.Duration, p *roster.Peer, origin ident.DataCentre) float64 {
+	load := (p.Target.Busy + flowLoad*float64(p.Target.Flows) + placedLoad*p.Placed(now)) / float64(max(p.Target.Slots, 1))
 	if p.DataCentre != origin {
 		load += farLoad
 	}
@@ -91,9 +91,9 @@
 }
 
 // Full tells whether requests queue so long at a target that a new flow had better wait for another to have room. Each of the entries is taken to have
-// placed as many flows since the target's last heartbeat as this one: after an outage all of them hold packets, and place them at the same moment.
-func Full(p *roster.Peer, entries int) bool {
-	placed := placedLoad * float64(p.Placed*max(entries, 1))
+// placed as many flows in the last moment as this one: after an outage all of them hold packets, and place them at the same moment.
+func Full(now time.Duration, p *roster.Peer, entries int) bool {
+	placed := placedLoad * p.Placed(now) * float64(max(entries, 1))
 	return p.Target.Busy+placed >= fullLoad*float64(max(p.Target.Slots, 1))
 }
 
@@ -106,10 +106,10 @@
 	best, lowest, seen := -1, 0.0, 0
 	for i := range agents {
 		p := &agents[i]
-		if !Accepts(p, now) || Full(p, entries) || slices.Contains(tried, p.ID) {
+		if !Accepts(p, now) || Full(now, p, entries) || slices.Contains(tried, p.ID) {
 			continue
 		}
-		if load := Load(p, origin); best < 0 || load < lowest {
+		if load := Load(now, p, origin); best < 0 || load < lowest {
 			best, lowest = i, load
 		}
 		if seen++; seen == choices {
--- a/policy/steering/steering_test.go
+++ b/policy/steering/steering_test.go
@@ -104,7 +104,7 @@
 			if at < 0 {
 				break
 			}
-			agents[at].Placed++
+			agents[at].Place(0)
 			placed++
 		}
 	}
@@ -128,9 +128,12 @@
 	agents := pool(7)
 	queues := map[ident.NodeID][]request{}
 	var waiting []time.Duration
-	offer := func(i int, arrived time.Duration) bool {
+	offer := func(now time.Duration, i int, arrived time.Duration) bool {
+		for k := range agents {
+			agents[k].Heard = now
+		}
 		steering.Rank(uint64(i)*0x9e3779b97f4a7c15, "dc-0", agents)
-		at := steering.Place(0, "dc-0", 1, agents, nil)
+		at := steering.Place(now, "dc-0", 1, agents, nil)
 		if at < 0 && hold {
 			return false
 		}
@@ -138,7 +141,7 @@
 			at = i % len(agents)
 		}
 		a := &agents[at]
-		a.Placed++
+		a.Place(now)
 		if len(queues[a.ID]) >= queue+a.Target.Slots {
 			shed++
 			return true
@@ -163,14 +166,14 @@
 			}
 			queues[a.ID] = left
 			if now%told == 0 {
-				a.Target.Busy, a.Placed = float64(len(left)), 0
+				a.Target.Busy = float64(len(left))
 			}
 		}
 		if now%retry == 0 {
 			again := waiting
 			waiting = nil
 			for k := len(again) - 1; k >= 0; k-- { // the latest first, see package holding
-				if next++; !offer(next, again[k]) && now-again[k] < time.Second {
+				if next++; !offer(now, next, again[k]) && now-again[k] < time.Second {
 					waiting = append([]time.Duration{again[k]}, waiting...)
 				}
 			}
@@ -180,7 +183,7 @@
 			due += 350.0 / 400
 		}
 		for ; due >= 1; due-- {
-			if next++; !offer(next, now) {
+			if next++; !offer(now, next, now) {
 				waiting = append(waiting, now)
 			}
 		}
