--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -32,6 +32,8 @@
 	loadEvery = 200 * time.Millisecond
 	// beatsPerRound is the number of such heartbeats of which one goes to every node.
 	beatsPerRound = 5
+	// beliefLines bounds the lines a second about other nodes. The loss of a data centre changes hundreds at once.
+	beliefLines = 50
 	// joinEvery is the interval in which a node asks seeds for others until it knows enough.
 	joinEvery = 300 * time.Millisecond
 	// nodesPerMessage keeps answers to a joining node below the smallest usual MTU.
@@ -88,6 +90,7 @@
 	malformed *metrics.Counter
 	sendFails *metrics.Counter
 	storeSeen dependency
+	beliefs   *logging.Decisions
 }
 
 // New opens the node's socket. It sends nothing before Run.
@@ -109,6 +112,7 @@
 		conn: conn, started: Now(),
 		wake: make(chan struct{}, 1), loaded: make(chan struct{}, 1), fetch: make(chan roster.Peer, 16),
 		storeSeen: dependency{name: "store", logger: o.Logger},
+		beliefs:   logging.NewDecisionsWithLimit(o.Logger, beliefLines),
 	}
 	f.setSeeds(o.Settings.Seeds)
 	f.Roster = roster.New(f.Self.ID)
@@ -381,8 +385,11 @@
 }
 
 func (f *Fleet) logBelief(n *roster.Node, b *roster.Beat, change roster.Change) {
-	_ = level.Info(f.options.Logger).Log(
-		logging.KeyMessage, "node "+changeNames[change], logging.KeyPeer, n.Name, "incarnation", uint64(n.Incarnation), "sequence", b.Sequence,
+	if !f.beliefs.Allow() {
+		return
+	}
+	f.beliefs.Log(
+		"node "+changeNames[change], logging.KeyPeer, n.Name, "incarnation", uint64(n.Incarnation), "sequence", b.Sequence,
 		"leaving", b.Leaving, logging.KeyService, b.Target.Service, logging.KeyTarget, b.Target.ID, "accepting", b.Target.Accepting,
 		"absent", b.Target.Absent, logging.KeyRevision, b.Revision)
 }
@@ -403,7 +410,9 @@
 	if !f.Roster.Learn(now, n, service) {
 		return
 	}
-	_ = level.Info(f.options.Logger).Log(logging.KeyMessage, "node learnt", logging.KeyPeer, n.Name, "from", source, logging.KeyService, service)
+	if f.beliefs.Allow() {
+		f.beliefs.Log("node learnt", logging.KeyPeer, n.Name, "from", source, logging.KeyService, service)
+	}
 	f.sendMessage(n.Address, f.heartbeat(now, false))
 }
 
--- a/node/operator/trace.go
+++ b/node/operator/trace.go
@@ -37,6 +37,9 @@
 }
 
 func (c *traceCommand) run(_ context.Context, p *program) error {
+	if c.Args.Flow == "" {
+		return errors.New("the flow is empty")
+	}
 	var lines []logLine
 	for _, path := range c.Args.Files {
 		file, err := os.Open(path)
