--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 SCENARIOS_AT_ONCE := 4
 LINT := $(TOOLS)/golangci-lint-$(GOLANGCI_VERSION)
 
-.PHONY: build demo soak test format-check vet lint unit scenarios measure generate clean
+.PHONY: build demo soak test format-check vet lint words unit scenarios measure generate clean
 
 build:
 	mkdir -p $(BIN)
@@ -16,7 +16,7 @@
 demo: build
 	$(BIN)/demo --bin $(BIN)
 
-test: format-check vet lint unit scenarios
+test: format-check vet lint words unit scenarios
 
 format-check:
 	@files=$$(gofmt -l $(MODULES)); if [ -n "$$files" ]; then echo "gofmt: $$files"; exit 1; fi
@@ -32,6 +32,11 @@
 lint: $(LINT)
 	for m in $(MODULES); do (cd $$m && $(LINT) run --config $(CURDIR)/.golangci.yml ./...) || exit 1; done
 
+# Names of the platform that only its adapter may know. Its folder also has the stand-ins and the settings templates.
+PLATFORM_WORDS := Backends\.(Heartbeat|Deregister)|cold_remaining_ms|heartbeat_url|datagram_addr|LACEWINGLEVER_NODE_FILE|Lacewinglever-(Backend|Not|Attempt)|path_prefix|has_more
+words:
+	@found=$$(git grep -lE '$(PLATFORM_WORDS)' -- '*.go' ':!platform' ':!*_test.go'); if [ -n "$$found" ]; then echo "names of the platform outside of platform/: $$found"; exit 1; fi
+
 unit:
 	go test -race -timeout 300s $(shell go list ./policy/... ./platform/... ./node/... ./bench/... | grep -v -e /bench/scenario -e /bench/flows)
 
--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -20,6 +20,7 @@
 
 	fleetv1 "lacewinglever.dev/node/gen/lacewing/fleet/v1"
 	"lacewinglever.dev/node/logging"
+	"lacewinglever.dev/node/timing"
 	"lacewinglever.dev/platform"
 	"lacewinglever.dev/policy/ident"
 	"lacewinglever.dev/policy/roster"
@@ -278,7 +279,7 @@
 
 // join asks the seeds for nodes until one has answered, and less often while the roster may lack some.
 func (f *Fleet) join(ctx context.Context) {
-	for sleep(ctx, joinEvery) {
+	for timing.Sleep(ctx, joinEvery) {
 		if f.joined.Load() {
 			return
 		}
@@ -445,15 +446,3 @@
 	}
 	f.seeds.Store(&addresses)
 }
-
-// sleep waits, and returns false if the context ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/node/fleet/routes.go
+++ b/node/fleet/routes.go
@@ -14,6 +14,7 @@
 
 	"lacewinglever.dev/node/daemon"
 	"lacewinglever.dev/node/logging"
+	"lacewinglever.dev/node/timing"
 	"lacewinglever.dev/platform"
 	"lacewinglever.dev/policy/duty"
 	"lacewinglever.dev/policy/ident"
@@ -53,7 +54,7 @@
 	for ctx.Err() == nil {
 		if f.Routes.Load() != nil && !f.isReader() {
 			reading = false
-			sleep(ctx, readerCheck)
+			timing.Sleep(ctx, readerCheck)
 			continue
 		}
 		if !reading {
@@ -82,7 +83,7 @@
 	}
 	f.noteStore(nil)
 	if listed.Newest == nil {
-		sleep(ctx, readerCheck) // the operator has written none yet
+		timing.Sleep(ctx, readerCheck) // the operator has written none yet
 		return nil
 	}
 	f.offer(listed.Newest, "store", "list")
--- a/node/fleet/store.go
+++ b/node/fleet/store.go
@@ -12,6 +12,7 @@
 	"github.com/go-kit/log/level"
 
 	"lacewinglever.dev/node/logging"
+	"lacewinglever.dev/node/timing"
 	"lacewinglever.dev/platform"
 	"lacewinglever.dev/policy/ident"
 	"lacewinglever.dev/policy/roster"
@@ -79,7 +80,7 @@
 	}
 	d := b.next/2 + rand.N(b.next)
 	b.next = min(2*b.next, maxBackoff)
-	return sleep(ctx, d)
+	return timing.Sleep(ctx, d)
 }
 
 // register writes the node's record, then reads those of all nodes. The order ensures that of two nodes that start together at least one finds
@@ -105,7 +106,7 @@
 		f.noteStore(err)
 		if err == nil && written {
 			pause.reset()
-			if !sleep(ctx, relistEvery/2+rand.N(relistEvery)) {
+			if !timing.Sleep(ctx, relistEvery/2+rand.N(relistEvery)) {
 				return
 			}
 			continue
--- a/node/objectapi/client.go
+++ b/node/objectapi/client.go
@@ -15,6 +15,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/go-faster/errors"
+
+	"lacewinglever.dev/node/timing"
 )
 
 // Times of calls.
@@ -225,7 +227,7 @@
 		if err == nil || !temporary(err) {
 			return err
 		}
-		if !sleep(ctx, jitter(backoff)) {
+		if !timing.Sleep(ctx, jitter(backoff)) {
 			return err
 		}
 	}
@@ -238,17 +240,6 @@
 // jitter spreads retries, so that callers which failed together do not return together.
 func jitter(d time.Duration) time.Duration { return d/2 + mathrand.N(d) }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // answer is an answer that arrived whole. fault is set if it is not 2xx.
 type answer struct {
 	status int
--- a/node/objectapi/watch.go
+++ b/node/objectapi/watch.go
@@ -6,6 +6,8 @@
 	"net/url"
 	"strconv"
 	"time"
+
+	"lacewinglever.dev/node/timing"
 )
 
 // Watch calls handle with every change under the prefix after the version since, until the context ends. It polls, and resumes where the
@@ -32,7 +34,7 @@
 		if err != nil && onError != nil {
 			onError(err)
 		}
-		sleep(ctx, jitter(backoff))
+		timing.Sleep(ctx, jitter(backoff))
 		backoff = min(2*backoff, maxBackoff)
 	}
 }
--- a/node/packetagent/agent.go
+++ b/node/packetagent/agent.go
@@ -19,6 +19,7 @@
 
 	"lacewinglever.dev/node/fleet"
 	"lacewinglever.dev/node/logging"
+	"lacewinglever.dev/node/timing"
 	"lacewinglever.dev/platform"
 	"lacewinglever.dev/policy/holding"
 	"lacewinglever.dev/policy/ident"
@@ -71,7 +72,7 @@
 }
 
 type counters struct {
-	set       *metrics.Set
+	fleet.Endings
 	delivered *metrics.Counter
 	returned  *metrics.Counter
 	toCallers *metrics.Counter
@@ -80,7 +81,7 @@
 
 func newCounters(set *metrics.Set) counters {
 	return counters{
-		set:       set,
+		Endings:   fleet.Endings{Set: set},
 		delivered: set.NewCounter("lacewing_packets_delivered_total"),
 		returned:  set.NewCounter("lacewing_packets_given_back_total"),
 		toCallers: set.NewCounter("lacewing_packets_to_callers_total"),
@@ -88,14 +89,6 @@
 	}
 }
 
-func (c *counters) dropped(reason string) {
-	c.set.GetOrCreateCounter(`lacewing_packets_dropped_total{reason="` + reason + `"}`).Inc()
-}
-
-func (c *counters) reset(reason string) {
-	c.set.GetOrCreateCounter(`lacewing_flows_reset_total{reason="` + reason + `"}`).Inc()
-}
-
 // Main runs an agent until the context ends.
 func Main(ctx context.Context, path string, logs io.Writer) error {
 	settings, err := LoadSettings(path)
@@ -142,7 +135,7 @@
 }
 
 // Owner counts a message that was sent to an agent by mistake.
-func (a *Agent) Owner(steering.Flow, ident.NodeID) { a.counters.dropped("owner told to an agent") }
+func (a *Agent) Owner(steering.Flow, ident.NodeID) { a.counters.Dropped("owner told to an agent") }
 
 // Beat tells what the target takes.
 func (a *Agent) Beat(now time.Duration, b *roster.Beat) {
@@ -201,7 +194,7 @@
 
 // Malformed counts and logs a call that names no target to use.
 func (a *Agent) Malformed(call string, err error) {
-	a.counters.set.GetOrCreateCounter(`lacewing_target_calls_refused_total{call="` + call + `"}`).Inc()
+	a.counters.Set.GetOrCreateCounter(`lacewing_target_calls_refused_total{call="` + call + `"}`).Inc()
 	if a.unusual.Allow() {
 		a.unusual.Log("target call refused", "call", call, logging.KeyError, err)
 	}
@@ -209,34 +202,33 @@
 
 // watch notices changes that time brings, until the context ends.
 func (a *Agent) watch(ctx context.Context) error {
-	ticker := time.NewTicker(checkEvery)
-	defer ticker.Stop()
-	for round := 0; ; round++ {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
+	round := 0
+	return timing.Every(ctx, checkEvery, func(time.Time) {
 		now := fleet.Now()
-		if round%expireChecks == 0 {
+		if round++; round%expireChecks == 0 {
 			a.flows.Expire(now, idleFlow)
 		}
-		s := a.life.Status(now)
-		before := a.status.Swap(&s)
-		if _, busy := a.flows.Load(now); math.Abs(busy-math.Float64frombits(a.told.Load())) > tellLoad*float64(max(s.Slots, 1)) {
-			a.fleet.AnnounceLoad()
-		}
-		if s.Accepting == before.Accepting && s.Absent == before.Absent {
-			continue
-		}
-		if s.Absent && !before.Absent {
-			a.flows.Clear()
-		}
-		_ = level.Info(a.logger).Log(
-			logging.KeyMessage, "target state", logging.KeyTarget, s.ID, logging.KeyService, s.Service, "accepting", s.Accepting,
-			"absent", s.Absent, logging.KeyReason, s.Reason, logging.KeyAge, s.Age)
-		a.fleet.Announce()
+		a.notice(now)
+	})
+}
+
+// notice tells the fleet of a changed load or state of the target.
+func (a *Agent) notice(now time.Duration) {
+	s := a.life.Status(now)
+	before := a.status.Swap(&s)
+	if _, busy := a.flows.Load(now); math.Abs(busy-math.Float64frombits(a.told.Load())) > tellLoad*float64(max(s.Slots, 1)) {
+		a.fleet.AnnounceLoad()
+	}
+	if s.Accepting == before.Accepting && s.Absent == before.Absent {
+		return
 	}
+	if s.Absent && !before.Absent {
+		a.flows.Clear()
+	}
+	_ = level.Info(a.logger).Log(
+		logging.KeyMessage, "target state", logging.KeyTarget, s.ID, logging.KeyService, s.Service, "accepting", s.Accepting,
+		"absent", s.Absent, logging.KeyReason, s.Reason, logging.KeyAge, s.Age)
+	a.fleet.Announce()
 }
 
 // stop announces the stop and passes on what is on the way. The record goes only if the target has ended: else the process is being restarted.
@@ -249,10 +241,7 @@
 			_ = level.Warn(a.logger).Log(logging.KeyMessage, "record not removed", logging.KeyError, err)
 		}
 	}
-	select {
-	case <-ctx.Done():
-	case <-time.After(stopGrace):
-	}
+	timing.Sleep(ctx, stopGrace)
 }
 
 // receive reads what the target sends until the context ends.
@@ -266,12 +255,12 @@
 			return nil
 		}
 		if err != nil {
-			a.counters.dropped("read failed")
+			a.counters.Dropped("read failed")
 			continue
 		}
 		p, err := platform.ParsePacket(buffer[:n])
 		if err != nil {
-			a.counters.dropped("malformed")
+			a.counters.Dropped("malformed")
 			continue
 		}
 		now := fleet.Now()
@@ -302,7 +291,7 @@
 
 func (a *Agent) send(to netip.AddrPort, p platform.Packet) {
 	if _, err := a.conn.WriteToUDPAddrPort(p, to); err != nil {
-		a.counters.dropped("send failed")
+		a.counters.Dropped("send failed")
 	}
 }
 
@@ -311,18 +300,11 @@
 
 // retry decides again about packets that were held, until the context ends.
 func (a *Agent) retry(ctx context.Context) error {
-	ticker := time.NewTicker(holding.RetryEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			for _, item := range a.held.Take() {
-				a.again(fleet.Now(), item)
-			}
+	return timing.Every(ctx, holding.RetryEvery, func(time.Time) {
+		for _, item := range a.held.Take() {
+			a.again(fleet.Now(), item)
 		}
-	}
+	})
 }
 
 // again decides about a held packet. A new flow may open at any target by now; an open flow is not held by those that gave its packet back.
@@ -346,7 +328,7 @@
 	}
 	kept := a.held.Put(now, item)
 	if !kept {
-		a.counters.dropped(reason)
+		a.counters.Dropped(reason)
 	}
 	return kept
 }
@@ -355,7 +337,7 @@
 func (a *Agent) handle(now, since time.Duration, r *fleet.Relay) {
 	p, err := platform.ParsePacket(r.Packet)
 	if err != nil {
-		a.counters.dropped("malformed")
+		a.counters.Dropped("malformed")
 		return
 	}
 	s := a.life.Status(now)
@@ -414,7 +396,7 @@
 	a.flows.Refused(now, flow)
 	r, ok := a.offers.take(p.Token(), flow)
 	if !ok {
-		a.counters.dropped("given back without an offer")
+		a.counters.Dropped("given back without an offer")
 		return
 	}
 	p.ClearReturned()
@@ -447,7 +429,7 @@
 		}
 		return "dropped"
 	}
-	a.counters.reset("no target holds the flow")
+	a.counters.Reset("no target holds the flow")
 	a.send(netip.AddrPortFrom(p.FromCaller().Caller().Addr(), a.port), platform.NewReset(p))
 	return "reset"
 }
--- a/node/packetentry/entry.go
+++ b/node/packetentry/entry.go
@@ -15,6 +15,7 @@
 
 	"lacewinglever.dev/node/fleet"
 	"lacewinglever.dev/node/logging"
+	"lacewinglever.dev/node/timing"
 	"lacewinglever.dev/platform"
 	"lacewinglever.dev/policy/holding"
 	"lacewinglever.dev/policy/ident"
@@ -64,7 +65,7 @@
 }
 
 type counters struct {
-	set      *metrics.Set
+	fleet.Endings
 	opened   *metrics.Counter
 	carried  *metrics.Counter
 	searched *metrics.Counter
@@ -73,7 +74,7 @@
 
 func newCounters(set *metrics.Set) counters {
 	return counters{
-		set:      set,
+		Endings:  fleet.Endings{Set: set},
 		opened:   set.NewCounter("lacewing_flows_opened_total"),
 		carried:  set.NewCounter("lacewing_packets_carried_total"),
 		searched: set.NewCounter("lacewing_packets_searched_total"),
@@ -81,16 +82,6 @@
 	}
 }
 
-// dropped counts packets that went nowhere.
-func (c *counters) dropped(reason string) {
-	c.set.GetOrCreateCounter(`lacewing_packets_dropped_total{reason="` + reason + `"}`).Inc()
-}
-
-// reset counts flows that were reset.
-func (c *counters) reset(reason string) {
-	c.set.GetOrCreateCounter(`lacewing_flows_reset_total{reason="` + reason + `"}`).Inc()
-}
-
 // Main runs an entry until the context ends, then lets it leave.
 func Main(ctx context.Context, path string, logs io.Writer) error {
 	settings, err := LoadSettings(path)
@@ -128,7 +119,7 @@
 }
 
 // Relay counts a packet that was sent to an entry by mistake.
-func (e *Entry) Relay(time.Duration, *fleet.Relay) { e.counters.dropped("relayed to an entry") }
+func (e *Entry) Relay(time.Duration, *fleet.Relay) { e.counters.Dropped("relayed to an entry") }
 
 // Owner remembers which agent's target holds a flow.
 func (e *Entry) Owner(flow steering.Flow, owner ident.NodeID) { e.flows.put(fleet.Now(), flow, owner) }
@@ -164,35 +155,22 @@
 	turn, cancel := context.WithTimeout(ctx, e.settings.StopGrace-forwardGrace-stopMargin)
 	defer cancel()
 	for turn.Err() == nil && e.fleet.Roster.EntryLeaves(fleet.Now(), e.fleet.Self.DataCentre) {
-		select {
-		case <-turn.Done():
-		case <-time.After(turnCheck):
-		}
+		timing.Sleep(turn, turnCheck)
 	}
 	e.stopping.Store(true)
 	e.fleet.Leave()
-	select {
-	case <-ctx.Done():
-	case <-time.After(forwardGrace):
-	}
+	timing.Sleep(ctx, forwardGrace)
 }
 
 // expire forgets idle flows until the context ends.
 func (e *Entry) expire(ctx context.Context) error {
-	ticker := time.NewTicker(expireEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			idle := defaultIdle
-			if t := e.fleet.Routes.Load(); t != nil && t.IdleTimeout > 0 {
-				idle = t.IdleTimeout
-			}
-			e.flows.expire(fleet.Now(), idle+idleSlack)
+	return timing.Every(ctx, expireEvery, func(time.Time) {
+		idle := defaultIdle
+		if t := e.fleet.Routes.Load(); t != nil && t.IdleTimeout > 0 {
+			idle = t.IdleTimeout
 		}
-	}
+		e.flows.expire(fleet.Now(), idle+idleSlack)
+	})
 }
 
 // receive passes on callers' packets until the context ends.
@@ -206,12 +184,12 @@
 			return nil
 		}
 		if err != nil {
-			e.counters.dropped("read failed")
+			e.counters.Dropped("read failed")
 			continue
 		}
 		p, err := platform.ParsePacket(buffer[:n])
 		if err != nil || p.Returned() || p.Accepts() {
-			e.counters.dropped("malformed")
+			e.counters.Dropped("malformed")
 			continue
 		}
 		now := fleet.Now()
@@ -222,18 +200,11 @@
 
 // retry decides again about packets that were held, until the context ends.
 func (e *Entry) retry(ctx context.Context) error {
-	ticker := time.NewTicker(holding.RetryEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-			for _, item := range e.held.Take() {
-				e.pass(fleet.Now(), item.Since, item.Value)
-			}
+	return timing.Every(ctx, holding.RetryEvery, func(time.Time) {
+		for _, item := range e.held.Take() {
+			e.pass(fleet.Now(), item.Since, item.Value)
 		}
-	}
+	})
 }
 
 // pass passes on a packet that arrived at the time since.
@@ -389,10 +360,10 @@
 	if p.Resets() {
 		return
 	}
-	e.counters.reset(reason)
+	e.counters.Reset(reason)
 	to := netip.AddrPortFrom(flow.Caller().Addr(), e.port)
 	if _, err := e.conn.WriteToUDPAddrPort(platform.NewReset(p), to); err != nil {
-		e.counters.dropped("send failed")
+		e.counters.Dropped("send failed")
 	}
 	if e.unusual.Allow() {
 		e.unusual.Log("flow reset", logging.KeyFlow, flow, "sequence", p.Sequence(), "opening", p.Opens(), logging.KeyReason, reason,
@@ -409,7 +380,7 @@
 	}
 	kept := e.held.Put(now, item)
 	if !kept {
-		e.counters.dropped(reason)
+		e.counters.Dropped(reason)
 	}
 	if (!kept || since == now) && e.unusual.Allow() {
 		e.unusual.Log("packet held", logging.KeyFlow, flow, "sequence", p.Sequence(), "opening", p.Opens(), logging.KeyReason, reason,
--- a/node/peer/peer.go
+++ b/node/peer/peer.go
@@ -19,6 +19,7 @@
 	lacewingv1 "lacewinglever.dev/node/gen/lacewing/v1"
 	"lacewinglever.dev/node/logging"
 	"lacewinglever.dev/node/rpcauth"
+	"lacewinglever.dev/node/timing"
 	"lacewinglever.dev/node/transport"
 	"lacewinglever.dev/node/wire"
 	"lacewinglever.dev/policy/ident"
@@ -150,30 +151,17 @@
 // Run joins by the seeds, then sends heartbeats, watches, pushes and synchronises until the context ends.
 func (p *Peer) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return every(ctx, membership.HeartbeatEvery, p.sendHeartbeats) })
-	g.Go(func() error { return every(ctx, tickEvery, p.tick) })
-	g.Go(func() error { return every(ctx, tickEvery/2, p.push) })
-	g.Go(func() error { return every(ctx, forgetAfter, func(time.Time) { p.heard.forget(forgetAfter) }) })
-	g.Go(func() error { return every(ctx, expireEvery, p.expire) })
+	g.Go(func() error { return timing.Every(ctx, membership.HeartbeatEvery, p.sendHeartbeats) })
+	g.Go(func() error { return timing.Every(ctx, tickEvery, p.tick) })
+	g.Go(func() error { return timing.Every(ctx, tickEvery/2, p.push) })
+	g.Go(func() error { return timing.Every(ctx, forgetAfter, func(time.Time) { p.heard.forget(forgetAfter) }) })
+	g.Go(func() error { return timing.Every(ctx, expireEvery, p.expire) })
 	g.Go(func() error { return p.join(ctx) })
 	g.Go(func() error { return p.antiEntropy(ctx) })
 	g.Go(func() error { return p.reconnect(ctx) })
 	return g.Wait()
 }
 
-func every(ctx context.Context, period time.Duration, do func(time.Time)) error {
-	ticker := time.NewTicker(period)
-	defer ticker.Stop()
-	for {
-		do(time.Now())
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.C:
-		}
-	}
-}
-
 // Self returns the node's own record.
 func (p *Peer) Self() record.Node {
 	p.selfMu.Lock()
--- a/node/peer/sync.go
+++ b/node/peer/sync.go
@@ -15,6 +15,7 @@
 	"lacewinglever.dev/node/gen/lacewing/v1/lacewingv1connect"
 	"lacewinglever.dev/node/logging"
 	"lacewinglever.dev/node/rpcauth"
+	"lacewinglever.dev/node/timing"
 	"lacewinglever.dev/policy/ident"
 	"lacewinglever.dev/policy/record"
 	"lacewinglever.dev/policy/spread"
@@ -194,7 +195,7 @@
 		} else {
 			pause = joinRetryMax
 		}
-		if !sleep(ctx, jitter(pause)) {
+		if !timing.Sleep(ctx, jitter(pause)) {
 			return nil
 		}
 		pause = min(2*pause, joinRetryMax)
@@ -229,7 +230,7 @@
 
 // antiEntropy synchronises with one random peer every syncEvery: an agent with one of its watchers, an entry with any other.
 func (p *Peer) antiEntropy(ctx context.Context) error {
-	for sleep(ctx, jitter(syncEvery)) {
+	for timing.Sleep(ctx, jitter(syncEvery)) {
 		candidates := p.randomEntries(1)
 		if w := p.watchers(); !p.options.Self.Entry && len(w) > 0 {
 			candidates = []ident.NodeID{w[rand.IntN(len(w))]}
@@ -247,7 +248,7 @@
 // reconnect synchronises every syncEvery with one entry that is held dead or is in a scope that is down. Two sides of a healed partition
 // have no other reason to talk.
 func (p *Peer) reconnect(ctx context.Context) error {
-	for sleep(ctx, jitter(syncEvery)) {
+	for timing.Sleep(ctx, jitter(syncEvery)) {
 		lost := p.index.lostEntries()
 		if !p.options.Self.Entry || len(lost) == 0 {
 			continue
@@ -264,15 +265,3 @@
 func jitter(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * (0.8 + 0.4*rand.Float64()))
 }
-
-// sleep returns false if the context ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
