readmission: the load of the pool decides, the rate only bounds one round of heartbeats

Cause: 16 callers a second and slot held callers back while targets had room, so that their deadlines passed.

Conclusion: kept at 60.

--- a/policy/readmission/readmission.go
+++ b/policy/readmission/readmission.go
@@ -15,8 +15,9 @@
 )
 
 const (
-	// perSlot is how many callers a second one slot takes back at most beside the usual load: what it serves at some 60 ms a request.
-	perSlot = 16
+	// perSlot is how many callers a second one slot takes back at most. It bounds those that come before the pool's loads are told again,
+	// some 50 ms later: 3 a slot, which a target with room still queues.
+	perSlot = 60
 	// burstPerSlot is how many a slot takes at once: one in service.
 	burstPerSlot = 1
 	// fullLoad is the mean number of requests a slot of the pool from which nobody is taken back: all slots are busy, and those that come
