fleet: a search reaches all targets of a pool

The packet was dropped as malformed, with each copy, for more than 2 s.

A frame names up to 300 agents.

Ruled out: an incomplete view at the entry or the agents (candidates=78 at all of them); a lost owner notice, after which the next search would have found the target.

--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -192,12 +192,16 @@
 	}
 }
 
-// Send sends a caller's packet to an agent.
-func (f *Fleet) Send(to netip.AddrPort, r *Relay) {
+// Send sends a caller's packet to an agent. It returns false if the packet has been offered to as many agents as a frame can name.
+func (f *Fleet) Send(to netip.AddrPort, r *Relay) bool {
+	if len(r.Tried) > maxTried {
+		return false
+	}
 	buffer := f.buffers.Get().(*[]byte)
 	defer f.buffers.Put(buffer)
 	*buffer = r.Append((*buffer)[:0])
 	f.write(to, *buffer)
+	return true
 }
 
 // TellOwner tells an entry that this node's target holds a flow.
--- a/node/fleet/relay.go
+++ b/node/fleet/relay.go
@@ -27,8 +27,9 @@
 	fieldPacket   = 15
 )
 
-// maxTried bounds the agents that one packet is offered to. A service of more targets than this is searched in parts, a packet each.
-const maxTried = 64
+// maxTried bounds the agents that one packet is offered to, so that a frame fits into datagramSize. A search that ends earlier than the pool never
+// reaches targets far down in the rank, and their callers' packets go everywhere but there.
+const maxTried = 300
 
 var errFrame = errors.New("malformed relay frame")
 
--- a/node/fleet/relay_test.go
+++ b/node/fleet/relay_test.go
@@ -51,6 +51,21 @@
 	assert.Equal(t, testing.AllocsPerRun(100, func() { _ = got.decode(frame, known) }), 0.0)
 }
 
+// Guards against a search that can't reach the last targets of a pool: the largest that the users have now is 51, and 82 while targets are replaced.
+func TestRelayNamesAllAgentsOfAPool(t *testing.T) {
+	r := relay()
+	r.Packet = make([]byte, 1232)
+	for i := range maxTried - 2 {
+		r.Tried = append(r.Tried, ident.NodeID(i))
+	}
+	assert.Assert(t, maxTried >= 2*82)
+	frame := r.Append(nil)
+	assert.Assert(t, len(frame) <= datagramSize, "%d bytes", len(frame))
+	var got Relay
+	assert.NilError(t, got.decode(frame[1:], names{}))
+	assert.Equal(t, len(got.Tried), maxTried)
+}
+
 func FuzzRelayDecode(f *testing.F) {
 	r := relay()
 	f.Add(r.Append(nil)[1:])
--- a/node/packetagent/agent.go
+++ b/node/packetagent/agent.go
@@ -418,6 +418,13 @@
 	f(*agents)
 }
 
+// pass sends a packet to another agent.
+func (a *Agent) pass(to netip.AddrPort, r *fleet.Relay) {
+	if !a.fleet.Send(to, r) {
+		a.counters.Dropped("offered to too many agents")
+	}
+}
+
 // reset ends a flow that no target holds, as fast as the targets take its callers back. It returns what became of the packet.
 func (a *Agent) reset(now, since time.Duration, r *fleet.Relay, p platform.Packet, load float64) string {
 	if p.Resets() {
@@ -452,7 +459,7 @@
 			to = agents[at].Name
 			a.counters.passedOn.Inc()
 			r.Search = true
-			a.fleet.Send(agents[at].Address, r)
+			a.pass(agents[at].Address, r)
 		} else {
 			a.hold(now, since, r, "no target accepts")
 		}
@@ -474,7 +481,7 @@
 		case steering.Continue:
 			outcome = "passed on to " + agents[at].Name
 			a.counters.passedOn.Inc()
-			a.fleet.Send(agents[at].Address, r)
+			a.pass(agents[at].Address, r)
 		case steering.Unknown:
 			outcome = "held"
 			if !a.hold(now, since, r, "agents unknown") {
