inflight, steering, holding: a wrong load keeps nobody out

A target that finishes a flow ends its requests. Requests that are sent again count once, and none for more than 2 s. A flow waits at most 300 ms for room. Copies of an opening packet go where the first went, and are held until the next copy at most.

--- a/node/packetagent/agent.go
+++ b/node/packetagent/agent.go
@@ -275,7 +275,7 @@
 
 // event returns what a packet says of its flow.
 func event(p platform.Packet) inflight.Event {
-	return inflight.Event{Data: p.HasData(), Finishes: p.Finishes(), Resets: p.Resets()}
+	return inflight.Event{Data: p.HasData(), Sequence: p.Sequence(), Finishes: p.Finishes(), Resets: p.Resets()}
 }
 
 // toCaller sends a packet of the target to its caller.
@@ -321,7 +321,11 @@
 
 // hold keeps a packet until a decision is possible. A packet that can't be kept is left to be sent again by its caller.
 func (a *Agent) hold(now, since time.Duration, r *fleet.Relay, reason string) bool {
-	item := holding.Item[fleet.Relay]{Flow: platform.Packet(r.Packet).FromCaller(), Since: since, Value: *r}
+	p := platform.Packet(r.Packet)
+	item := holding.Item[fleet.Relay]{Flow: p.FromCaller(), Since: since, Value: *r}
+	if p.Opens() {
+		item.For = p.Current()
+	}
 	if since == now { // the buffers are used for the next packet
 		item.Value.Packet = bytes.Clone(r.Packet)
 		item.Value.Tried = slices.Clone(r.Tried)
@@ -453,7 +457,9 @@
 	flow := p.FromCaller()
 	a.tried(r)
 	a.ranked(flow, r, func(agents []roster.Peer) {
-		at := steering.Place(now, r.Origin, a.fleet.Roster.RunningEntries(now), agents, r.Tried)
+		at := steering.Place(now, steering.Need{
+			Origin: r.Origin, Entries: a.fleet.Roster.RunningEntries(now), Waited: now - since, Tried: r.Tried,
+		}, agents)
 		to := ""
 		if at >= 0 {
 			to = agents[at].Name
--- a/node/packetentry/entry.go
+++ b/node/packetentry/entry.go
@@ -233,7 +233,7 @@
 	}
 	service := route.Service(flow.Hash())
 	agents := e.ranked(flow, service)
-	at, tried := e.choose(now, flow, p, agents)
+	at, tried := e.choose(now, since, flow, p, agents)
 	if at < 0 {
 		if full(now, agents) {
 			e.hold(now, since, p, "all targets are full", table.Revision)
@@ -258,24 +258,25 @@
 	}
 }
 
-// choose returns the index of the agent for an opening packet, and the agents that are not to be tried again. A copy goes where the first went,
-// unless that agent no longer accepts or has left two copies unanswered.
-func (e *Entry) choose(now time.Duration, flow steering.Flow, p platform.Packet, agents []roster.Peer) (int, []ident.NodeID) {
-	var tried []ident.NodeID
-	if before, ok := e.flows.get(now, flow); ok && p.Copy() > 0 {
+// choose returns the index of the agent for an opening packet, and the agents that are not to be tried again. Copies go where the first went, also
+// when one of them was held meanwhile: a flow that opens at two targets loses the packets that the wrong one gets. Only an agent that no longer
+// accepts, or has left two copies unanswered, is replaced.
+func (e *Entry) choose(now, since time.Duration, flow steering.Flow, p platform.Packet, agents []roster.Peer) (int, []ident.NodeID) {
+	need := steering.Need{Origin: e.fleet.Self.DataCentre, Entries: 1 + e.fleet.Roster.RunningEntries(now), Waited: now - since}
+	if before, ok := e.flows.get(now, flow); ok {
 		for i := range agents {
 			if agents[i].ID == before && steering.Accepts(&agents[i], now) && p.Copy() < lastCopy {
 				return i, nil
 			}
 		}
-		tried = append(tried, before)
+		need.Tried = []ident.NodeID{before}
 	}
-	entries := 1 + e.fleet.Roster.RunningEntries(now)
-	at := steering.Place(now, e.fleet.Self.DataCentre, entries, agents, tried)
-	if at < 0 && len(tried) > 0 {
-		return steering.Place(now, e.fleet.Self.DataCentre, entries, agents, nil), nil
+	at := steering.Place(now, need, agents)
+	if at < 0 && len(need.Tried) > 0 {
+		need.Tried = nil
+		at = steering.Place(now, need, agents)
 	}
-	return at, tried
+	return at, need.Tried
 }
 
 // full tells whether a target accepts flows and only lacks room.
@@ -375,6 +376,9 @@
 func (e *Entry) hold(now, since time.Duration, p platform.Packet, reason string, revision uint64) {
 	flow := p.FromCaller()
 	item := holding.Item[platform.Packet]{Flow: flow, Since: since, Value: p}
+	if p.Opens() {
+		item.For = p.Current()
+	}
 	if since == now {
 		item.Value = platform.Packet(bytes.Clone(p)) // the buffer is used for the next packet
 	}
--- a/policy/holding/holding.go
+++ b/policy/holding/holding.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// For is how long a packet is kept. Nodes that start together know each other within this time.
-	For = time.Second
+	// AtMost is how long a packet is kept. Nodes that start together know each other within this time.
+	AtMost = time.Second
 	// RetryEvery is the interval in which decisions are tried again.
 	RetryEvery = 50 * time.Millisecond
 	// limit bounds the flows of which a packet is kept, at about 1 KB each.
@@ -28,6 +28,7 @@
 type Item[T any] struct {
 	Flow  steering.Flow
 	Since time.Duration // when the packet arrived
+	For   time.Duration // how long to keep it, AtMost at most; 0 is AtMost
 	Value T
 }
 
@@ -40,7 +41,7 @@
 // Put keeps a packet, unless one of its flow is kept: copies don't make a caller younger. It returns false if the packet is too old or there are too
 // many.
 func (q *Queue[T]) Put(now time.Duration, item Item[T]) bool {
-	if now-item.Since > For {
+	if now-item.Since > AtMost || item.For > 0 && now-item.Since > item.For {
 		return false
 	}
 	q.mu.Lock()
--- a/policy/holding/holding_test.go
+++ b/policy/holding/holding_test.go
@@ -46,3 +46,12 @@
 	}
 	assert.Equal(t, kept, 4096)
 }
+
+// Guards against a flow that opens twice: when the caller sends the next copy of its opening packet, perhaps to another node, this one is dropped.
+func TestShorterTime(t *testing.T) {
+	var q holding.Queue[int]
+	item := holding.Item[int]{For: 200 * time.Millisecond}
+	assert.Assert(t, q.Put(190*time.Millisecond, item))
+	q.Take()
+	assert.Assert(t, !q.Put(210*time.Millisecond, item))
+}
--- a/policy/inflight/inflight.go
+++ b/policy/inflight/inflight.go
@@ -12,17 +12,24 @@
 // smoothing is the time constant of the number of requests in progress: a few requests long, so that a burst shows in the next heartbeat.
 const smoothing = 100 * time.Millisecond
 
+// busyAtMost is how long a request counts as in progress. One that takes longer has most likely lost its caller or its answer, and a target that
+// seemed busy for ever would get no new flows.
+const busyAtMost = 2 * time.Second
+
 // Event is what one packet says of its flow.
 type Event struct {
-	Data     bool // carries bytes of the connection
+	Data     bool   // carries bytes of the connection
+	Sequence uint32 // of the first of them
 	Finishes bool
 	Resets   bool
 }
 
 type flow struct {
 	last     time.Duration
-	waiting  bool // the caller has sent bytes that the target has not answered
-	finished bool // one end has finished
+	since    time.Duration // when the request in progress arrived
+	sequence uint32        // of the newest bytes of the caller
+	waiting  bool          // the caller has sent bytes that the target has not answered
+	finished bool          // one end has finished
 }
 
 // Table holds the flows of one target. Its methods may be called from any goroutine.
@@ -58,9 +65,12 @@
 		t.remove(id, f)
 		return
 	}
-	if e.Data && !f.waiting {
-		f.waiting = true
-		t.busy++
+	if e.Data && (f.sequence == 0 || int32(e.Sequence-f.sequence) > 0) { // else it is sent again
+		f.sequence = e.Sequence
+		if !f.waiting {
+			f.waiting, f.since = true, now
+			t.busy++
+		}
 	}
 	t.finish(id, f, e)
 }
@@ -73,7 +83,7 @@
 	if f == nil {
 		return
 	}
-	if e.Data {
+	if e.Data || e.Finishes { // a target that finishes has nothing more to answer
 		t.answered(f)
 	}
 	if e.Resets {
@@ -133,14 +143,17 @@
 	delete(t.flows, id)
 }
 
-// Expire forgets flows that were idle for longer than the timeout.
+// Expire forgets flows that were idle for longer than the timeout, and requests without an answer after busyAtMost.
 func (t *Table) Expire(now, timeout time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.advance(now)
 	for id, f := range t.flows {
-		if now-f.last > timeout {
+		switch {
+		case now-f.last > timeout:
 			t.remove(id, f)
+		case f.waiting && now-f.since > busyAtMost:
+			t.answered(f)
 		}
 	}
 }
--- a/policy/inflight/inflight_test.go
+++ b/policy/inflight/inflight_test.go
@@ -31,6 +31,36 @@
 	assert.Assert(t, busy < 0.1, "%v", busy)
 }
 
+// Guards against a target that seems busy for ever, and gets no new flows: an outage left up to six such requests at every target, because a request that
+// was sent again after its answer counted as a new one.
+func TestRequestsWithoutAnswerStopCounting(t *testing.T) {
+	table := inflight.New()
+	first := inflight.Event{Data: true, Sequence: 100}
+	table.Delivered(0, a, first)
+	table.Sent(0, a, data)
+	table.Delivered(0, a, first) // again, after its answer
+	_, busy := table.Load(10 * time.Second)
+	assert.Assert(t, busy < 0.1, "%v", busy)
+	table.Delivered(10*time.Second, a, inflight.Event{Data: true, Sequence: 900})
+	table.Expire(11*time.Second, time.Minute)
+	_, busy = table.Load(11 * time.Second)
+	assert.Assert(t, busy > 0.5, "%v", busy)
+	table.Expire(13*time.Second, time.Minute)
+	_, busy = table.Load(20 * time.Second)
+	assert.Assert(t, busy < 0.1, "%v", busy)
+}
+
+// Guards against requests of callers that gave up: the end of their flow overtakes the request, and the target finishes without an answer.
+func TestRequestBehindTheEndOfItsFlow(t *testing.T) {
+	table := inflight.New()
+	table.Delivered(0, a, inflight.Event{Finishes: true})
+	table.Delivered(0, a, data)
+	table.Sent(0, a, inflight.Event{})
+	table.Sent(0, a, inflight.Event{Finishes: true})
+	_, busy := table.Load(time.Second)
+	assert.Assert(t, busy < 0.1, "%v", busy)
+}
+
 // Guards against flows that are counted for ever: they end by both ends' word, by a reset, or by silence.
 func TestFlowsEnd(t *testing.T) {
 	table := inflight.New()
--- a/policy/steering/place.go
+++ b/policy/steering/place.go
@@ -22,6 +22,9 @@
 	// fullLoad is the number of requests a slot from which a target gets no new flow: two more than are served. What comes on top waits
 	// longer in the target than its caller's latency objective allows, and the target sheds from some five a slot.
 	fullLoad = 3
+	// waitForRoom is how long a new flow waits for room. After it, the least loaded target gets the flow: loads are estimates, and a wrong one
+	// must not keep callers out.
+	waitForRoom = 300 * time.Millisecond
 	// farLoad and coldLoad are added to the load per slot of targets in another data centre, and of targets that have just started.
 	farLoad  = 0.15
 	coldLoad = 0.3
@@ -97,19 +100,26 @@
 	return p.Target.Busy+placed >= fullLoad*float64(max(p.Target.Slots, 1))
 }
 
-// Place returns the index of the agent at which a new flow opens, -1 if none accepts it or has room. entries is the
-// number of nodes that place flows. agents are ranked; those in tried have refused.
+// Need is what a new flow asks of a target.
+type Need struct {
+	Origin  ident.DataCentre // of the caller
+	Entries int              // nodes that place flows
+	Waited  time.Duration    // since the opening packet arrived
+	Tried   []ident.NodeID   // agents that have refused
+}
+
+// Place returns the index of the agent at which a new flow opens, -1 if none accepts it or has room. agents are ranked.
 //
 // The load that it answers: bursts, and callers that come back together after an outage, at up to twice what the pool serves. The new flow then
 // waits at the entry (package holding) and not in the queue of a target, which serves in the order of arrival and sheds when it is full.
-func Place(now time.Duration, origin ident.DataCentre, entries int, agents []roster.Peer, tried []ident.NodeID) int {
+func Place(now time.Duration, n Need, agents []roster.Peer) int {
 	best, lowest, seen := -1, 0.0, 0
 	for i := range agents {
 		p := &agents[i]
-		if !Accepts(p, now) || Full(now, p, entries) || slices.Contains(tried, p.ID) {
+		if !Accepts(p, now) || slices.Contains(n.Tried, p.ID) || n.Waited < waitForRoom && Full(now, p, n.Entries) {
 			continue
 		}
-		if load := Load(now, p, origin); best < 0 || load < lowest {
+		if load := Load(now, p, n.Origin); best < 0 || load < lowest {
 			best, lowest = i, load
 		}
 		if seen++; seen == choices {
--- a/policy/steering/steering_test.go
+++ b/policy/steering/steering_test.go
@@ -34,7 +34,7 @@
 		flow := steering.Flow{CallerPort: uint16(i), CallerIP: [4]byte{100, 64, 0, byte(i % 50)}}
 		origin := ident.DataCentre(fmt.Sprint("dc-", i%3))
 		steering.Rank(flow.Hash(), origin, agents)
-		at := steering.Place(0, origin, 1, agents, nil)
+		at := steering.Place(0, steering.Need{Origin: origin, Entries: 1}, agents)
 		agents[at].Target.Flows++
 	}
 	for i := range agents {
@@ -51,8 +51,8 @@
 	agents[2].Heard = -time.Second
 	agents[3].Ever = false
 	tried := []ident.NodeID{agents[4].ID}
-	assert.Equal(t, steering.Place(0, "dc-0", 1, agents, tried), 5)
-	assert.Equal(t, steering.Place(0, "dc-0", 1, agents[:5], tried), -1)
+	assert.Equal(t, steering.Place(0, steering.Need{Origin: "dc-0", Entries: 1, Tried: tried}, agents), 5)
+	assert.Equal(t, steering.Place(0, steering.Need{Origin: "dc-0", Entries: 1, Tried: tried}, agents[:5]), -1)
 }
 
 // Guards against a slow target that gets as many new flows as the others: its requests in progress pile up.
@@ -60,7 +60,7 @@
 	agents := pool(3)
 	agents[0].Target.Busy, agents[1].Target.Busy = 8, 8
 	for origin := range 3 {
-		assert.Equal(t, steering.Place(0, ident.DataCentre(fmt.Sprint("dc-", origin)), 1, agents, nil), 2)
+		assert.Equal(t, steering.Place(0, steering.Need{Origin: ident.DataCentre(fmt.Sprint("dc-", origin)), Entries: 1}, agents), 2)
 	}
 }
 
@@ -93,6 +93,18 @@
 	}
 }
 
+// Guards against callers that are kept out by a wrong estimate of the load: after a short wait the least loaded target gets the flow.
+func TestFullTargetsKeepNobodyOutForLong(t *testing.T) {
+	agents := pool(3)
+	for i := range agents {
+		agents[i].Target.Busy = 20 + float64(i)
+	}
+	need := steering.Need{Origin: "dc-0", Entries: 1}
+	assert.Equal(t, steering.Place(0, need, agents), -1)
+	need.Waited = 400 * time.Millisecond
+	assert.Equal(t, steering.Place(0, need, agents), 0)
+}
+
 // Guards against entries that, after an outage, place all that they hold on targets whose load none of them knows yet.
 func TestEntriesLeaveRoomForEachOther(t *testing.T) {
 	const entries = 10
@@ -100,7 +112,7 @@
 	for range entries {
 		agents := pool(7)
 		for {
-			at := steering.Place(0, "dc-0", entries, agents, nil)
+			at := steering.Place(0, steering.Need{Origin: "dc-0", Entries: entries}, agents)
 			if at < 0 {
 				break
 			}
@@ -133,7 +145,7 @@
 			agents[k].Heard = now
 		}
 		steering.Rank(uint64(i)*0x9e3779b97f4a7c15, "dc-0", agents)
-		at := steering.Place(now, "dc-0", 1, agents, nil)
+		at := steering.Place(now, steering.Need{Origin: "dc-0", Entries: 1}, agents)
 		if at < 0 && hold {
 			return false
 		}
