--- a/bench/flows/cluster.go
+++ b/bench/flows/cluster.go
@@ -187,7 +187,7 @@
 		return err
 	}
 	seed := fmt.Sprintf("127.%d.150.1:%d", c.o.Subnet, portFleet)
-	text := fmt.Sprintf("mode: flows\nname: %s\ndata_centre: dc-%d\nfleet: %q\nadvertise: %q\nmetrics: %q\nseeds: [%q]\nstore: %q\nmax_flow_age: 60s\nmemory_mb: 256\n",
+	text := fmt.Sprintf("mode: flows\nname: %s\ndata_centre: dc-%d\nfleet: %q\nadvertise: %q\nmetrics: %q\nseeds: [%q]\nstore: %q\nmemory_mb: 256\n",
 		n.Name, n.Zone, address(n.host, portFleet), address(advertise, portFleet), address(n.host, portMetrics), seed, storeProxy)
 	path := filepath.Join(c.o.Dir, n.Name+".yaml")
 	n.log = filepath.Join(c.o.Dir, n.Name+".log")
--- a/node/fleet/settings.go
+++ b/node/fleet/settings.go
@@ -1,8 +1,6 @@
 package fleet
 
 import (
-	"time"
-
 	"lacewinglever.dev/node/config"
 	"lacewinglever.dev/policy/yamlfile"
 )
@@ -18,8 +16,6 @@
 	Seeds      []string `yaml:"seeds"`     // host:port of some nodes, possibly stale; only the hosts are used
 	Store      string   `yaml:"store"`     // host:port of the platform's store
 	LogLevel   string   `yaml:"log_level"`
-	// MaxFlowAge is the age from which the fabric no longer expects a flow to be kept.
-	MaxFlowAge time.Duration `yaml:"max_flow_age"`
 	// MemoryMB is the limit above which the process is killed, in MiB.
 	MemoryMB int64 `yaml:"memory_mb"`
 }
@@ -39,9 +35,6 @@
 	config.CheckHostPort(f, "$.advertise", s.Advertise)
 	config.CheckHostPort(f, "$.metrics", s.Metrics)
 	config.CheckHostPort(f, "$.store", s.Store)
-	if s.MaxFlowAge <= 0 {
-		f.Add("$.max_flow_age", "%v: want more than 0", s.MaxFlowAge)
-	}
 	if s.MemoryMB <= 0 {
 		f.Add("$.memory_mb", "%d: want more than 0", s.MemoryMB)
 	}
--- a/node/packetentry/entry.go
+++ b/node/packetentry/entry.go
@@ -235,7 +235,7 @@
 	agents := e.ranked(flow, service)
 	at, tried := e.choose(now, since, flow, p, agents)
 	if at < 0 {
-		if full(now, agents) {
+		if anyAccepts(now, agents) {
 			e.hold(now, since, p, "all targets are full", table.Revision)
 			return
 		}
@@ -279,8 +279,8 @@
 	return at, need.Tried
 }
 
-// full tells whether a target accepts flows and only lacks room.
-func full(now time.Duration, agents []roster.Peer) bool {
+// anyAccepts tells whether a target accepts flows, so that those that find none only lack room.
+func anyAccepts(now time.Duration, agents []roster.Peer) bool {
 	for i := range agents {
 		if steering.Accepts(&agents[i], now) {
 			return true
@@ -289,6 +289,7 @@
 	return false
 }
 
+// allAbsent tells whether no target of a service is left.
 func allAbsent(agents []roster.Peer) bool {
 	for i := range agents {
 		if !agents[i].Target.Absent {
