agent: tests take ports of a host that only they use

The port was free for TCP when it was chosen, and used for UDP by another process on the same host.

Ruled out: a socket that an agent of the test had left open; the port belongs to none of its settings files.

Conclusion: the test checks what it did; only the choice of the port is safe now.

--- a/node/agent/program_test.go
+++ b/node/agent/program_test.go
@@ -36,13 +36,21 @@
 log_level: warn
 `
 
+// freeAddress returns an address whose port is free for TCP and UDP, on a host that only these tests use, so that no other process takes it in
+// between.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	// The port is free for TCP and very likely for UDP.
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	for {
+		l, err := net.Listen("tcp", "127.79.0.1:0")
+		assert.NilError(t, err)
+		address := l.Addr().String()
+		c, err := net.ListenPacket("udp", address)
+		assert.NilError(t, l.Close())
+		if err == nil {
+			assert.NilError(t, c.Close())
+			return address
+		}
+	}
 }
 
 func settingsFile(t *testing.T, name, seed, rpc, rest string) string {
