--- a/node/packetentry/entry.go
+++ b/node/packetentry/entry.go
@@ -30,6 +30,9 @@
 	forwardGrace = 2200 * time.Millisecond
 	// stopMargin is kept between the end of the process and the moment at which it would be killed.
 	stopMargin = 500 * time.Millisecond
+	// turnAtMost bounds how long a stopping entry waits for others. The platform wants it out of rotation within 4 s of the signal, of which
+	// the fabric takes up to 1.5 s to notice.
+	turnAtMost = 1500 * time.Millisecond
 	// turnCheck is the interval in which a stopping entry looks whether it is its turn.
 	turnCheck = 50 * time.Millisecond
 	// lastCopy is the copy of an opening packet, sent 600 ms after the first, that goes to another target than those before it. The one
@@ -149,10 +152,15 @@
 	return false
 }
 
+// turnFor returns how long an entry with this grace may wait for others before it leaves the rotation.
+func turnFor(grace time.Duration) time.Duration {
+	return min(grace-forwardGrace-stopMargin, turnAtMost)
+}
+
 // stop waits for the other entries of the data centre that are being restarted, as long as the grace allows, then goes on forwarding until the
 // fabric has taken the entry out.
 func (e *Entry) stop(ctx context.Context) {
-	turn, cancel := context.WithTimeout(ctx, e.settings.StopGrace-forwardGrace-stopMargin)
+	turn, cancel := context.WithTimeout(ctx, turnFor(e.settings.StopGrace))
 	defer cancel()
 	for turn.Err() == nil && e.fleet.Roster.EntryLeaves(fleet.Now(), e.fleet.Self.DataCentre) {
 		timing.Sleep(turn, turnCheck)
