peer: removal of expired records is one step for its callers

The node's own removal runs at its start. It had taken the record from the store, and not yet from the index, when the test called the store itself and looked at the index.

Ruled out: a record that comes back from a peer; the test has none at that point.

Conclusion: the test calls the same function as the node, with the same checks.

--- a/node/peer/peer.go
+++ b/node/peer/peer.go
@@ -83,7 +83,8 @@
 	watched time.Time // when it was computed
 	chosen  choices
 
-	expired time.Time // step of the last removal; only expire uses it
+	expired  time.Time // step of the last removal; only expire uses it
+	expiryMu sync.Mutex
 
 	topologyCache atomic.Pointer[topology]
 	entries       atomic.Pointer[entryList]
@@ -370,6 +371,13 @@
 		return
 	}
 	p.expired = step
+	p.removeExpired(now)
+}
+
+// removeExpired removes expired records from the store and the index. When it returns, no other call has removed one from the store alone.
+func (p *Peer) removeExpired(now time.Time) {
+	p.expiryMu.Lock()
+	defer p.expiryMu.Unlock()
 	for _, r := range p.store.Expire(now) {
 		p.index.remove(&r)
 	}
--- a/node/peer/peer_test.go
+++ b/node/peer/peer_test.go
@@ -231,9 +231,7 @@
 	alive.State, alive.Sequence, alive.Ended = record.Ready, 2, time.Time{}
 	assert.Assert(t, e.Publish(record.ForNode(alive)) && len(e.Pool(roomControl.ID())) == 1)
 	assert.Assert(t, e.Publish(sent) && len(e.Pool(roomControl.ID())) == 0)
-	for _, r := range e.store.Expire(time.Now()) {
-		e.index.remove(&r)
-	}
+	e.removeExpired(time.Now())
 	assert.Assert(t, !known() && !e.Publish(sent))
 	alive.Incarnation = 6
 	assert.Assert(t, e.Publish(record.ForNode(alive)) && known())
