registry: records of nodes that are gone for good are removed

Cause: the store expires nothing, and a node that loses its instance cannot remove its own record. Every list grew with each replaced instance, and after each start a search waited 1.5 s for every such node.

Nodes renew their record every 30 minutes. Readers of the store remove records whose object has not changed for 90 minutes on their own clock, with the revision that they saw, unless the node was heard. 48,000 nodes renew 27 times a second.

Ruled out: removal after silence alone, which would take the records of nodes behind a partition, so that a node that starts finds no reason to wait for them and resets their flows; times written by the nodes, whose clocks differ.

Before: records stayed for ever.

--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -23,6 +23,7 @@
 	"lacewinglever.dev/node/timing"
 	"lacewinglever.dev/platform"
 	"lacewinglever.dev/policy/ident"
+	"lacewinglever.dev/policy/registry"
 	"lacewinglever.dev/policy/roster"
 	"lacewinglever.dev/policy/routes"
 	"lacewinglever.dev/policy/steering"
@@ -92,6 +93,7 @@
 	sendFails *metrics.Counter
 	storeSeen dependency
 	beliefs   *logging.Decisions
+	records   registry.Observer // only used by register
 }
 
 // New opens the node's socket. It sends nothing before Run.
--- a/node/fleet/store.go
+++ b/node/fleet/store.go
@@ -15,6 +15,7 @@
 	"lacewinglever.dev/node/timing"
 	"lacewinglever.dev/platform"
 	"lacewinglever.dev/policy/ident"
+	"lacewinglever.dev/policy/registry"
 	"lacewinglever.dev/policy/roster"
 )
 
@@ -91,9 +92,13 @@
 		Address: f.Self.Address.String(), Service: f.options.Service,
 	}
 	var pause backoff
-	written := false
+	written, renewed := false, Now()
 	for {
 		err := error(nil)
+		if now := Now(); now-renewed > registry.RenewEvery {
+			written, renewed = false, now
+			record.Renewals++
+		}
 		if !written {
 			err = f.store.Register(ctx, record)
 		}
@@ -145,9 +150,32 @@
 		}, r.Service, "store")
 	}
 	f.listed.Store(true)
+	f.removeStale(ctx, now, records)
 	return own, nil
 }
 
+// removeStale deletes records of nodes that are gone for good, if this node reads the store for its data centre.
+func (f *Fleet) removeStale(ctx context.Context, now time.Duration, records []platform.NodeRecord) {
+	if !f.isReader() {
+		f.records = registry.Observer{}
+		return
+	}
+	list := make([]registry.Record, len(records))
+	for i := range records {
+		list[i] = registry.Record{Name: records[i].Name, Revision: records[i].Revision}
+	}
+	heard := func(name string) bool {
+		p, ok := f.Roster.Find(ident.NewNodeID(name))
+		return name == f.Self.Name || ok && p.Running(now)
+	}
+	for _, r := range f.records.Observe(now, list, heard) {
+		// A record that was renewed since has another revision and stays.
+		err := f.store.Deregister(ctx, r.Name, r.Revision)
+		_ = level.Info(f.options.Logger).Log(
+			logging.KeyMessage, "stale node record removed", logging.KeyPeer, r.Name, logging.KeyRevision, r.Revision, logging.KeyError, err)
+	}
+}
+
 // Deregister removes the node's record, when it will not come back.
 func (f *Fleet) Deregister(ctx context.Context) error {
 	return f.store.Deregister(ctx, f.Self.Name, 0)
