--- a/node/fleet/store.go
+++ b/node/fleet/store.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"time"
@@ -79,7 +78,7 @@
 	if b.next == 0 {
 		b.next = firstBackoff
 	}
-	d := b.next/2 + rand.N(b.next)
+	d := timing.Jitter(b.next)
 	b.next = min(2*b.next, maxBackoff)
 	return timing.Sleep(ctx, d)
 }
@@ -111,7 +110,7 @@
 		f.noteStore(err)
 		if err == nil && written {
 			pause.reset()
-			if !timing.Sleep(ctx, relistEvery/2+rand.N(relistEvery)) {
+			if !timing.Sleep(ctx, timing.Jitter(relistEvery)) {
 				return
 			}
 			continue
--- a/node/objectapi/client.go
+++ b/node/objectapi/client.go
@@ -6,7 +6,6 @@
 	"crypto/rand"
 	"encoding/json"
 	"io"
-	mathrand "math/rand/v2"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -227,7 +226,7 @@
 		if err == nil || !temporary(err) {
 			return err
 		}
-		if !timing.Sleep(ctx, jitter(backoff)) {
+		if !timing.Sleep(ctx, timing.Jitter(backoff)) {
 			return err
 		}
 	}
@@ -237,9 +236,6 @@
 	return errors.Is(err, ErrUnavailable) || errors.Is(err, ErrRateLimited)
 }
 
-// jitter spreads retries, so that callers which failed together do not return together.
-func jitter(d time.Duration) time.Duration { return d/2 + mathrand.N(d) }
-
 // answer is an answer that arrived whole. fault is set if it is not 2xx.
 type answer struct {
 	status int
--- a/node/objectapi/watch.go
+++ b/node/objectapi/watch.go
@@ -34,7 +34,7 @@
 		if err != nil && onError != nil {
 			onError(err)
 		}
-		timing.Sleep(ctx, jitter(backoff))
+		timing.Sleep(ctx, timing.Jitter(backoff))
 		backoff = min(2*backoff, maxBackoff)
 	}
 }
--- a/node/peer/sync.go
+++ b/node/peer/sync.go
@@ -195,7 +195,7 @@
 		} else {
 			pause = joinRetryMax
 		}
-		if !timing.Sleep(ctx, jitter(pause)) {
+		if !timing.Sleep(ctx, timing.Jitter(pause)) {
 			return nil
 		}
 		pause = min(2*pause, joinRetryMax)
@@ -230,7 +230,7 @@
 
 // antiEntropy synchronises with one random peer every syncEvery: an agent with one of its watchers, an entry with any other.
 func (p *Peer) antiEntropy(ctx context.Context) error {
-	for timing.Sleep(ctx, jitter(syncEvery)) {
+	for timing.Sleep(ctx, timing.Jitter(syncEvery)) {
 		candidates := p.randomEntries(1)
 		if w := p.watchers(); !p.options.Self.Entry && len(w) > 0 {
 			candidates = []ident.NodeID{w[rand.IntN(len(w))]}
@@ -248,7 +248,7 @@
 // reconnect synchronises every syncEvery with one entry that is held dead or is in a scope that is down. Two sides of a healed partition
 // have no other reason to talk.
 func (p *Peer) reconnect(ctx context.Context) error {
-	for timing.Sleep(ctx, jitter(syncEvery)) {
+	for timing.Sleep(ctx, timing.Jitter(syncEvery)) {
 		lost := p.index.lostEntries()
 		if !p.options.Self.Entry || len(lost) == 0 {
 			continue
@@ -260,8 +260,3 @@
 	}
 	return nil
 }
-
-// jitter returns a duration between 80% and 120% of d, so that nodes that started together don't stay in step.
-func jitter(d time.Duration) time.Duration {
-	return time.Duration(float64(d) * (0.8 + 0.4*rand.Float64()))
-}
--- a/node/timing/timing.go
+++ b/node/timing/timing.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 )
 
@@ -31,3 +32,6 @@
 		}
 	}
 }
+
+// Jitter returns a duration between half and one and a half times d, so that nodes that started or failed together don't stay in step.
+func Jitter(d time.Duration) time.Duration { return d/2 + rand.N(d) }
