steering: targets that break requests off get fewer new flows

Agents count requests that their target broke off (a reset while a request waits), and requests a second, with a time constant of 2 s, and tell both in their heartbeat. Broken requests add to the load that placing compares; and a request counts for at least half of the mean time that the pool's requests take. Open flows stay where they are.

Ruled out: leaving such targets out altogether, which needs a bound on how many; their weight falls by itself when nothing arrives there.

Also: entries and agents share the loop that reads packets and the limits of their decision logs (node/fleet).

--- a/node/fleet/convert.go
+++ b/node/fleet/convert.go
@@ -42,6 +42,7 @@
 	h.Target = &fleetv1.Target{
 		Service: t.Service, Id: t.ID, BornUnixMs: t.Born, Accepting: t.Accepting, Absent: t.Absent, Cold: t.Cold,
 		Flows: uint32(t.Flows), Slots: uint32(t.Slots), BusyPerMille: uint32(t.Busy * perMille), Doubtful: t.Doubtful,
+		Rate: float32(t.Rate), Failing: float32(t.Failing),
 	}
 	return h
 }
@@ -56,7 +57,8 @@
 		Sequence: h.GetSequence(), Revision: h.GetRevision(), Leaving: h.GetLeaving(),
 		Target: roster.Target{
 			Service: t.GetService(), ID: t.GetId(), Born: t.GetBornUnixMs(), Accepting: t.GetAccepting(), Absent: t.GetAbsent(),
-			Doubtful: t.GetDoubtful(), Cold: t.GetCold(), Flows: int(t.GetFlows()), Slots: int(t.GetSlots()), Busy: float64(t.GetBusyPerMille()) / perMille,
+			Doubtful: t.GetDoubtful(), Rate: float64(t.GetRate()), Failing: float64(t.GetFailing()),
+			Cold: t.GetCold(), Flows: int(t.GetFlows()), Slots: int(t.GetSlots()), Busy: float64(t.GetBusyPerMille()) / perMille,
 		},
 	}, nil
 }
--- a/node/packetagent/agent.go
+++ b/node/packetagent/agent.go
@@ -31,9 +31,6 @@
 )
 
 const (
-	// usualLines and unusualLines bound the decision logs, in lines a second.
-	usualLines   = 100
-	unusualLines = 50
 	// checkEvery is the interval in which the agent notices what the target's silence says.
 	checkEvery = 50 * time.Millisecond
 	// tellLoad is the change of the load, in requests a slot, that is told between two heartbeats. Entries that act on old loads all
@@ -63,8 +60,7 @@
 	offers   offers
 	status   atomic.Pointer[lifecycle.Status] // at the last check
 	told     atomic.Uint64                    // load in the last heartbeat, the bits of a float64
-	usual    *logging.Decisions
-	unusual  *logging.Decisions
+	logs     fleet.DecisionLogs
 	counters counters
 	scratch  sync.Pool // *[]roster.Peer
 	held     holding.Queue[fleet.Relay]
@@ -111,14 +107,14 @@
 func newAgent(s *Settings, p *fleet.Program) (*Agent, error) {
 	a := &Agent{
 		settings: s, logger: p.Logger, counters: newCounters(p.Metrics), flows: inflight.New(),
-		life:    lifecycle.New(fleet.Now(), lifecycle.Options{Heartbeat: s.Heartbeat, AddressReuse: s.AddressReuse}),
-		usual:   logging.NewDecisionsWithLimit(p.Logger, usualLines),
-		unusual: logging.NewDecisionsWithLimit(p.Logger, unusualLines),
+		life: lifecycle.New(fleet.Now(), lifecycle.Options{Heartbeat: s.Heartbeat, AddressReuse: s.AddressReuse}),
+		logs: p.Decisions(),
 	}
 	a.scratch.New = func() any { return new([]roster.Peer) }
 	a.status.Store(&lifecycle.Status{})
-	p.Metrics.NewGauge("lacewing_flows", func() float64 { n, _ := a.flows.Load(fleet.Now()); return float64(n) })
-	p.Metrics.NewGauge("lacewing_requests_in_progress", func() float64 { _, busy := a.flows.Load(fleet.Now()); return busy })
+	p.Metrics.NewGauge("lacewing_flows", func() float64 { return float64(a.flows.Load(fleet.Now()).Flows) })
+	p.Metrics.NewGauge("lacewing_requests_in_progress", func() float64 { return a.flows.Load(fleet.Now()).Busy })
+	p.Metrics.NewGauge("lacewing_requests_broken_off_share", func() float64 { return a.flows.Load(fleet.Now()).Failing })
 	callers, err := netip.ParseAddrPort(s.CallersAddress)
 	if err != nil {
 		return nil, errors.Wrap(err, "callers_address")
@@ -140,11 +136,11 @@
 // Beat tells what the target takes.
 func (a *Agent) Beat(now time.Duration, b *roster.Beat) {
 	s := a.life.Status(now)
-	flows, busy := a.flows.Load(now)
-	a.told.Store(math.Float64bits(busy))
+	load := a.flows.Load(now)
+	a.told.Store(math.Float64bits(load.Busy))
 	b.Target = roster.Target{
 		Service: a.service(&s), ID: s.ID, Born: s.Born, Accepting: s.Accepting, Absent: s.Absent, Doubtful: s.Doubtful, Cold: s.Cold, Slots: s.Slots,
-		Flows: flows, Busy: busy,
+		Flows: load.Flows, Busy: load.Busy, Rate: load.Rate, Failing: load.Failing,
 	}
 }
 
@@ -195,8 +191,8 @@
 // Malformed counts and logs a call that names no target to use.
 func (a *Agent) Malformed(call string, err error) {
 	a.counters.Set.GetOrCreateCounter(`lacewing_target_calls_refused_total{call="` + call + `"}`).Inc()
-	if a.unusual.Allow() {
-		a.unusual.Log("target call refused", "call", call, logging.KeyError, err)
+	if a.logs.Unusual.Allow() {
+		a.logs.Unusual.Log("target call refused", "call", call, logging.KeyError, err)
 	}
 }
 
@@ -216,7 +212,7 @@
 func (a *Agent) notice(now time.Duration) {
 	s := a.life.Status(now)
 	before := a.status.Swap(&s)
-	if _, busy := a.flows.Load(now); math.Abs(busy-math.Float64frombits(a.told.Load())) > tellLoad*float64(max(s.Slots, 1)) {
+	if busy := a.flows.Load(now).Busy; math.Abs(busy-math.Float64frombits(a.told.Load())) > tellLoad*float64(max(s.Slots, 1)) {
 		a.fleet.AnnounceLoad()
 	}
 	if s.Accepting == before.Accepting && s.Absent == before.Absent && s.Doubtful == before.Doubtful {
@@ -248,31 +244,14 @@
 
 // receive reads what the target sends until the context ends.
 func (a *Agent) receive(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { _ = a.conn.Close() })
-	defer stop()
-	buffer := make([]byte, 2*platform.MaxPacketSize)
-	for {
-		n, err := a.conn.Read(buffer)
-		if ctx.Err() != nil {
-			return nil
-		}
-		if err != nil {
-			a.counters.Dropped("read failed")
-			continue
-		}
-		p, err := platform.ParsePacket(buffer[:n])
-		if err != nil {
-			a.counters.Dropped("malformed")
-			continue
-		}
-		now := fleet.Now()
+	return fleet.ReadPackets(ctx, a.conn, a.counters.Endings, func(now time.Duration, p platform.Packet) {
 		a.life.Sent(now)
 		if p.Returned() {
 			a.givenBack(now, p)
-			continue
+			return
 		}
 		a.toCaller(now, p)
-	}
+	})
 }
 
 // event returns what a packet says of its flow.
@@ -353,10 +332,10 @@
 			return
 		}
 		a.life.Offered(now)
-		if a.usual.Allow() {
-			flows, busy := a.flows.Load(now)
-			a.usual.Log("flow offered", logging.KeyFlow, p.FromCaller(), "copy", p.Copy(), logging.KeyService, s.Service,
-				logging.KeyTarget, s.ID, logging.KeyRevision, r.Revision, "tried", len(r.Tried), "flows", flows, "busy", float32(busy),
+		if a.logs.Usual.Allow() {
+			load := a.flows.Load(now)
+			a.logs.Usual.Log("flow offered", logging.KeyFlow, p.FromCaller(), "copy", p.Copy(), logging.KeyService, s.Service,
+				logging.KeyTarget, s.ID, logging.KeyRevision, r.Revision, "tried", len(r.Tried), "flows", load.Flows, "busy", float32(load.Busy), "failing", float32(load.Failing),
 				logging.KeyAge, s.Age)
 		}
 	} else if s.Absent || r.Service != "" && r.Service != a.service(&s) {
@@ -471,8 +450,8 @@
 		} else {
 			a.hold(now, since, r, "no target accepts")
 		}
-		if (at >= 0 || since == now) && a.unusual.Allow() {
-			a.unusual.Log("flow not accepted", logging.KeyFlow, flow, "copy", p.Copy(), logging.KeyReason, reason, logging.KeyService, r.Service,
+		if (at >= 0 || since == now) && a.logs.Unusual.Allow() {
+			a.logs.Unusual.Log("flow not accepted", logging.KeyFlow, flow, "copy", p.Copy(), logging.KeyReason, reason, logging.KeyService, r.Service,
 				"to", to, "tried", len(r.Tried), "candidates", len(agents))
 		}
 	})
@@ -498,8 +477,8 @@
 		case steering.Nowhere:
 			outcome = a.reset(now, since, r, p, steering.MeanLoad(now, agents))
 		}
-		if (outcome != "held" || since == now) && a.unusual.Allow() {
-			a.unusual.Log("flow not held", logging.KeyFlow, flow, "sequence", p.Sequence(), logging.KeyService, r.Service,
+		if (outcome != "held" || since == now) && a.logs.Unusual.Allow() {
+			a.logs.Unusual.Log("flow not held", logging.KeyFlow, flow, "sequence", p.Sequence(), logging.KeyService, r.Service,
 				logging.KeyRevision, r.Revision, "outcome", outcome, "tried", len(r.Tried), "candidates", len(agents))
 		}
 	})
--- a/node/packetentry/entry.go
+++ b/node/packetentry/entry.go
@@ -38,9 +38,6 @@
 	// lastCopy is the copy of an opening packet, sent 600 ms after the first, that goes to another target than those before it. The one
 	// before it may only have lost a packet.
 	lastCopy = 2
-	// usualLines and unusualLines bound the decision logs, in lines a second.
-	usualLines   = 100
-	unusualLines = 50
 	// expireEvery is the interval in which idle flows are forgotten.
 	expireEvery = time.Second
 	// idleSlack is added to the idle timeout of flows, for clocks and packets on the way.
@@ -58,8 +55,7 @@
 	flows    *flowTable
 	stopping atomic.Bool
 	started  atomic.Bool // was ready once
-	usual    *logging.Decisions
-	unusual  *logging.Decisions
+	logs     fleet.DecisionLogs
 	counters counters
 	held     holding.Queue[platform.Packet]
 
@@ -110,8 +106,7 @@
 	}
 	e := &Entry{
 		settings: s, port: address.Port(), flows: newFlowTable(), counters: newCounters(p.Metrics),
-		usual:   logging.NewDecisionsWithLimit(p.Logger, usualLines),
-		unusual: logging.NewDecisionsWithLimit(p.Logger, unusualLines),
+		logs: p.Decisions(),
 	}
 	p.Metrics.NewGauge("lacewing_flows", func() float64 { return float64(e.flows.size()) })
 	if e.conn, err = fleet.ListenUDP(s.Callers); err != nil {
@@ -183,27 +178,14 @@
 
 // receive passes on callers' packets until the context ends.
 func (e *Entry) receive(ctx context.Context) error {
-	stop := context.AfterFunc(ctx, func() { _ = e.conn.Close() })
-	defer stop()
-	buffer := make([]byte, 2*platform.MaxPacketSize)
-	for {
-		n, err := e.conn.Read(buffer)
-		if ctx.Err() != nil {
-			return nil
-		}
-		if err != nil {
-			e.counters.Dropped("read failed")
-			continue
-		}
-		p, err := platform.ParsePacket(buffer[:n])
-		if err != nil || p.Returned() || p.Accepts() {
+	return fleet.ReadPackets(ctx, e.conn, e.counters.Endings, func(now time.Duration, p platform.Packet) {
+		if p.Returned() || p.Accepts() {
 			e.counters.Dropped("malformed")
-			continue
+			return
 		}
-		now := fleet.Now()
 		e.pass(now, now, p)
 		e.counters.seconds.Update((fleet.Now() - now).Seconds())
-	}
+	})
 }
 
 // retry decides again about packets that were held, until the context ends.
@@ -259,10 +241,10 @@
 	e.fleet.Roster.Place(now, a.ID)
 	e.counters.opened.Inc()
 	e.send(a, &fleet.Relay{Service: service, Revision: table.Revision, Tried: tried, Packet: p})
-	if e.usual.Allow() {
-		e.usual.Log("flow opens", logging.KeyFlow, flow, "copy", p.Copy(), "route", route.Name, logging.KeyService, service,
+	if e.logs.Usual.Allow() {
+		e.logs.Usual.Log("flow opens", logging.KeyFlow, flow, "copy", p.Copy(), "route", route.Name, logging.KeyService, service,
 			logging.KeyRevision, table.Revision, logging.KeyPeer, a.Name, logging.KeyTarget, a.Target.ID,
-			"load", float32(steering.Load(now, a, e.fleet.Self.DataCentre)), logging.KeyAge, now-a.Heard, "candidates", len(agents))
+			"load", float32(steering.Load(now, a, e.fleet.Self.DataCentre, steering.TypicalTime(agents))), logging.KeyAge, now-a.Heard, "candidates", len(agents))
 	}
 }
 
@@ -342,8 +324,8 @@
 	case steering.Continue:
 		e.counters.searched.Inc()
 		e.send(&agents[at], &fleet.Relay{Service: service, Revision: revision, Search: true, Packet: p})
-		if e.unusual.Allow() {
-			e.unusual.Log("flow searched", logging.KeyFlow, flow, "sequence", p.Sequence(), logging.KeyService, service,
+		if e.logs.Unusual.Allow() {
+			e.logs.Unusual.Log("flow searched", logging.KeyFlow, flow, "sequence", p.Sequence(), logging.KeyService, service,
 				logging.KeyRevision, revision, logging.KeyPeer, agents[at].Name, "candidates", len(agents))
 		}
 	case steering.Nowhere:
@@ -375,8 +357,8 @@
 	if _, err := e.conn.WriteToUDPAddrPort(platform.NewReset(p), to); err != nil {
 		e.counters.Dropped("send failed")
 	}
-	if e.unusual.Allow() {
-		e.unusual.Log("flow reset", logging.KeyFlow, flow, "sequence", p.Sequence(), "opening", p.Opens(), logging.KeyReason, reason,
+	if e.logs.Unusual.Allow() {
+		e.logs.Unusual.Log("flow reset", logging.KeyFlow, flow, "sequence", p.Sequence(), "opening", p.Opens(), logging.KeyReason, reason,
 			logging.KeyRevision, table.Revision)
 	}
 }
@@ -395,8 +377,8 @@
 	if !kept {
 		e.counters.Dropped(reason)
 	}
-	if (!kept || since == now) && e.unusual.Allow() {
-		e.unusual.Log("packet held", logging.KeyFlow, flow, "sequence", p.Sequence(), "opening", p.Opens(), logging.KeyReason, reason,
+	if (!kept || since == now) && e.logs.Unusual.Allow() {
+		e.logs.Unusual.Log("packet held", logging.KeyFlow, flow, "sequence", p.Sequence(), "opening", p.Opens(), logging.KeyReason, reason,
 			"kept", kept, logging.KeyAge, now-since, logging.KeyRevision, revision)
 	}
 }
--- a/policy/inflight/inflight.go
+++ b/policy/inflight/inflight.go
@@ -3,6 +3,7 @@
 package inflight
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -12,6 +13,13 @@
 // smoothing is the time constant of the number of requests in progress: a few requests long, so that a burst shows in the next heartbeat.
 const smoothing = 100 * time.Millisecond
 
+// judgedOver is the time constant of the share of requests that the target broke off, and of the rate of requests. A target that is avoided for its
+// failures is tried again after about twice this time.
+const judgedOver = 2 * time.Second
+
+// trusted is the number of requests that a target is taken to have answered before, so that a single failure says little.
+const trusted = 4
+
 // busyAtMost is how long a request counts as in progress. One that takes longer has most likely lost its caller or its answer, and a target that
 // seemed busy for ever would get no new flows.
 const busyAtMost = 2 * time.Second
@@ -32,6 +40,29 @@
 	finished bool          // one end has finished
 }
 
+// decayed is a sum of events that loses weight with time.
+type decayed struct {
+	sum float64
+	at  time.Duration
+}
+
+func (d *decayed) value(now time.Duration) float64 {
+	if now <= d.at {
+		return d.sum
+	}
+	return d.sum * math.Exp(-float64(now-d.at)/float64(judgedOver))
+}
+
+func (d *decayed) add(now time.Duration) { d.sum, d.at = d.value(now)+1, max(now, d.at) }
+
+// Load is what a table says of its target at one moment.
+type Load struct {
+	Flows   int
+	Busy    float64 // requests in progress, smoothed
+	Rate    float64 // requests a second
+	Failing float64 // share of the requests that the target broke off, 0 to 1
+}
+
 // Table holds the flows of one target. Its methods may be called from any goroutine.
 type Table struct {
 	mu      sync.Mutex
@@ -39,6 +70,9 @@
 	busy    int
 	smooth  float64
 	updated time.Duration
+	started decayed // requests
+	ended   decayed // requests that were answered or broken off
+	broken  decayed // requests that were broken off
 }
 
 // New returns an empty table.
@@ -70,6 +104,7 @@
 		if !f.waiting {
 			f.waiting, f.since = true, now
 			t.busy++
+			t.started.add(now)
 		}
 	}
 	t.finish(id, f, e)
@@ -83,6 +118,12 @@
 	if f == nil {
 		return
 	}
+	if f.waiting && (e.Data || e.Resets) {
+		t.ended.add(now)
+		if e.Resets {
+			t.broken.add(now)
+		}
+	}
 	if e.Data || e.Finishes { // a target that finishes has nothing more to answer
 		t.answered(f)
 	}
@@ -164,12 +205,17 @@
 	defer t.mu.Unlock()
 	clear(t.flows)
 	t.busy, t.smooth = 0, 0
+	t.started, t.ended, t.broken = decayed{}, decayed{}, decayed{}
 }
 
-// Load returns the number of flows, and of requests in progress, smoothed.
-func (t *Table) Load(now time.Duration) (flows int, busy float64) {
+// Load returns the load of the target.
+func (t *Table) Load(now time.Duration) Load {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.advance(now)
-	return len(t.flows), t.smooth
+	return Load{
+		Flows: len(t.flows), Busy: t.smooth,
+		Rate:    t.started.value(now) / judgedOver.Seconds(),
+		Failing: t.broken.value(now) / (t.ended.value(now) + trusted),
+	}
 }
--- a/policy/inflight/inflight_test.go
+++ b/policy/inflight/inflight_test.go
@@ -22,13 +22,13 @@
 	table.Delivered(0, a, data)
 	table.Delivered(0, b, data)
 	table.Delivered(time.Millisecond, b, data) // a retransmission is the same request
-	_, busy := table.Load(10 * time.Second)
+	busy := table.Load(10 * time.Second).Busy
 	assert.Assert(t, busy > 1.9 && busy <= 2, "%v", busy)
 	table.Sent(10*time.Second, a, data)
 	table.Refused(10*time.Second, b)
-	flows, busy := table.Load(30 * time.Second)
-	assert.Equal(t, flows, 1)
-	assert.Assert(t, busy < 0.1, "%v", busy)
+	load := table.Load(30 * time.Second)
+	assert.Equal(t, load.Flows, 1)
+	assert.Assert(t, load.Busy < 0.1, "%v", load)
 }
 
 // Guards against a target that seems busy for ever, and gets no new flows: an outage left up to six such requests at every target, because a request that
@@ -39,14 +39,14 @@
 	table.Delivered(0, a, first)
 	table.Sent(0, a, data)
 	table.Delivered(0, a, first) // again, after its answer
-	_, busy := table.Load(10 * time.Second)
+	busy := table.Load(10 * time.Second).Busy
 	assert.Assert(t, busy < 0.1, "%v", busy)
 	table.Delivered(10*time.Second, a, inflight.Event{Data: true, Sequence: 900})
 	table.Expire(11*time.Second, time.Minute)
-	_, busy = table.Load(11 * time.Second)
+	busy = table.Load(11 * time.Second).Busy
 	assert.Assert(t, busy > 0.5, "%v", busy)
 	table.Expire(13*time.Second, time.Minute)
-	_, busy = table.Load(20 * time.Second)
+	busy = table.Load(20 * time.Second).Busy
 	assert.Assert(t, busy < 0.1, "%v", busy)
 }
 
@@ -57,7 +57,7 @@
 	table.Delivered(0, a, data)
 	table.Sent(0, a, inflight.Event{})
 	table.Sent(0, a, inflight.Event{Finishes: true})
-	_, busy := table.Load(time.Second)
+	busy := table.Load(time.Second).Busy
 	assert.Assert(t, busy < 0.1, "%v", busy)
 }
 
@@ -72,11 +72,36 @@
 	table.Sent(0, a, inflight.Event{})
 	table.Delivered(0, b, data)
 	table.Sent(0, b, inflight.Event{Resets: true})
-	flows, _ := table.Load(0)
+	flows := table.Load(0).Flows
 	assert.Equal(t, flows, 0)
 	table.Delivered(0, a, data)
 	table.Expire(20*time.Second, 15*time.Second)
-	flows, busy := table.Load(20 * time.Second)
-	assert.Equal(t, flows, 0)
-	assert.Assert(t, busy < 1)
+	load := table.Load(20 * time.Second)
+	assert.Equal(t, load.Flows, 0)
+	assert.Assert(t, load.Busy < 1)
+}
+
+// Guards against a target that breaks requests off and looks idle: half of its requests show as failing within a second, a single one hardly does, and the
+// suspicion ends when it serves again or gets no requests.
+func TestBrokenRequestsShow(t *testing.T) {
+	table := inflight.New()
+	reset := inflight.Event{Resets: true}
+	request := func(now time.Duration, port uint16, end inflight.Event) {
+		flow := steering.Flow{CallerPort: port}
+		table.Delivered(now, flow, data)
+		table.Sent(now+time.Millisecond, flow, end)
+	}
+	request(0, 1, reset)
+	assert.Assert(t, table.Load(time.Millisecond).Failing <= 0.2)
+	now := time.Duration(0)
+	for i := range uint16(40) {
+		now += 25 * time.Millisecond
+		request(now, 2+i, []inflight.Event{reset, data}[i%2])
+	}
+	load := table.Load(now)
+	assert.Assert(t, load.Failing > 0.4 && load.Failing < 0.6, "%v", load)
+	assert.Assert(t, load.Rate > 14 && load.Rate < 25, "%v", load)
+	assert.Assert(t, table.Load(now+10*time.Second).Failing < 0.05)
+	table.Sent(now, steering.Flow{CallerPort: 900}, reset) // of an idle flow: no request was broken off
+	assert.Assert(t, table.Load(now).Failing <= load.Failing)
 }
--- a/policy/roster/roster.go
+++ b/policy/roster/roster.go
@@ -53,6 +53,8 @@
 	Flows     int
 	Slots     int
 	Busy      float64 // requests in progress, smoothed
+	Rate      float64 // requests a second
+	Failing   float64 // share of the requests that the target broke off, 0 to 1
 }
 
 // Beat is what a node says in one heartbeat.
--- a/policy/steering/place.go
+++ b/policy/steering/place.go
@@ -28,11 +28,19 @@
 	// farLoad and coldLoad are added to the load per slot of targets in another data centre, and of targets that have just started.
 	farLoad  = 0.15
 	coldLoad = 0.3
+	// failingLoad is added for a target that breaks off all of its requests. One that breaks off a third weighs as much as a full one.
+	failingLoad = 9
+	// quickest is the part of the pool's mean time of a request that a request counts for at least. A target that fails its requests at once is
+	// idle, and would get most of the new flows.
+	quickest = 0.5
 )
 
-// Load returns the load per slot that a new flow of a caller in the data centre origin would meet at a target.
-func Load(now time.Duration, p *roster.Peer, origin ident.DataCentre) float64 {
-	load := (p.Target.Busy + flowLoad*float64(p.Target.Flows) + placedLoad*p.Placed(now)) / float64(max(p.Target.Slots, 1))
+// Load returns the load per slot that a new flow of a caller in the data centre origin would meet at a target of a pool where requests take typical in
+// the mean.
+func Load(now time.Duration, p *roster.Peer, origin ident.DataCentre, typical time.Duration) float64 {
+	busy := max(p.Target.Busy, p.Target.Rate*quickest*typical.Seconds())
+	load := (busy + flowLoad*float64(p.Target.Flows) + placedLoad*p.Placed(now)) / float64(max(p.Target.Slots, 1))
+	load += failingLoad * p.Target.Failing
 	if p.DataCentre != origin {
 		load += farLoad
 	}
@@ -42,6 +50,19 @@
 	return load
 }
 
+// TypicalTime returns the mean time of a request in the pool: by Little's law, requests in progress over requests a second.
+func TypicalTime(agents []roster.Peer) time.Duration {
+	busy, rate := 0.0, 0.0
+	for i := range agents {
+		busy += agents[i].Target.Busy
+		rate += agents[i].Target.Rate
+	}
+	if rate == 0 {
+		return 0
+	}
+	return time.Duration(busy / rate * float64(time.Second))
+}
+
 // MeanLoad returns the mean number of requests in progress a slot of the live agents, 0 if there are none.
 func MeanLoad(now time.Duration, agents []roster.Peer) float64 {
 	busy, slots := 0.0, 0
@@ -114,12 +135,13 @@
 // waits at the entry (package holding) and not in the queue of a target, which serves in the order of arrival and sheds when it is full.
 func Place(now time.Duration, n Need, agents []roster.Peer) int {
 	best, lowest, seen := -1, 0.0, 0
+	typical := TypicalTime(agents)
 	for i := range agents {
 		p := &agents[i]
 		if !Accepts(p, now) || slices.Contains(n.Tried, p.ID) || n.Waited < waitForRoom && Full(now, p, n.Entries) {
 			continue
 		}
-		if load := Load(now, p, n.Origin); best < 0 || load < lowest {
+		if load := Load(now, p, n.Origin, typical); best < 0 || load < lowest {
 			best, lowest = i, load
 		}
 		if seen++; seen == choices {
