fleet: nodes tell each other what changed in the routes

Cause: with each change of the settings, every node fetched the whole object as stored from the first node that announced it. And the platform's format went between nodes.

policy/routes makes and applies changes from one revision to another. A heartbeat that announces a small change carries it, and nodes pass it on to three others. Who lags behind fetches the changes since its revision, packed once, from nodes that serve two at a time; the refused turn to those served.

Ruled out: announcing by readers only, which leaves those that lose the datagram waiting for a heartbeat.

--- a/node/fleet/convert.go
+++ b/node/fleet/convert.go
@@ -1,13 +1,16 @@
 package fleet
 
 import (
+	"encoding/binary"
 	"net/netip"
+	"time"
 
 	"github.com/go-faster/errors"
 
 	fleetv1 "lacewinglever.dev/node/gen/lacewing/fleet/v1"
 	"lacewinglever.dev/policy/ident"
 	"lacewinglever.dev/policy/roster"
+	"lacewinglever.dev/policy/routes"
 )
 
 // perMille converts between requests in progress and the thousandths that heartbeats carry.
@@ -62,3 +65,69 @@
 		},
 	}, nil
 }
+
+// addressSize is the size of an encoded address, in bytes: IPv4 and port.
+const addressSize = 6
+
+func toAddress(a netip.AddrPort) []byte {
+	ip := a.Addr().As4()
+	return binary.BigEndian.AppendUint16(ip[:], a.Port())
+}
+
+func fromAddress(b []byte) (netip.AddrPort, error) {
+	if len(b) != addressSize {
+		return netip.AddrPort{}, errors.Errorf("address of %d bytes, want %d", len(b), addressSize)
+	}
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte(b[:4])), binary.BigEndian.Uint16(b[4:])), nil
+}
+
+func toChange(c *routes.Change) *fleetv1.RoutesChange {
+	m := &fleetv1.RoutesChange{
+		Base: c.Base, Revision: c.Revision, Version: c.Version, IdleTimeoutMs: c.IdleTimeout.Milliseconds(),
+		Services: c.Services, RemovedServices: c.RemovedServices,
+	}
+	for i := range c.Routes {
+		r := &fleetv1.Route{Address: toAddress(c.Routes[i].Address), Name: c.Routes[i].Route.Name}
+		for _, share := range c.Routes[i].Route.Shares {
+			r.Shares = append(r.Shares, &fleetv1.Share{Service: share.Service, Weight: share.Weight})
+		}
+		m.Routes = append(m.Routes, r)
+	}
+	for _, a := range c.RemovedRoutes {
+		m.Removed = append(m.Removed, toAddress(a))
+	}
+	return m
+}
+
+func fromChange(m *fleetv1.RoutesChange) (routes.Change, error) {
+	c := routes.Change{
+		Base: m.GetBase(), Revision: m.GetRevision(), Version: m.GetVersion(),
+		IdleTimeout: time.Duration(m.GetIdleTimeoutMs()) * time.Millisecond,
+		Services:    m.GetServices(), RemovedServices: m.GetRemovedServices(),
+	}
+	if c.Revision <= c.Base {
+		return c, errors.Errorf("change of the routes from revision %d to %d", c.Base, c.Revision)
+	}
+	for _, r := range m.GetRoutes() {
+		address, err := fromAddress(r.GetAddress())
+		if err != nil {
+			return c, errors.Wrapf(err, "route %q", r.GetName())
+		}
+		route := routes.Route{Name: r.GetName()}
+		for _, share := range r.GetShares() {
+			route.Shares = append(route.Shares, routes.Share{Service: share.GetService(), Weight: share.GetWeight()})
+		}
+		if len(route.Shares) == 0 {
+			return c, errors.Errorf("route %q has no service", r.GetName())
+		}
+		c.Routes = append(c.Routes, routes.AddressRoute{Address: address, Route: route})
+	}
+	for _, b := range m.GetRemoved() {
+		address, err := fromAddress(b)
+		if err != nil {
+			return c, errors.Wrap(err, "removed route")
+		}
+		c.RemovedRoutes = append(c.RemovedRoutes, address)
+	}
+	return c, nil
+}
--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -93,7 +93,8 @@
 	sendFails *metrics.Counter
 	storeSeen dependency
 	beliefs   *logging.Decisions
-	records   registry.Observer // only used by register
+	records   registry.Observer                    // only used by register
+	change    atomic.Pointer[fleetv1.RoutesChange] // to be announced with the next heartbeat to all
 }
 
 // New opens the node's socket. It sends nothing before Run.
@@ -257,6 +258,9 @@
 	}
 	now := Now()
 	message := f.heartbeat(now, false)
+	if all {
+		message.Routes = f.change.Swap(nil)
+	}
 	service := message.GetHeartbeat().GetTarget().GetService()
 	b := encode(message)
 	for _, p := range f.Roster.Peers() {
@@ -343,6 +347,9 @@
 		f.malformed.Inc()
 		return
 	}
+	if m.GetRoutes() != nil {
+		f.hearRoutes(m.GetRoutes(), m.GetHeartbeat().GetSender().GetName())
+	}
 	if h := m.GetHeartbeat(); h != nil {
 		f.hear(now, h)
 	}
--- /dev/null
+++ b/node/fleet/routes_test.go
@@ -0,0 +1,84 @@
+package fleet
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	fleetv1 "lacewinglever.dev/node/gen/lacewing/fleet/v1"
+	"lacewinglever.dev/policy/routes"
+)
+
+// tableOf returns routes of n addresses to a service.
+func tableOf(revision uint64, n int, service string) *routes.Table {
+	t := &routes.Table{
+		Revision: revision, Version: 9, IdleTimeout: 15 * time.Second,
+		Routes: map[netip.AddrPort]routes.Route{}, Services: map[string]struct{}{service: {}},
+	}
+	for i := range n {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, byte(i >> 8), byte(i)}), 8443)
+		t.Routes[address] = routes.Route{Name: fmt.Sprint("r", i), Shares: []routes.Share{{Service: service, Weight: 0.9}, {Service: "z", Weight: 0.1}}}
+	}
+	return t
+}
+
+// Guards against routes that change on their way to another node, and against an answer to one revision that is kept for another.
+func TestUpdatesCarryRoutes(t *testing.T) {
+	var cache updateCache
+	var at, there routes.Current
+	update := func() {
+		packed, err := cache.get(&at, there.Revision())
+		assert.NilError(t, err)
+		u, err := unpack(packed)
+		assert.NilError(t, err)
+		for _, m := range u.GetChanges() {
+			c, err := fromChange(m)
+			assert.NilError(t, err)
+			next, err := c.Apply(there.Load())
+			assert.NilError(t, err)
+			there.Offer(next)
+		}
+	}
+	for _, next := range []*routes.Table{tableOf(3, 2000, "a"), tableOf(4, 2001, "a"), tableOf(8, 1500, "b")} {
+		at.Offer(next)
+		update()
+		assert.Equal(t, there.Revision(), next.Revision)
+		assert.Equal(t, len(there.Load().Routes), len(next.Routes))
+		for address, r := range next.Routes {
+			assert.DeepEqual(t, there.Load().Routes[address], r)
+		}
+		assert.DeepEqual(t, there.Load().Services, next.Services)
+	}
+	_, err := cache.get(&at, there.Revision())
+	assert.ErrorIs(t, err, errNothingNewer)
+}
+
+// Guards against malformed changes that end the process or leave routes without a service.
+func TestMalformedChangesAreRefused(t *testing.T) {
+	for _, m := range []*fleetv1.RoutesChange{
+		{},
+		{Base: 5, Revision: 5},
+		{Revision: 5, Routes: []*fleetv1.Route{{Address: []byte{1, 2}, Shares: []*fleetv1.Share{{Service: "a"}}}}},
+		{Revision: 5, Routes: []*fleetv1.Route{{Address: make([]byte, 6)}}},
+		{Revision: 5, Removed: [][]byte{{1}}},
+	} {
+		_, err := fromChange(m)
+		assert.Assert(t, err != nil, "%v", m)
+	}
+	_, err := unpack([]byte("no archive"))
+	assert.Assert(t, err != nil)
+}
+
+// Guards against a heartbeat that does not fit into a datagram: only small changes go with it.
+func TestOnlySmallChangesAreAnnounced(t *testing.T) {
+	f := &Fleet{}
+	f.Routes.Offer(tableOf(1, 100, "a"))
+	assert.Assert(t, f.smallChange() == nil, "the first table is no change")
+	f.Routes.Offer(tableOf(2, 101, "a"))
+	assert.Equal(t, len(f.smallChange().GetRoutes()), 1)
+	f.Routes.Offer(tableOf(3, 101, "b"))
+	assert.Assert(t, f.smallChange() == nil)
+}
--- a/policy/routes/routes.go
+++ b/policy/routes/routes.go
@@ -3,6 +3,7 @@
 
 import (
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -55,7 +56,6 @@
 	IdleTimeout time.Duration
 	Routes      map[netip.AddrPort]Route
 	Services    map[string]struct{}
-	Encoded     []byte // as stored, for other nodes
 }
 
 // Lookup returns the route of an address.
@@ -65,7 +65,12 @@
 }
 
 // Current is the newest table that a node knows. Its methods may be called from any goroutine.
-type Current struct{ table atomic.Pointer[Table] }
+type Current struct {
+	table atomic.Pointer[Table]
+
+	mu      sync.Mutex // of changes to table, and of
+	history history
+}
 
 // Load returns the table in force, nil if none is known.
 func (c *Current) Load() *Table { return c.table.Load() }
@@ -80,13 +85,40 @@
 
 // Offer puts a table in force unless the present one is as new. It returns the table that was in force before, and whether t is in force now.
 func (c *Current) Offer(t *Table) (*Table, bool) {
-	for {
-		old := c.table.Load()
-		if old != nil && old.Revision >= t.Revision {
-			return old, false
-		}
-		if c.table.CompareAndSwap(old, t) {
-			return old, true
-		}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	old := c.table.Load()
+	if old != nil && old.Revision >= t.Revision {
+		return old, false
+	}
+	if old != nil {
+		c.history.add(Diff(old, t))
+	}
+	c.table.Store(t)
+	return old, true
+}
+
+// Since returns the changes that lead from a revision to the table in force: the last ones, or one from an empty table if they are not kept. It is empty if
+// nothing newer is known.
+func (c *Current) Since(revision uint64) []Change {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t := c.table.Load()
+	if t == nil || t.Revision <= revision {
+		return nil
+	}
+	if changes := c.history.since(revision); changes != nil {
+		return changes
+	}
+	return []Change{Diff(nil, t)}
+}
+
+// Latest returns the last change, and false if there was none since the first table.
+func (c *Current) Latest() (Change, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n := len(c.history.changes); n > 0 {
+		return c.history.changes[n-1], true
 	}
+	return Change{}, false
 }
