steering: ranking moves each agent once

Cause: ranking sorted copies of all agents of a pool, some 300 bytes each, for each placed flow and each step of a search. After the loss of everything a search passes all agents of the pool.

Ruled out: a selection without an order, which the callers of Rank would all have to follow.

--- a/policy/steering/place.go
+++ b/policy/steering/place.go
@@ -1,7 +1,9 @@
 package steering
 
 import (
+	"cmp"
 	"slices"
+	"sync"
 	"time"
 
 	"lacewinglever.dev/policy/ident"
@@ -78,34 +80,38 @@
 	return busy / float64(slots)
 }
 
+// ranked is the place of one agent before and after ranking.
+type ranked struct {
+	score float64
+	index int
+}
+
+// scratch is memory for one ranking.
+type scratch struct {
+	order []ranked
+	peers []roster.Peer
+}
+
+var scratches = sync.Pool{New: func() any { return &scratch{} }}
+
 // Rank sorts the agents of a service in the order in which a flow is offered to them and looked for, the same at every node that knows the same
 // agents.
 func Rank(flow uint64, origin ident.DataCentre, agents []roster.Peer) {
-	score := func(p *roster.Peer) float64 {
-		if p.DataCentre == origin {
-			return rendezvous.Score(flow, uint64(p.ID), nearWeight)
-		}
-		return rendezvous.Score(flow, uint64(p.ID), 1)
-	}
-	type ranked struct {
-		score float64
-		peer  roster.Peer
-	}
-	order := make([]ranked, len(agents))
+	s := scratches.Get().(*scratch)
+	defer scratches.Put(s)
+	s.order = s.order[:0]
 	for i := range agents {
-		order[i] = ranked{score(&agents[i]), agents[i]}
-	}
-	slices.SortFunc(order, func(a, b ranked) int {
-		switch {
-		case a.score > b.score:
-			return -1
-		case a.score < b.score:
-			return 1
+		weight := 1.0
+		if agents[i].DataCentre == origin {
+			weight = nearWeight
 		}
-		return 0
-	})
-	for i := range order {
-		agents[i] = order[i].peer
+		s.order = append(s.order, ranked{rendezvous.Score(flow, uint64(agents[i].ID), weight), i})
+	}
+	// The agents are moved once, after their places are known: they are large.
+	slices.SortFunc(s.order, func(a, b ranked) int { return cmp.Compare(b.score, a.score) })
+	s.peers = append(s.peers[:0], agents...)
+	for i, r := range s.order {
+		agents[i] = s.peers[r.index]
 	}
 }
 
