packetagent: logs tell what a held packet waits for

Cause: 'held' and 'dropped' did not tell a packet that waits for an agent from one whose reset is paced; the analysis of the seconds after an outage needed a trial to find out.

Ruled out: none. Before: outcome=held. After: the agent that is waited for, or the pace.

--- a/node/packetagent/agent.go
+++ b/node/packetagent/agent.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -431,9 +432,9 @@
 	}
 	if !a.pacer.Admit(now, a.life.Status(now).Slots, load) {
 		if a.hold(now, since, r, "reset paced") {
-			return "held"
+			return "held, reset paced"
 		}
-		return "dropped"
+		return "dropped, reset paced"
 	}
 	a.counters.Reset("no target holds the flow")
 	a.send(netip.AddrPortFrom(p.FromCaller().Caller().Addr(), a.port), platform.NewReset(p))
@@ -484,14 +485,17 @@
 			a.counters.passedOn.Inc()
 			a.pass(agents[at].Address, r)
 		case steering.Unknown:
-			outcome = "held"
+			outcome = "held, agents unknown"
+			if at >= 0 {
+				outcome = "held for " + agents[at].Name
+			}
 			if !a.hold(now, since, r, "agents unknown") {
-				outcome = "dropped"
+				outcome = "dropped, agents unknown"
 			}
 		case steering.Nowhere:
 			outcome = a.reset(now, since, r, p, steering.MeanLoad(now, agents))
 		}
-		if (outcome != "held" || since == now) && a.logs.Unusual.Allow() {
+		if (!strings.HasPrefix(outcome, "held") || since == now) && a.logs.Unusual.Allow() {
 			a.logs.Unusual.Log("flow not held", logging.KeyFlow, flow, "sequence", p.Sequence(), logging.KeyService, r.Service,
 				logging.KeyRevision, r.Revision, "outcome", outcome, "tried", len(r.Tried), "candidates", len(agents))
 		}
--- a/policy/steering/place.go
+++ b/policy/steering/place.go
@@ -168,7 +168,7 @@
 )
 
 // Next returns the index of the next agent that may hold a flow. agents are ranked; those in tried have given the flow's packet back. complete
-// tells that agents are all that exist. Targets that may have ended come last: such a target gives nothing back, and the search would end there.
+// tells that agents are all that exist. For Unknown it is the agent that is waited for, -1 if agents are not all. Targets that may have ended come last: such a target gives nothing back, and the search would end there.
 func Next(now time.Duration, agents []roster.Peer, tried []ident.NodeID, complete bool) (int, Verdict) {
 	doubtful, quiet := -1, -1
 	for i := range agents {
@@ -191,7 +191,7 @@
 	case quiet >= 0 && len(tried) == 0:
 		return quiet, Continue // nobody else is left to ask
 	case quiet >= 0 || !complete:
-		return -1, Unknown
+		return quiet, Unknown
 	}
 	return -1, Nowhere
 }
