--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -433,17 +433,19 @@
 	f.learnNode(now, node, "", false, source)
 }
 
-func (f *Fleet) learnNode(now time.Duration, n roster.Node, service string, drained bool, source string) {
+// learnNode adds a node, introduces this node to it, and returns whether it was unknown.
+func (f *Fleet) learnNode(now time.Duration, n roster.Node, service string, drained bool, source string) bool {
 	if !f.Roster.Learn(now, n, service, drained) {
-		return
+		return false
 	}
 	if f.beliefs.Allow() {
 		f.beliefs.Log("node learnt", logging.KeyPeer, n.Name, "from", source, logging.KeyService, service, "drained", drained)
 	}
 	f.sendMessage(n.Address, f.heartbeat(now, false))
+	return true
 }
 
-// sendNodes tells a joining node which others there are.
+// sendNodes tells a node which others there are.
 func (f *Fleet) sendNodes(to roster.Node) {
 	now := Now()
 	nodes := []*fleetv1.Node{toNode(&f.Self)}
--- a/node/fleet/store.go
+++ b/node/fleet/store.go
@@ -21,8 +21,7 @@
 const (
 	firstBackoff = 100 * time.Millisecond
 	maxBackoff   = time.Second
-	// relistEvery is the interval in which a node reads all records again, to find nodes that its heartbeats missed. Its own record is
-	// written again if it is gone.
+	// relistEvery is the interval in which readers read all records again, to find nodes that heartbeats missed.
 	relistEvery = 20 * time.Second
 )
 
@@ -83,8 +82,8 @@
 	return timing.Sleep(ctx, d)
 }
 
-// register writes the node's record, then reads those of all nodes. The order ensures that of two nodes that start together at least one finds
-// the other.
+// register keeps the node's record up to date, and reads those of all nodes at the start; readers read them again from time to time on behalf of the
+// others. The record is written first: of two nodes that start together, at least one finds the other.
 func (f *Fleet) register(ctx context.Context) {
 	record := platform.NodeRecord{
 		Name: f.Self.Name, Incarnation: uint64(f.Self.Incarnation), Entry: f.Self.Entry, DataCentre: string(f.Self.DataCentre),
@@ -93,7 +92,6 @@
 	var pause backoff
 	written, renewed := false, Now()
 	for {
-		err := error(nil)
 		if now := Now(); now-renewed > registry.RenewEvery {
 			written, renewed = false, now
 			record.Renewals++
@@ -101,10 +99,12 @@
 		if draining := f.draining.Load(); draining != record.Draining {
 			written, record.Draining = false, draining
 		}
+		err := error(nil)
 		if !written {
 			err = f.store.Register(ctx, record)
+			written = err == nil
 		}
-		if err == nil {
+		if written && (!f.listed.Load() || f.isReader()) {
 			written, err = f.list(ctx)
 		}
 		if ctx.Err() != nil {
@@ -146,7 +146,7 @@
 	if err != nil {
 		return true, err
 	}
-	own := false
+	own, again := false, f.listed.Load()
 	now := Now()
 	for i := range records {
 		r := &records[i]
@@ -159,10 +159,13 @@
 			_ = level.Warn(f.options.Logger).Log(logging.KeyMessage, "node record without address or incarnation", logging.KeyPeer, r.Name)
 			continue
 		}
-		f.learnNode(now, roster.Node{
+		n := roster.Node{
 			ID: ident.NewNodeID(r.Name), Name: r.Name, Incarnation: ident.Incarnation(r.Incarnation), Entry: r.Entry,
 			DataCentre: ident.DataCentre(r.DataCentre), Address: address,
-		}, r.Service, r.Draining, "store")
+		}
+		if f.learnNode(now, n, r.Service, r.Draining, "store") && again {
+			f.sendNodes(n) // it has missed this node, and so perhaps others
+		}
 	}
 	f.listed.Store(true)
 	f.removeStale(ctx, now, records)
