--- a/node/fleet/routes.go
+++ b/node/fleet/routes.go
@@ -51,10 +51,7 @@
 	maxUpdate = 16 << 20
 )
 
-var (
-	errBusy         = errors.New("other nodes are being served")
-	errNothingNewer = errors.New("no newer routes are known")
-)
+var errNothingNewer = errors.New("no newer routes are known")
 
 // isReader tells whether this node reads routes from the store for its data centre.
 func (f *Fleet) isReader() bool {
@@ -246,26 +243,33 @@
 // serveRoutes answers other nodes with the changes since their revision. It serves few at a time and refuses others, which then turn to one of those that
 // were served: a large change would else leave through the link of a single node.
 func (f *Fleet) serveRoutes(ctx context.Context) error {
-	busy := make(chan struct{}, fetchesAtOnce)
 	var cache updateCache
 	mux := http.NewServeMux()
-	mux.Handle(routesProcedure, connect.NewUnaryHandler(routesProcedure,
+	mux.Handle(routesProcedure, limitConcurrent(fetchesAtOnce, connect.NewUnaryHandler(routesProcedure,
 		func(_ context.Context, r *connect.Request[wrapperspb.UInt64Value]) (*connect.Response[wrapperspb.BytesValue], error) {
-			select {
-			case busy <- struct{}{}:
-				defer func() { <-busy }()
-			default:
-				return nil, connect.NewError(connect.CodeResourceExhausted, errBusy)
-			}
 			b, err := cache.get(&f.Routes, r.Msg.GetValue())
 			if err != nil {
 				return nil, connect.NewError(connect.CodeUnavailable, err)
 			}
 			return connect.NewResponse(wrapperspb.Bytes(b)), nil
-		}, connect.WithCompressMinBytes(math.MaxInt)))
+		}, connect.WithCompressMinBytes(math.MaxInt))))
 	return daemon.Serve(ctx, f.options.Settings.Fleet, mux)
 }
 
+// limitConcurrent refuses requests beyond n at a time, at once. A request counts until its answer is written.
+func limitConcurrent(n int, h http.Handler) http.Handler {
+	busy := make(chan struct{}, n)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case busy <- struct{}{}:
+			defer func() { <-busy }()
+			h.ServeHTTP(w, r)
+		default:
+			http.Error(w, "other nodes are being served", http.StatusServiceUnavailable)
+		}
+	})
+}
+
 // updateCache keeps the last answer to a node that lags behind: after a change, most nodes ask for the same.
 type updateCache struct {
 	mu              sync.Mutex
--- a/node/fleet/routes_test.go
+++ b/node/fleet/routes_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"testing"
 	"time"
@@ -82,3 +84,28 @@
 	f.Routes.Offer(tableOf(3, 101, "b"))
 	assert.Assert(t, f.smallChange() == nil)
 }
+
+// Guards against a node that sends routes to all others at the same time: beyond the limit it refuses, and serves again once an answer is written.
+func TestFewAreServedAtATime(t *testing.T) {
+	entered, leave := make(chan struct{}), make(chan struct{})
+	h := limitConcurrent(2, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		entered <- struct{}{}
+		<-leave
+	}))
+	ask := func() int {
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, httptest.NewRequest(http.MethodPost, routesProcedure, nil))
+		return w.Code
+	}
+	results := make(chan int)
+	for range 2 {
+		go func() { results <- ask() }()
+		<-entered
+	}
+	assert.Equal(t, ask(), http.StatusServiceUnavailable)
+	close(leave)
+	assert.Equal(t, <-results, http.StatusOK)
+	assert.Equal(t, <-results, http.StatusOK)
+	go func() { <-entered }()
+	assert.Equal(t, ask(), http.StatusOK)
+}
