node/fleet: the log tells that the store was restored and which stored routes are rejected

The logs could not tell whether readers do not receive the changes after a restore, or receive and reject them. The client reads the store's era from its answers; a node logs an era that it has not seen, and a stored table that it does not put in force, with both revisions (bounded like the other lines about nodes). Gauge lacewing_store_era.

--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -100,6 +100,7 @@
 	digestsSent     *metrics.Counter
 	sendFailures    *metrics.Counter
 	storeDependency dependency
+	storeEra        atomic.Uint64 // highest era of the store that this node knows, 0 if none
 	nodeLog         *logging.Decisions
 	draining        atomic.Bool                          // the target has announced its end
 	targetReported  atomic.Bool                          // the target has reported since the start
@@ -164,6 +165,7 @@
 	f.digestsSent = m.NewCounter("lacewing_fleet_digests_sent_total")
 	f.sendFailures = m.NewCounter("lacewing_fleet_send_failures_total")
 	m.NewGauge("lacewing_routes_revision", func() float64 { return float64(f.Routes.Revision()) })
+	m.NewGauge("lacewing_store_era", func() float64 { return float64(f.storeEra.Load()) })
 	m.NewGauge("lacewing_fleet_nodes", func() float64 { return float64(len(f.Roster.Peers())) })
 }
 
--- a/node/fleet/routes.go
+++ b/node/fleet/routes.go
@@ -106,7 +106,7 @@
 		timing.Sleep(ctx, readerCheckInterval) // the operator has not written any routes yet
 		return nil
 	}
-	f.applyStored(listed.Newest, "list")
+	f.applyStored(&listed, "list")
 	if Now()-f.started < readerCheckInterval {
 		// After this pause, most nodes that have just started have a heartbeat of another reader.
 		timing.Sleep(ctx, readerCheckInterval)
@@ -117,21 +117,22 @@
 			return err
 		}
 		if changes.Newest != nil {
-			f.applyStored(changes.Newest, "watch")
+			f.applyStored(&changes, "watch")
 		}
 	}
 	return nil
 }
 
 // applyStored puts routes from the store in force if they are newer, and announces them.
-func (f *Fleet) applyStored(encoded []byte, call string) {
-	table, faults, err := platform.DecodeRoutes(encoded)
+func (f *Fleet) applyStored(stored *platform.RoutesSnapshot, call string) {
+	table, faults, err := platform.DecodeRoutes(stored.Newest)
 	if err != nil {
 		_ = level.Error(f.options.Logger).Log(logging.KeyMessage, "routes rejected", "from", "store",
 			logging.KeyError, err)
 		return
 	}
 	if !f.applyTable(table, "store", call) {
+		f.logRejectedTable(table, stored, call)
 		return
 	}
 	for _, fault := range faults {
@@ -140,6 +141,18 @@
 	f.announceRoutes()
 }
 
+// logRejectedTable logs that routes from the store are not put in force, unless they are those in
+// force.
+func (f *Fleet) logRejectedTable(table *routes.Table, stored *platform.RoutesSnapshot, call string) {
+	current := f.Routes.Load()
+	if current.Revision == table.Revision && current.Version == table.Version || !f.nodeLog.Allow() {
+		return
+	}
+	f.nodeLog.Log("stored routes not applied", logging.KeyReason, "older than those in force",
+		logging.KeyRevision, table.Revision, "version", table.Version, "era", stored.Era, "as_of", stored.AsOf,
+		"in_force", current.Revision, "version_in_force", current.Version, "call", call)
+}
+
 // applyTable puts routes in force if they are newer, and returns whether they were.
 func (f *Fleet) applyTable(table *routes.Table, from, call string) bool {
 	old, ok := f.Routes.Offer(table)
--- a/node/fleet/store.go
+++ b/node/fleet/store.go
@@ -54,6 +54,7 @@
 }
 
 func (f *Fleet) observeStore(r platform.CallResult) {
+	f.observeStoreEra(r.Era, "store")
 	m := f.options.Metrics
 	m.GetOrCreateCounter(`lacewing_store_calls_total{call="` + r.Call + `",status="` + r.Status + `"}`).Inc()
 	if r.Call != "watch" {
@@ -61,6 +62,25 @@
 	}
 }
 
+// observeStoreEra takes note of the store's era, as an answer of the store or another node names it.
+func (f *Fleet) observeStoreEra(era uint64, from string) {
+	for {
+		before := f.storeEra.Load()
+		if era <= before {
+			return
+		}
+		if !f.storeEra.CompareAndSwap(before, era) {
+			continue
+		}
+		message := "store restored from an older copy"
+		if before == 0 {
+			message = "store era" // the first one that this node has learned
+		}
+		_ = level.Info(f.options.Logger).Log(logging.KeyMessage, message, "era", era, "before", before, "from", from)
+		return
+	}
+}
+
 // recordStoreResult updates the availability of the store after a call. An error that rejects only
 // that one call shows that the store is available.
 func (f *Fleet) recordStoreResult(err error) {
