--- /dev/null
+++ b/bench/flows/restore_test.go
@@ -0,0 +1,82 @@
+package flows_test
+
+import (
+	"fmt"
+	"net/netip"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lacewinglever.dev/bench/flows"
+	"lacewinglever.dev/platform/platformtest"
+)
+
+// routesBound is the time within which an accepted change must be in force at all nodes.
+const routesBound = 3 * time.Second
+
+func idleRoute(port int) platformtest.Route {
+	return platformtest.Route{Name: fmt.Sprint("idle-", port), Host: "198.18.0.3", Port: port, Service: "b"}
+}
+
+// assertServed opens flows on an idle route: all must open, or none.
+func (f *fixture) assertServed(t *testing.T, port int, want bool) {
+	t.Helper()
+	to := netip.AddrPortFrom(netip.MustParseAddr("198.18.0.3"), uint16(port))
+	for i := range 8 {
+		flow := f.caller.Open(to)
+		assert.Equal(t, flow != nil, want, "flow %d on port %d", i, port)
+		if flow != nil {
+			flow.Close()
+		}
+	}
+}
+
+// Guards against confirmed changes that are not in force, or undone, at any node after the store was
+// restored twice: nodes that were cut off, frozen, killed or started across it included.
+func TestChangesAfterRestoresReachAllNodes(t *testing.T) {
+	t.Parallel()
+	f := start(t, map[string]int{"a": 2, "b": 2})
+	services := []string{"a", "b"}
+	version := 1
+	put := func(ports ...int) {
+		var extra []platformtest.Route
+		for _, port := range ports {
+			extra = append(extra, idleRoute(port))
+		}
+		version += 3
+		f.Store.PutRoutes(version, services, routesOf(extra...))
+	}
+	for round := range 2 {
+		kept, lost, added := 9000+10*round, 9001+10*round, 9002+10*round
+		put(kept)
+		saved := f.Store.Copy()
+		for range 4 {
+			put(kept, lost)
+		}
+		time.Sleep(routesBound)
+		f.assertServed(t, lost, true)
+
+		frozen, killed, cut := f.Entries[0], f.Agents[0], f.Agents[1]
+		frozen.Signal(syscall.SIGSTOP)
+		killed.Kill()
+		f.SetStoreLink(cut, flows.Silence)
+		f.Store.SetFault(platformtest.Reset)
+		time.Sleep(time.Second)
+		f.Store.Restore(saved)
+		f.Store.SetFault(platformtest.Healthy)
+		version -= 3
+		put(kept, lost) // the operator writes the last version again
+		time.Sleep(500 * time.Millisecond)
+		assert.NilError(t, killed.Launch())
+		frozen.Signal(syscall.SIGCONT)
+		time.Sleep(time.Second)
+		f.assertServed(t, lost, true)
+		put(lost, added)
+		time.Sleep(routesBound)
+		f.assertServed(t, added, true)
+		f.assertServed(t, kept, false)
+		f.SetStoreLink(cut, flows.Pass)
+	}
+}
--- /dev/null
+++ b/node/fleet/restore_test.go
@@ -0,0 +1,128 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-kit/log"
+	"gotest.tools/v3/assert"
+
+	"lacewinglever.dev/platform/platformtest"
+)
+
+// routesBound is the time within which an accepted change must be in force.
+const routesBound = 3 * time.Second
+
+// newTestFleet returns a node of a store. Nothing runs.
+func newTestFleet(t *testing.T, store *platformtest.Store, name string) *Fleet {
+	t.Helper()
+	f, err := New(Options{
+		Settings: &Settings{Name: name, DataCentre: "dc", Fleet: "127.0.0.1:0", Advertise: "127.0.0.1:7400",
+			Store: store.Address()},
+		Entry: true, Handler: idleHandler{}, Logger: log.NewLogfmtLogger(io.Discard), Metrics: metrics.NewSet(),
+	})
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = f.conn.Close() })
+	return f
+}
+
+// startReader returns a store, and a node that reads its routes.
+func startReader(t *testing.T) (*platformtest.Store, *Fleet) {
+	t.Helper()
+	store, err := platformtest.NewStore("127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(store.Close)
+	f := newTestFleet(t, store, "reader")
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	t.Cleanup(func() { cancel(); <-ended })
+	go func() { defer close(ended); f.readRoutes(ctx) }()
+	return store, f
+}
+
+// putVersion writes routes whose only port is the version.
+func putVersion(store *platformtest.Store, version int) {
+	store.PutRoutes(version, []string{"a"}, []platformtest.Route{
+		{Name: fmt.Sprint("r", version), Host: "198.18.0.1", Port: version, Service: "a"}})
+}
+
+// waitForVersion waits until a version is in force, for at most routesBound.
+func waitForVersion(t *testing.T, f *Fleet, version int) {
+	t.Helper()
+	address := netip.AddrPortFrom(netip.MustParseAddr("198.18.0.1"), uint16(version))
+	for until := time.Now().Add(routesBound); ; time.Sleep(5 * time.Millisecond) {
+		table := f.Routes.Load()
+		if table != nil {
+			if _, ok := table.Lookup(address); ok {
+				return
+			}
+		}
+		assert.Assert(t, time.Now().Before(until), "version %d is not in force: %+v", version, table)
+	}
+}
+
+// Guards against changes that are rejected after a restore because their revision was given out before.
+func TestChangesAfterARestoreAreInForce(t *testing.T) {
+	store, f := startReader(t)
+	putVersion(store, 1)
+	saved := store.Copy()
+	for restore := range 2 {
+		for version := 2; version <= 6; version++ {
+			putVersion(store, 10*restore+version)
+		}
+		waitForVersion(t, f, 10*restore+6)
+		store.Restore(saved)
+		putVersion(store, 10*restore+6)
+		putVersion(store, 10*restore+8)
+		waitForVersion(t, f, 10*restore+8)
+	}
+}
+
+// Guards against a change that a watch from a revision of before the restore does not deliver.
+func TestChangeBelowTheWatchedRevisionIsReceived(t *testing.T) {
+	store, f := startReader(t)
+	putVersion(store, 1)
+	saved := store.Copy()
+	putVersion(store, 2)
+	putVersion(store, 3)
+	waitForVersion(t, f, 3)
+	store.Restore(saved)
+	putVersion(store, 4)
+	for i := range 5 { // the revisions given out since the restore pass those of before
+		_, err := f.store.Register(context.Background(), recordOf(fmt.Sprint("n", i)))
+		assert.NilError(t, err)
+	}
+	waitForVersion(t, f, 4)
+}
+
+// Guards against a reader that lists and watches without a pause because the store does not have the
+// revision of its routes.
+func TestReaderDoesNotSpinAfterARestore(t *testing.T) {
+	store, f := startReader(t)
+	putVersion(store, 1)
+	saved := store.Copy()
+	putVersion(store, 2)
+	waitForVersion(t, f, 2)
+	store.Restore(saved)
+	before := store.CallCount()
+	time.Sleep(2 * watchWait)
+	assert.Assert(t, store.CallCount()-before < 12, "%d calls", store.CallCount()-before)
+}
+
+// Guards against a node that returns to older routes because the store did.
+func TestRestoredRoutesAreNotInForceAgain(t *testing.T) {
+	store, f := startReader(t)
+	putVersion(store, 1)
+	saved := store.Copy()
+	putVersion(store, 2)
+	waitForVersion(t, f, 2)
+	store.Restore(saved)
+	for until := time.Now().Add(2 * watchWait); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
+		assert.Equal(t, f.Routes.Load().Version, int64(2))
+	}
+}
--- a/node/fleet/store_test.go
+++ b/node/fleet/store_test.go
@@ -45,3 +45,7 @@
 	assert.NilError(t, err)
 	assert.Assert(t, !records[0].Draining)
 }
+
+func recordOf(name string) platform.NodeRecord {
+	return platform.NodeRecord{Name: name, Incarnation: 1, Address: "127.0.0.9:7400"}
+}
