policy/routes, node/fleet: routes are ordered by the operator's version, not by the store's revision

Cause: nodes ordered tables by the revision of the stored object alone. A restored store gives revisions out again, so a newer version has a revision that is not higher, and Current.Offer rejected it. The same comparison stood in heartbeats (whether to fetch), in the base of changes between nodes, in the fetch RPC and its cached answer, and in frames, by which an agent decides whether its routes or the entry's count.

Why this works: routes.Position orders by the operator's version, which rises with each change whatever the store does, then by the store's era, then by revision. A change names its base by all three: content of another era under the same revision is no base (TestChangeBasedOnAnotherEraIsIgnored).

Older programs: they ignore the new fields and get complete tables; from them, a heartbeat without version is judged by its revision, and changes whose base does not fit are fetched again whole (compatibility_test.go).

--- /dev/null
+++ b/node/fleet/compatibility_test.go
@@ -0,0 +1,100 @@
+package fleet
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"google.golang.org/protobuf/types/known/wrapperspb"
+	"gotest.tools/v3/assert"
+
+	fleetv1 "lacewinglever.dev/node/gen/lacewing/fleet/v1"
+	"lacewinglever.dev/platform/platformtest"
+	"lacewinglever.dev/policy/roster"
+	"lacewinglever.dev/policy/routes"
+)
+
+func newStoreFleet(t *testing.T, name string) *Fleet {
+	t.Helper()
+	store, err := platformtest.NewStore("127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(store.Close)
+	return newTestFleet(t, store, name)
+}
+
+func peerAt(server *httptest.Server) *roster.Peer {
+	return &roster.Peer{Node: roster.Node{Name: "peer", Address: netip.MustParseAddrPort(server.Listener.Addr().String())}}
+}
+
+// tableAt returns routes with n addresses at a position.
+func tableAt(p routes.Position, n int) *routes.Table {
+	table := tableOf(p.Revision, n, "a")
+	table.Position = p
+	return table
+}
+
+// Guards against a change that is applied to routes that had the revision of its base in another era.
+func TestChangeBasedOnAnotherEraIsIgnored(t *testing.T) {
+	f := newStoreFleet(t, "n")
+	own := routes.Position{Version: 3, Era: 1, Revision: 5}
+	f.Routes.Offer(tableAt(own, 4))
+	elsewhere := tableAt(routes.Position{Version: 4, Era: 2, Revision: 5}, 9)
+	c := routes.Diff(elsewhere, tableAt(routes.Position{Version: 6, Era: 2, Revision: 6}, 10))
+	f.handleRoutesChange(toChange(&c), "peer")
+	assert.Equal(t, f.Routes.Position(), own)
+	assert.Equal(t, len(f.Routes.Load().Routes), 4)
+}
+
+// Guards against a node that gets no routes from a program of the previous release, which names
+// routes by their revision only.
+func TestRoutesFromThePreviousRelease(t *testing.T) {
+	f := newStoreFleet(t, "n")
+	f.Routes.Offer(tableAt(routes.Position{Version: 3, Era: 1, Revision: 5}, 4))
+	var requested []uint64
+	server := httptest.NewServer(connect.NewUnaryHandler(routesProcedure,
+		func(_ context.Context, r *connect.Request[wrapperspb.UInt64Value]) (*connect.Response[wrapperspb.BytesValue], error) {
+			requested = append(requested, r.Msg.GetValue())
+			before := &routes.Table{}
+			if r.Msg.GetValue() == 5 {
+				before = tableAt(routes.Position{Revision: 5}, 4)
+			}
+			c := routes.Diff(before, tableAt(routes.Position{Version: 6, Revision: 7}, 6))
+			packed, err := pack(&fleetv1.RoutesUpdate{Changes: []*fleetv1.RoutesChange{toChange(&c)}})
+			assert.NilError(t, err)
+			return connect.NewResponse(wrapperspb.Bytes(packed)), nil
+		}))
+	defer server.Close()
+	_, hb, err := fromHeartbeat(&fleetv1.Heartbeat{Revision: 7,
+		Sender: &fleetv1.Node{Name: "peer", Incarnation: 1, Address: "127.0.0.1:7400"}})
+	assert.NilError(t, err)
+	assert.Assert(t, IsNewer(hb.Routes, f.Routes.Position()))
+	assert.NilError(t, f.fetchFrom(context.Background(), server.Client(), peerAt(server)))
+	assert.DeepEqual(t, requested, []uint64{5, 0})
+	assert.Equal(t, f.Routes.Load().Version, int64(6))
+	assert.Equal(t, len(f.Routes.Load().Routes), 6)
+}
+
+// Guards against a program of the previous release that gets changes which it can't apply.
+func TestRoutesToThePreviousRelease(t *testing.T) {
+	f := newStoreFleet(t, "n")
+	f.Routes.Offer(tableAt(routes.Position{Version: 3, Era: 1, Revision: 5}, 4))
+	f.Routes.Offer(tableAt(routes.Position{Version: 4, Era: 1, Revision: 6}, 5))
+	server := httptest.NewServer(f.routesHandler())
+	defer server.Close()
+	rpc := connect.NewClient[wrapperspb.UInt64Value, wrapperspb.BytesValue](http.DefaultClient, server.URL+routesProcedure)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	for _, since := range []uint64{0, 5} {
+		response, err := rpc.CallUnary(ctx, connect.NewRequest(wrapperspb.UInt64(since)))
+		assert.NilError(t, err)
+		update, err := unpack(response.Msg.GetValue())
+		assert.NilError(t, err)
+		assert.Equal(t, len(update.GetChanges()), 1)
+		assert.Equal(t, update.GetChanges()[0].GetBase(), uint64(0), "all routes")
+		assert.Equal(t, update.GetChanges()[0].GetRevision(), uint64(6))
+	}
+}
--- a/node/fleet/convert.go
+++ b/node/fleet/convert.go
@@ -40,7 +40,8 @@
 
 func toHeartbeat(n *roster.Node, hb *roster.Heartbeat, join bool) *fleetv1.Heartbeat {
 	h := &fleetv1.Heartbeat{
-		Sender: toNode(n), Sequence: hb.Sequence, Revision: hb.Revision, Leaving: hb.Leaving, Join: join,
+		Sender: toNode(n), Sequence: hb.Sequence, Leaving: hb.Leaving, Join: join,
+		Revision: hb.Routes.Revision, Era: hb.Routes.Era, Version: hb.Routes.Version,
 		IntervalMs: uint32(hb.Interval.Milliseconds()), Digested: hb.ViaDigest,
 	}
 	if n.Entry {
@@ -62,7 +63,8 @@
 	}
 	t := h.GetTarget()
 	return n, roster.Heartbeat{
-		Sequence: h.GetSequence(), Revision: h.GetRevision(), Leaving: h.GetLeaving(),
+		Sequence: h.GetSequence(), Leaving: h.GetLeaving(),
+		Routes:   routes.Position{Version: h.GetVersion(), Era: h.GetEra(), Revision: h.GetRevision()},
 		Interval: time.Duration(h.GetIntervalMs()) * time.Millisecond, ViaDigest: h.GetDigested(),
 		Target: roster.Target{
 			Service: t.GetService(), ID: t.GetId(), StartUnixMs: t.GetBornUnixMs(), Accepting: t.GetAccepting(),
@@ -110,7 +112,8 @@
 
 func toChange(c *routes.Change) *fleetv1.RoutesChange {
 	m := &fleetv1.RoutesChange{
-		Base: c.Base, Revision: c.Revision, Version: c.Version, IdleTimeoutMs: c.IdleTimeout.Milliseconds(),
+		Base: c.Base.Revision, BaseEra: c.Base.Era, BaseVersion: c.Base.Version,
+		Revision: c.Revision, Era: c.Era, Version: c.Version, IdleTimeoutMs: c.IdleTimeout.Milliseconds(),
 		Services: c.Services, RemovedServices: c.RemovedServices,
 	}
 	for i := range c.Routes {
@@ -128,14 +131,19 @@
 	return m
 }
 
+func basePosition(m *fleetv1.RoutesChange) routes.Position {
+	return routes.Position{Version: m.GetBaseVersion(), Era: m.GetBaseEra(), Revision: m.GetBase()}
+}
+
 func fromChange(m *fleetv1.RoutesChange) (routes.Change, error) {
 	c := routes.Change{
-		Base: m.GetBase(), Revision: m.GetRevision(), Version: m.GetVersion(),
+		Base:        basePosition(m),
+		Position:    routes.Position{Version: m.GetVersion(), Era: m.GetEra(), Revision: m.GetRevision()},
 		IdleTimeout: time.Duration(m.GetIdleTimeoutMs()) * time.Millisecond,
 		Services:    m.GetServices(), RemovedServices: m.GetRemovedServices(),
 	}
-	if c.Revision <= c.Base {
-		return c, errors.Errorf("routes change does not advance the revision: base %d, revision %d", c.Base, c.Revision)
+	if !c.NewerThan(c.Base) {
+		return c, errors.Errorf("routes change leads to routes that are not newer: base %v, result %v", c.Base, c.Position)
 	}
 	for _, r := range m.GetRoutes() {
 		address, err := fromAddress(r.GetAddress())
--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -164,7 +164,8 @@
 	f.heartbeatsSent = m.NewCounter("lacewing_fleet_heartbeats_sent_total")
 	f.digestsSent = m.NewCounter("lacewing_fleet_digests_sent_total")
 	f.sendFailures = m.NewCounter("lacewing_fleet_send_failures_total")
-	m.NewGauge("lacewing_routes_revision", func() float64 { return float64(f.Routes.Revision()) })
+	m.NewGauge("lacewing_routes_revision", func() float64 { return float64(f.Routes.Position().Revision) })
+	m.NewGauge("lacewing_routes_version", func() float64 { return float64(f.Routes.Position().Version) })
 	m.NewGauge("lacewing_store_era", func() float64 { return float64(f.storeEra.Load()) })
 	m.NewGauge("lacewing_fleet_nodes", func() float64 { return float64(len(f.Roster.Peers())) })
 }
@@ -393,7 +394,7 @@
 	if change > roster.Unchanged {
 		f.logNodeChange(n, hb, change)
 	}
-	if hb.Revision > f.Routes.Revision() {
+	if IsNewer(hb.Routes, f.Routes.Position()) {
 		p, _ := f.Roster.Find(n.ID)
 		select {
 		case f.fetch <- p:
@@ -410,7 +411,7 @@
 		"node "+changeNames[change], logging.KeyPeer, n.Name, "incarnation", uint64(n.Incarnation),
 		"sequence", hb.Sequence, "leaving", hb.Leaving, logging.KeyService, hb.Target.Service,
 		logging.KeyTarget, hb.Target.ID, "accepting", hb.Target.Accepting, "absent", hb.Target.Ended,
-		logging.KeyRevision, hb.Revision)
+		logging.KeyRevision, hb.Routes.Revision, logging.KeyVersion, hb.Routes.Version)
 }
 
 var changeNames = map[roster.Change]string{roster.Returned: "returned", roster.Changed: "changed", roster.Joined: "joined"}
--- a/node/fleet/frame.go
+++ b/node/fleet/frame.go
@@ -8,6 +8,7 @@
 	"google.golang.org/protobuf/encoding/protowire"
 
 	"lacewinglever.dev/policy/ident"
+	"lacewinglever.dev/policy/routes"
 )
 
 // Kinds of datagram between nodes. The kind is the first byte of a datagram.
@@ -24,6 +25,8 @@
 	fieldRevision   = 4 // of the routes that the entry applied
 	fieldWantsOwner = 5 // 1 if the entry is to get a FlowOwner message for the flow
 	fieldTried      = 6 // ids of the agents that must not be tried again, 8 bytes each
+	fieldEra        = 7 // of the store, with the revision
+	fieldVersion    = 8 // of those routes; missing in frames of older programs
 	fieldPacket     = 15
 )
 
@@ -40,7 +43,7 @@
 	Entry      netip.AddrPort
 	Origin     ident.DataCentre
 	Service    string
-	Revision   uint64
+	Routes     routes.Position // of the entry
 	WantsOwner bool
 	Tried      []ident.NodeID
 	Packet     []byte
@@ -59,7 +62,11 @@
 	b = protowire.AppendTag(b, fieldService, protowire.BytesType)
 	b = protowire.AppendString(b, p.Service)
 	b = protowire.AppendTag(b, fieldRevision, protowire.VarintType)
-	b = protowire.AppendVarint(b, p.Revision)
+	b = protowire.AppendVarint(b, p.Routes.Revision)
+	b = protowire.AppendTag(b, fieldEra, protowire.VarintType)
+	b = protowire.AppendVarint(b, p.Routes.Era)
+	b = protowire.AppendTag(b, fieldVersion, protowire.VarintType)
+	b = protowire.AppendVarint(b, uint64(p.Routes.Version))
 	if p.WantsOwner {
 		b = protowire.AppendTag(b, fieldWantsOwner, protowire.VarintType)
 		b = protowire.AppendVarint(b, 1)
@@ -129,7 +136,11 @@
 func (p *ForwardedPacket) setNumber(field protowire.Number, v uint64) {
 	switch field {
 	case fieldRevision:
-		p.Revision = v
+		p.Routes.Revision = v
+	case fieldEra:
+		p.Routes.Era = v
+	case fieldVersion:
+		p.Routes.Version = int64(v)
 	case fieldWantsOwner:
 		p.WantsOwner = v != 0
 	}
--- a/node/fleet/frame_test.go
+++ b/node/fleet/frame_test.go
@@ -7,11 +7,12 @@
 	"gotest.tools/v3/assert"
 
 	"lacewinglever.dev/policy/ident"
+	"lacewinglever.dev/policy/routes"
 )
 
 func testPacket() ForwardedPacket {
 	return ForwardedPacket{
-		Entry: netip.MustParseAddrPort("10.1.0.10:7720"), Origin: "dc-1", Service: "a", Revision: 412, WantsOwner: true,
+		Entry: netip.MustParseAddrPort("10.1.0.10:7720"), Origin: "dc-1", Service: "a", Routes: routes.Position{Version: 31, Era: 2, Revision: 412}, WantsOwner: true,
 		Tried: []ident.NodeID{1, 1 << 63}, Packet: []byte("packet"),
 	}
 }
@@ -24,7 +25,7 @@
 	assert.Equal(t, got.Entry, want.Entry)
 	assert.Equal(t, got.Origin, want.Origin)
 	assert.Equal(t, got.Service, want.Service)
-	assert.Equal(t, got.Revision, want.Revision)
+	assert.Equal(t, got.Routes, want.Routes)
 	assert.Equal(t, got.WantsOwner, want.WantsOwner)
 	assert.DeepEqual(t, got.Tried, want.Tried)
 	assert.DeepEqual(t, got.Packet, want.Packet)
--- a/node/fleet/routes.go
+++ b/node/fleet/routes.go
@@ -76,8 +76,9 @@
 		}
 		if !reading {
 			reading = true
+			at := f.Routes.Position()
 			_ = level.Info(f.options.Logger).Log(logging.KeyMessage, "reading routes from the store",
-				logging.KeyRevision, f.Routes.Revision())
+				logging.KeyRevision, at.Revision, logging.KeyVersion, at.Version)
 		}
 		err := f.followRoutes(ctx)
 		if ctx.Err() != nil {
@@ -112,7 +113,7 @@
 		timing.Sleep(ctx, readerCheckInterval)
 	}
 	for until := time.Now().Add(routesRelistInterval); time.Now().Before(until) && f.isReader(); {
-		changes, err := f.store.WatchRoutes(ctx, max(listed.AsOf, f.Routes.Revision()), watchWait)
+		changes, err := f.store.WatchRoutes(ctx, max(listed.AsOf, f.Routes.Position().Revision), watchWait)
 		if err != nil {
 			return err
 		}
@@ -125,7 +126,7 @@
 
 // applyStored puts routes from the store in force if they are newer, and announces them.
 func (f *Fleet) applyStored(stored *platform.RoutesSnapshot, call string) {
-	table, faults, err := platform.DecodeRoutes(stored.Newest)
+	table, faults, err := platform.DecodeRoutes(stored.Newest, stored.Era)
 	if err != nil {
 		_ = level.Error(f.options.Logger).Log(logging.KeyMessage, "routes rejected", "from", "store",
 			logging.KeyError, err)
@@ -144,13 +145,13 @@
 // logRejectedTable logs that routes from the store are not put in force, unless they are those in
 // force.
 func (f *Fleet) logRejectedTable(table *routes.Table, stored *platform.RoutesSnapshot, call string) {
-	current := f.Routes.Load()
-	if current.Revision == table.Revision && current.Version == table.Version || !f.nodeLog.Allow() {
+	current := f.Routes.Position()
+	if current == table.Position || !f.nodeLog.Allow() {
 		return
 	}
 	f.nodeLog.Log("stored routes not applied", logging.KeyReason, "older than those in force",
-		logging.KeyRevision, table.Revision, "version", table.Version, "era", stored.Era, "as_of", stored.AsOf,
-		"in_force", current.Revision, "version_in_force", current.Version, "call", call)
+		logging.KeyRevision, table.Revision, logging.KeyVersion, table.Version, logging.KeyEra, table.Era,
+		"as_of", stored.AsOf, "in_force", current, "call", call)
 }
 
 // applyTable puts routes in force if they are newer, and returns whether they were.
@@ -159,13 +160,9 @@
 	if !ok {
 		return false
 	}
-	oldRevision := uint64(0)
-	if old != nil {
-		oldRevision = old.Revision
-	}
 	_ = level.Info(f.options.Logger).Log(
-		logging.KeyMessage, "routes in force", logging.KeyRevision, table.Revision, "version", table.Version,
-		"before", oldRevision, "routes", len(table.Routes), "from", from, "call", call)
+		logging.KeyMessage, "routes in force", logging.KeyRevision, table.Revision, logging.KeyVersion, table.Version,
+		logging.KeyEra, table.Era, "before", old.PositionOrZero(), "routes", len(table.Routes), "from", from, "call", call)
 	return true
 }
 
@@ -192,7 +189,7 @@
 // handleRoutesChange applies a change that another node announces, and forwards it to a few others.
 // A change that does not follow from the routes in force is ignored; fetchRoutes gets those routes.
 func (f *Fleet) handleRoutesChange(m *fleetv1.RoutesChange, from string) {
-	if m.GetBase() == 0 || m.GetBase() != f.Routes.Revision() {
+	if base := basePosition(m); base.IsZero() || base != f.Routes.Position() {
 		return
 	}
 	if err := f.applyChange(m, from, "announced"); err != nil {
@@ -221,7 +218,16 @@
 	return nil
 }
 
-// fetchRoutes fetches routes from nodes whose heartbeat has a newer revision.
+// IsNewer reports whether another node's routes are newer than own. A node of an older release tells
+// only their revision.
+func IsNewer(other, own routes.Position) bool {
+	if other.Version == 0 && other.Era == 0 {
+		return other.Revision > own.Revision
+	}
+	return other.NewerThan(own)
+}
+
+// fetchRoutes fetches routes from nodes whose heartbeat says that theirs are newer.
 func (f *Fleet) fetchRoutes(ctx context.Context) {
 	client := &http.Client{Transport: &http.Transport{DialContext: (&net.Dialer{Timeout: peerTimeout}).DialContext}}
 	for {
@@ -229,12 +235,12 @@
 		case <-ctx.Done():
 			return
 		case p := <-f.fetch:
-			if p.Revision <= f.Routes.Revision() {
+			if !IsNewer(p.Routes, f.Routes.Position()) {
 				continue
 			}
 			if err := f.fetchFrom(ctx, client, &p); err != nil && ctx.Err() == nil && f.nodeLog.Allow() {
-				f.nodeLog.Log("fetching routes failed", logging.KeyPeer, p.Name, logging.KeyRevision, p.Revision,
-					logging.KeyError, err)
+				f.nodeLog.Log("fetching routes failed", logging.KeyPeer, p.Name, logging.KeyRevision, p.Routes.Revision,
+					logging.KeyVersion, p.Routes.Version, logging.KeyError, err)
 			}
 		}
 	}
@@ -245,9 +251,26 @@
 func (f *Fleet) fetchFrom(ctx context.Context, client *http.Client, p *roster.Peer) error {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	rpc := connect.NewClient[wrapperspb.UInt64Value, wrapperspb.BytesValue](client,
+	rpc := connect.NewClient[fleetv1.RoutesRequest, wrapperspb.BytesValue](client,
 		"http://"+p.Address.String()+routesProcedure)
-	response, err := rpc.CallUnary(ctx, connect.NewRequest(wrapperspb.UInt64(f.Routes.Revision())))
+	err := f.fetchSince(ctx, rpc, f.Routes.Position(), p.Name)
+	if errors.Is(err, routes.ErrBaseMismatch) {
+		// The routes in force have changed meanwhile, or the node has sent changes to other routes: one
+		// of an older release knows routes by their revision alone.
+		err = f.fetchSince(ctx, rpc, routes.Position{}, p.Name)
+	}
+	if err != nil {
+		return err
+	}
+	f.announceRoutes()
+	return nil
+}
+
+// fetchSince fetches the changes since a position and applies them.
+func (f *Fleet) fetchSince(ctx context.Context, rpc *connect.Client[fleetv1.RoutesRequest, wrapperspb.BytesValue],
+	since routes.Position, from string) error {
+	response, err := rpc.CallUnary(ctx, connect.NewRequest(
+		&fleetv1.RoutesRequest{Revision: since.Revision, Era: since.Era, Version: since.Version}))
 	if err != nil {
 		return err
 	}
@@ -256,29 +279,33 @@
 		return err
 	}
 	for _, c := range update.GetChanges() {
-		if err := f.applyChange(c, p.Name, "fetch"); err != nil {
+		if err := f.applyChange(c, from, "fetch"); err != nil {
 			return err
 		}
 	}
-	f.announceRoutes()
 	return nil
 }
 
-// serveRoutes answers other nodes with the changes since their revision. It serves few nodes at a
+// serveRoutes answers other nodes with the changes since their routes. It serves few nodes at a
 // time and refuses others, which then turn to one of those that were served. Without the limit, a
 // large change would go to all nodes through the link of one.
 func (f *Fleet) serveRoutes(ctx context.Context) error {
+	return daemon.Serve(ctx, f.options.Settings.Fleet, f.routesHandler())
+}
+
+func (f *Fleet) routesHandler() http.Handler {
 	var cache updateCache
 	mux := http.NewServeMux()
 	mux.Handle(routesProcedure, limitConcurrent(maxConcurrentFetches, connect.NewUnaryHandler(routesProcedure,
-		func(_ context.Context, r *connect.Request[wrapperspb.UInt64Value]) (*connect.Response[wrapperspb.BytesValue], error) {
-			b, err := cache.get(&f.Routes, r.Msg.GetValue())
+		func(_ context.Context, r *connect.Request[fleetv1.RoutesRequest]) (*connect.Response[wrapperspb.BytesValue], error) {
+			since := routes.Position{Version: r.Msg.GetVersion(), Era: r.Msg.GetEra(), Revision: r.Msg.GetRevision()}
+			b, err := cache.get(&f.Routes, since)
 			if err != nil {
 				return nil, connect.NewError(connect.CodeUnavailable, err)
 			}
 			return connect.NewResponse(wrapperspb.Bytes(b)), nil
 		}, connect.WithCompressMinBytes(math.MaxInt))))
-	return daemon.Serve(ctx, f.options.Settings.Fleet, mux)
+	return mux
 }
 
 // limitConcurrent refuses requests beyond n at a time. A request counts until its response is
@@ -297,17 +324,17 @@
 }
 
 // updateCache keeps the last response to a fetch: after a change, most nodes request the changes
-// since the same revision.
+// since the same position.
 type updateCache struct {
-	mu              sync.Mutex
-	since, revision uint64
-	packed          []byte
+	mu        sync.Mutex
+	since, to routes.Position
+	packed    []byte
 }
 
-func (c *updateCache) get(current *routes.Current, since uint64) ([]byte, error) {
+func (c *updateCache) get(current *routes.Current, since routes.Position) ([]byte, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.packed != nil && c.since == since && c.revision == current.Revision() {
+	if c.packed != nil && c.since == since && c.to == current.Position() {
 		return c.packed, nil
 	}
 	changes := current.ChangesSince(since)
@@ -322,7 +349,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c.since, c.revision, c.packed = since, changes[len(changes)-1].Revision, packed
+	c.since, c.to, c.packed = since, changes[len(changes)-1].Position, packed
 	return packed, nil
 }
 
--- a/node/fleet/routes_bench_test.go
+++ b/node/fleet/routes_bench_test.go
@@ -39,7 +39,7 @@
 				var current routes.Current
 				current.Offer(after)
 				var cache updateCache
-				packed, err := cache.get(&current, 0)
+				packed, err := cache.get(&current, routes.Position{})
 				if err != nil {
 					b.Fatal(err)
 				}
--- a/node/fleet/routes_test.go
+++ b/node/fleet/routes_test.go
@@ -17,7 +17,7 @@
 // tableOf returns routes from n addresses to a service.
 func tableOf(revision uint64, n int, service string) *routes.Table {
 	t := &routes.Table{
-		Revision: revision, Version: 9, IdleTimeout: 15 * time.Second,
+		Position: routes.Position{Version: int64(revision), Era: 1, Revision: revision}, IdleTimeout: 15 * time.Second,
 		Routes: map[netip.AddrPort]routes.Route{}, Services: map[string]struct{}{service: {}},
 	}
 	for i := range n {
@@ -36,7 +36,7 @@
 	var cache updateCache
 	var sender, receiver routes.Current
 	update := func() {
-		packed, err := cache.get(&sender, receiver.Revision())
+		packed, err := cache.get(&sender, receiver.Position())
 		assert.NilError(t, err)
 		u, err := unpack(packed)
 		assert.NilError(t, err)
@@ -51,14 +51,14 @@
 	for _, next := range []*routes.Table{tableOf(3, 2000, "a"), tableOf(4, 2001, "a"), tableOf(8, 1500, "b")} {
 		sender.Offer(next)
 		update()
-		assert.Equal(t, receiver.Revision(), next.Revision)
+		assert.Equal(t, receiver.Position(), next.Position)
 		assert.Equal(t, len(receiver.Load().Routes), len(next.Routes))
 		for address, r := range next.Routes {
 			assert.DeepEqual(t, receiver.Load().Routes[address], r)
 		}
 		assert.DeepEqual(t, receiver.Load().Services, next.Services)
 	}
-	_, err := cache.get(&sender, receiver.Revision())
+	_, err := cache.get(&sender, receiver.Position())
 	assert.ErrorIs(t, err, errNoNewerRoutes)
 }
 
--- a/node/fleet/store.go
+++ b/node/fleet/store.go
@@ -76,7 +76,7 @@
 		if before == 0 {
 			message = "store era" // the first one that this node has learned
 		}
-		_ = level.Info(f.options.Logger).Log(logging.KeyMessage, message, "era", era, "before", before, "from", from)
+		_ = level.Info(f.options.Logger).Log(logging.KeyMessage, message, logging.KeyEra, era, "before", before, "from", from)
 		return
 	}
 }
--- a/node/logging/logging.go
+++ b/node/logging/logging.go
@@ -16,6 +16,7 @@
 	KeyAge      = "age"
 	KeyCaller   = "caller"
 	KeyDecision = "decision"
+	KeyEra      = "era"
 	KeyError    = "err"
 	KeyHome     = "home"
 	KeyMessage  = "msg"
@@ -31,6 +32,7 @@
 	KeySkipped  = "skipped"
 	KeyTarget   = "target"
 	KeyTime     = "ts"
+	KeyVersion  = "version"
 )
 
 // decisionsPerSecond is the default limit of a decision log, so that logging cannot become the main
--- a/node/packetagent/agent.go
+++ b/node/packetagent/agent.go
@@ -403,8 +403,8 @@
 		if a.logs.Usual.Allow() {
 			load := a.flows.Load(now)
 			a.logs.Usual.Log("flow offered", logging.KeyFlow, p.CallerFlow(), "copy", p.CopyIndex(),
-				logging.KeyService, s.Service, logging.KeyTarget, s.ID, logging.KeyRevision, fp.Revision,
-				"tried", len(fp.Tried), "flows", load.Flows, "busy", float32(load.Busy), "failing", float32(load.Failing),
+				logging.KeyService, s.Service, logging.KeyTarget, s.ID, logging.KeyRevision, fp.Routes.Revision,
+				logging.KeyVersion, fp.Routes.Version, "tried", len(fp.Tried), "flows", load.Flows, "busy", float32(load.Busy), "failing", float32(load.Failing),
 				logging.KeyAge, s.Age)
 		}
 	} else if s.Ended || fp.Service != "" && fp.Service != a.service(&s) {
@@ -444,7 +444,7 @@
 	}
 	// Routes of this node decide if they are at least as new as the entry's. Otherwise the service
 	// in the packet, which the entry took from its newer routes, has been checked above.
-	if t := a.fleet.Routes.Load(); t != nil && t.Revision >= fp.Revision {
+	if t := a.fleet.Routes.Load(); t != nil && !fleet.IsNewer(fp.Routes, t.Position) {
 		if route, ok := t.Lookup(p.CallerFlow().Service()); !ok || !route.HasService(s.Service) {
 			return "route changed"
 		}
@@ -601,8 +601,8 @@
 		}
 		if (!strings.HasPrefix(outcome, "held") || arrived == now) && a.logs.Unusual.Allow() {
 			a.logs.Unusual.Log("flow not held by the target", logging.KeyFlow, flow, "sequence", p.Sequence(),
-				logging.KeyService, fp.Service, logging.KeyRevision, fp.Revision, "outcome", outcome,
-				"tried", len(fp.Tried), "candidates", len(agents))
+				logging.KeyService, fp.Service, logging.KeyRevision, fp.Routes.Revision,
+				logging.KeyVersion, fp.Routes.Version, "outcome", outcome, "tried", len(fp.Tried), "candidates", len(agents))
 		}
 	})
 }
--- a/node/packetagent/offers.go
+++ b/node/packetagent/offers.go
@@ -7,6 +7,7 @@
 
 	"lacewinglever.dev/node/fleet"
 	"lacewinglever.dev/policy/ident"
+	"lacewinglever.dev/policy/routes"
 	"lacewinglever.dev/policy/steering"
 )
 
@@ -23,7 +24,7 @@
 	entry      netip.AddrPort
 	origin     ident.DataCentre
 	service    string
-	revision   uint64
+	routes     routes.Position
 	wantsOwner bool
 	tried      []ident.NodeID
 }
@@ -55,7 +56,7 @@
 		o.lastToken = 1
 	}
 	slot := &o.ring[o.lastToken%maxOffers]
-	*slot = offer{o.lastToken, flow, fp.Entry, fp.Origin, fp.Service, fp.Revision, fp.WantsOwner,
+	*slot = offer{o.lastToken, flow, fp.Entry, fp.Origin, fp.Service, fp.Routes, fp.WantsOwner,
 		append(slot.tried[:0], fp.Tried...)}
 	if fp.WantsOwner || len(fp.Tried) > 0 {
 		o.addOwnerRequest(flow, fp.Entry)
@@ -90,7 +91,7 @@
 	}
 	delete(o.ownerRequests, flow)
 	return fleet.ForwardedPacket{
-		Entry: slot.entry, Origin: slot.origin, Service: slot.service, Revision: slot.revision, WantsOwner: slot.wantsOwner,
+		Entry: slot.entry, Origin: slot.origin, Service: slot.service, Routes: slot.routes, WantsOwner: slot.wantsOwner,
 		Tried: append([]ident.NodeID(nil), slot.tried...),
 	}, true
 }
--- a/node/packetentry/entry.go
+++ b/node/packetentry/entry.go
@@ -225,7 +225,7 @@
 	flow := p.CallerFlow()
 	table := e.fleet.Routes.Load()
 	if table == nil {
-		e.hold(now, pending, "no routes known yet", 0)
+		e.hold(now, pending, "no routes known yet", routes.Position{})
 		return
 	}
 	route, ok := table.Lookup(flow.Service())
@@ -241,25 +241,25 @@
 	if index < 0 {
 		if anyAccepts(now, agents) {
 			pending.MarkNoCapacity(now)
-			e.hold(now, pending, "all targets are full", table.Revision)
+			e.hold(now, pending, "all targets are full", table.Position)
 			return
 		}
 		if e.fleet.RosterComplete(now) && allEnded(agents) {
 			e.resetFlow(flow, p, "service without targets", table)
 			return
 		}
-		e.hold(now, pending, "no target accepts", table.Revision)
+		e.hold(now, pending, "no target accepts", table.Position)
 		return
 	}
 	agent := &agents[index]
 	e.flows.put(now, flow, agent.ID)
 	e.fleet.Roster.RecordPlacement(now, agent.ID)
 	e.counters.flowsOpened.Inc()
-	e.send(agent, &fleet.ForwardedPacket{Service: service, Revision: table.Revision, Tried: tried, Packet: p})
+	e.send(agent, &fleet.ForwardedPacket{Service: service, Routes: table.Position, Tried: tried, Packet: p})
 	if e.logs.Usual.Allow() {
 		e.logs.Usual.Log("flow opens", logging.KeyFlow, flow, "copy", p.CopyIndex(), "route", route.Name,
-			logging.KeyService, service, logging.KeyRevision, table.Revision, logging.KeyPeer, agent.Name,
-			logging.KeyTarget, agent.Target.ID,
+			logging.KeyService, service, logging.KeyRevision, table.Revision, logging.KeyVersion, table.Version,
+			logging.KeyPeer, agent.Name, logging.KeyTarget, agent.Target.ID,
 			"load", float32(steering.Load(now, agent, e.fleet.Self.DataCentre, meanRequestTime)), "late", late,
 			logging.KeyAge, now-agent.LastSeen, "candidates", len(agents))
 	}
@@ -317,14 +317,10 @@
 	p := pending.Value
 	flow := p.CallerFlow()
 	table := e.fleet.Routes.Load()
-	revision := uint64(0)
-	if table != nil {
-		revision = table.Revision
-	}
 	if owner, ok := e.flows.get(now, flow); ok {
 		if a, ok := e.fleet.Roster.Find(owner); ok && a.Health(now) != roster.Gone && !a.Target.Ended {
 			e.counters.sentToOwner.Inc()
-			e.send(&a, &fleet.ForwardedPacket{Service: a.Service, Revision: revision, Packet: p})
+			e.send(&a, &fleet.ForwardedPacket{Service: a.Service, Routes: table.PositionOrZero(), Packet: p})
 			return
 		}
 	}
@@ -335,30 +331,31 @@
 // the flow.
 func (e *Entry) searchOwner(now time.Duration, pending *pendingPacket, flow steering.Flow, table *routes.Table) {
 	p := pending.Value
-	service, revision := "", uint64(0)
+	service := ""
 	if table != nil {
 		route, ok := table.Lookup(flow.Service())
 		if !ok {
 			e.resetFlow(flow, p, "route removed", table)
 			return
 		}
-		service, revision = route.PickService(flow.Hash()), table.Revision
+		service = route.PickService(flow.Hash())
 	}
 	agents := e.rankedAgents(flow, service)
 	index, result := steering.NextCandidate(now, agents, nil, table != nil && e.fleet.RosterComplete(now))
 	switch result {
 	case steering.Continue:
 		e.counters.searched.Inc()
-		e.send(&agents[index], &fleet.ForwardedPacket{Service: service, Revision: revision, WantsOwner: true, Packet: p})
+		at := table.PositionOrZero()
+		e.send(&agents[index], &fleet.ForwardedPacket{Service: service, Routes: at, WantsOwner: true, Packet: p})
 		if e.logs.Unusual.Allow() {
 			e.logs.Unusual.Log("flow searched", logging.KeyFlow, flow, "sequence", p.Sequence(),
-				logging.KeyService, service, logging.KeyRevision, revision, logging.KeyPeer, agents[index].Name,
-				"candidates", len(agents))
+				logging.KeyService, service, logging.KeyRevision, at.Revision, logging.KeyVersion, at.Version,
+				logging.KeyPeer, agents[index].Name, "candidates", len(agents))
 		}
 	case steering.NotFound:
 		e.resetFlow(flow, p, "no target holds the flow", table)
 	case steering.Unknown:
-		e.hold(now, pending, "agents unknown", revision)
+		e.hold(now, pending, "agents unknown", table.PositionOrZero())
 	}
 }
 
@@ -387,13 +384,13 @@
 	}
 	if e.logs.Unusual.Allow() {
 		e.logs.Unusual.Log("flow reset", logging.KeyFlow, flow, "sequence", p.Sequence(), "opening", p.Opens(),
-			logging.KeyReason, reason, logging.KeyRevision, table.Revision)
+			logging.KeyReason, reason, logging.KeyRevision, table.Revision, logging.KeyVersion, table.Version)
 	}
 }
 
 // hold queues a packet until a decision is possible. If the queue does not accept the packet it is
 // dropped, and the caller's retransmission replaces it.
-func (e *Entry) hold(now time.Duration, pending *pendingPacket, reason string, revision uint64) {
+func (e *Entry) hold(now time.Duration, pending *pendingPacket, reason string, at routes.Position) {
 	item, p := *pending, pending.Value
 	item.Flow = p.CallerFlow()
 	isNew := item.Arrived == now
@@ -410,6 +407,6 @@
 	if (!kept || isNew) && e.logs.Unusual.Allow() {
 		e.logs.Unusual.Log("packet held", logging.KeyFlow, item.Flow, "sequence", p.Sequence(),
 			"opening", p.Opens(), logging.KeyReason, reason, "kept", kept,
-			logging.KeyAge, now-item.Arrived, logging.KeyRevision, revision)
+			logging.KeyAge, now-item.Arrived, logging.KeyRevision, at.Revision, logging.KeyVersion, at.Version)
 	}
 }
--- a/policy/roster/roster.go
+++ b/policy/roster/roster.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"lacewinglever.dev/policy/ident"
+	"lacewinglever.dev/policy/routes"
 )
 
 const (
@@ -93,9 +94,9 @@
 // Heartbeat is the content of one heartbeat.
 type Heartbeat struct {
 	Sequence uint64
-	Revision uint64 // of the routes in force at the sender
-	Leaving  bool   // the process is stopping
-	Target   Target // agents only
+	Routes   routes.Position // of the routes in force at the sender
+	Leaving  bool            // the process is stopping
+	Target   Target          // agents only
 	// Interval is the time within which the sender's next heartbeat is due here, DefaultInterval if
 	// it is 0.
 	Interval time.Duration
--- a/policy/routes/change.go
+++ b/policy/routes/change.go
@@ -23,7 +23,7 @@
 
 // ErrBaseMismatch means that a change was applied to another table than the one that it is based
 // on.
-var ErrBaseMismatch = errors.New("the change is based on another revision of the routes")
+var ErrBaseMismatch = errors.New("the change is based on other routes")
 
 // AddressRoute is the route of one address.
 type AddressRoute struct {
@@ -33,9 +33,8 @@
 
 // Change leads from one table to a later one.
 type Change struct {
-	Base        uint64 // revision of the table that it is based on; 0 for an empty table
-	Revision    uint64
-	Version     int64
+	Position
+	Base        Position // of the table that it is based on; zero for an empty table
 	IdleTimeout time.Duration
 
 	Routes          []AddressRoute // added or changed, sorted by address
@@ -49,11 +48,11 @@
 
 // Diff returns the change from one table to another. before may be nil.
 func Diff(before, after *Table) Change {
-	c := Change{Revision: after.Revision, Version: after.Version, IdleTimeout: after.IdleTimeout}
+	c := Change{Position: after.Position, IdleTimeout: after.IdleTimeout}
 	if before == nil {
 		before = &Table{}
 	}
-	c.Base = before.Revision
+	c.Base = before.Position
 	for address, r := range after.Routes {
 		if previous, ok := before.Routes[address]; !ok || !reflect.DeepEqual(previous, r) {
 			c.Routes = append(c.Routes, AddressRoute{address, r})
@@ -81,12 +80,12 @@
 // Apply returns the table that results from applying the change to before, which may be nil if the
 // change is based on an empty table. It returns ErrBaseMismatch if the change has another base.
 func (c *Change) Apply(before *Table) (*Table, error) {
-	t := &Table{Revision: c.Revision, Version: c.Version, IdleTimeout: c.IdleTimeout}
-	if c.Base == 0 {
+	t := &Table{Position: c.Position, IdleTimeout: c.IdleTimeout}
+	if c.Base.IsZero() {
 		before = &Table{}
 	}
-	if before == nil || before.Revision != c.Base {
-		return nil, errors.Wrapf(ErrBaseMismatch, "base %d", c.Base)
+	if before == nil || before.Position != c.Base {
+		return nil, errors.Wrapf(ErrBaseMismatch, "base %v", c.Base)
 	}
 	t.Routes = make(map[netip.AddrPort]Route, len(before.Routes)+len(c.Routes))
 	maps.Copy(t.Routes, before.Routes)
@@ -122,11 +121,10 @@
 	}
 }
 
-// since returns the changes that lead from a revision to the newest, nil if they are no longer
-// kept.
-func (h *history) since(revision uint64) []Change {
-	at := slices.IndexFunc(h.changes, func(c Change) bool { return c.Base == revision })
-	if at < 0 || revision == 0 {
+// since returns the changes that lead from a position to the newest, nil if they are no longer kept.
+func (h *history) since(p Position) []Change {
+	at := slices.IndexFunc(h.changes, func(c Change) bool { return c.Base == p })
+	if at < 0 || p.IsZero() {
 		return nil
 	}
 	return slices.Clone(h.changes[at:])
--- a/policy/routes/change_test.go
+++ b/policy/routes/change_test.go
@@ -15,7 +15,7 @@
 
 func table(t *rapid.T, revision uint64) *routes.Table {
 	next := &routes.Table{
-		Revision: revision, Version: int64(revision) * 3,
+		Position:    routes.Position{Version: int64(revision) * 3, Era: 1, Revision: revision},
 		IdleTimeout: time.Duration(rapid.IntRange(1, 3).Draw(t, "idle")) * time.Second,
 		Routes:      map[netip.AddrPort]routes.Route{}, Services: map[string]struct{}{},
 	}
@@ -47,45 +47,47 @@
 		newest := tables[len(tables)-1]
 		from := append([]*routes.Table{nil}, tables...)
 		at := from[rapid.IntRange(0, len(from)-1).Draw(t, "from")]
-		revision := uint64(0)
-		if at != nil {
-			revision = at.Revision
-		}
-		for _, c := range current.ChangesSince(revision) {
+		for _, c := range current.ChangesSince(at.PositionOrZero()) {
 			next, err := c.Apply(at)
 			assert.NilError(t, err)
 			at = next
 		}
 		assert.DeepEqual(t, at.Routes, newest.Routes, equalAddresses)
 		assert.DeepEqual(t, at.Services, newest.Services)
-		assert.Equal(t, at.Revision, newest.Revision)
-		assert.Equal(t, at.Version, newest.Version)
+		assert.Equal(t, at.Position, newest.Position)
 		assert.Equal(t, at.IdleTimeout, newest.IdleTimeout)
 	})
 }
 
-// Guards against applying a change to other routes than those that it is based on.
+// Guards against applying a change to other routes than those that it is based on, such as those that
+// had the same revision before the store was restored.
 func TestChangeWithAnotherBaseFails(t *testing.T) {
-	c := routes.Diff(&routes.Table{Revision: 5}, &routes.Table{Revision: 7})
-	for _, before := range []*routes.Table{nil, {Revision: 4}, {Revision: 6}} {
-		_, err := c.Apply(before)
+	base := routes.Position{Version: 9, Era: 1, Revision: 5}
+	c := routes.Diff(&routes.Table{Position: base}, &routes.Table{Position: routes.Position{Version: 11, Era: 2, Revision: 7}})
+	for _, other := range []routes.Position{
+		{Version: 9, Era: 1, Revision: 4}, {Version: 9, Era: 1, Revision: 6},
+		{Version: 9, Era: 2, Revision: 5}, {Version: 10, Era: 1, Revision: 5},
+	} {
+		_, err := c.Apply(&routes.Table{Position: other})
 		assert.ErrorIs(t, err, routes.ErrBaseMismatch)
 	}
-	_, err := c.Apply(&routes.Table{Revision: 5})
+	_, err := c.Apply(nil)
+	assert.ErrorIs(t, err, routes.ErrBaseMismatch)
+	_, err = c.Apply(&routes.Table{Position: base})
 	assert.NilError(t, err)
 }
 
 // Guards against changes that list all routes: changing one address of many must cost only that
 // address.
 func TestChangeListsOnlyDifferences(t *testing.T) {
-	before := &routes.Table{Revision: 1, Routes: map[netip.AddrPort]routes.Route{}}
+	before := &routes.Table{Position: routes.Position{Revision: 1}, Routes: map[netip.AddrPort]routes.Route{}}
 	for i := range 1000 {
 		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, byte(i >> 8), byte(i)}), 443)
 		before.Routes[address] = routes.Route{Name: fmt.Sprint(i), Shares: []routes.Share{{Service: "a", Weight: 1}}}
 	}
 	var current routes.Current
 	current.Offer(before)
-	whole := current.ChangesSince(0)
+	whole := current.ChangesSince(routes.Position{})
 	after, err := whole[0].Apply(nil)
 	assert.NilError(t, err)
 	after.Revision = 2
--- a/policy/routes/routes.go
+++ b/policy/routes/routes.go
@@ -54,13 +54,20 @@
 
 // Table is one accepted version of all routes. It is immutable.
 type Table struct {
-	Revision    uint64 // of the stored object; increases with each change
-	Version     int64  // number that the operator gave it
+	Position
 	IdleTimeout time.Duration
 	Routes      map[netip.AddrPort]Route
 	Services    map[string]struct{}
 }
 
+// PositionOrZero returns the position of the table, the zero one if t is nil.
+func (t *Table) PositionOrZero() Position {
+	if t == nil {
+		return Position{}
+	}
+	return t.Position
+}
+
 // Lookup returns the route of an address.
 func (t *Table) Lookup(a netip.AddrPort) (*Route, bool) {
 	r, ok := t.Routes[a]
@@ -78,12 +85,9 @@
 // Load returns the table in force, nil if there is none yet.
 func (c *Current) Load() *Table { return c.table.Load() }
 
-// Revision returns the revision in force, 0 if there is none yet.
-func (c *Current) Revision() uint64 {
-	if t := c.table.Load(); t != nil {
-		return t.Revision
-	}
-	return 0
+// Position returns the position of the table in force, the zero one if there is none yet.
+func (c *Current) Position() Position {
+	return c.table.Load().PositionOrZero()
 }
 
 // Offer puts a table in force unless the current one is as new. It returns the table that was in
@@ -92,7 +96,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	old := c.table.Load()
-	if old != nil && old.Revision >= t.Revision {
+	if old != nil && !t.NewerThan(old.Position) {
 		return old, false
 	}
 	if old != nil {
@@ -102,17 +106,17 @@
 	return old, true
 }
 
-// ChangesSince returns the changes that lead from a revision to the table in force. These are the
-// latest changes, or a single one from an empty table if they are no longer kept. The result is
-// empty if there is no newer table.
-func (c *Current) ChangesSince(revision uint64) []Change {
+// ChangesSince returns the changes that lead from the table at a position to the table in force. These
+// are the latest changes, or a single one from an empty table if they are no longer kept. The result
+// is empty if there is no newer table.
+func (c *Current) ChangesSince(p Position) []Change {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t := c.table.Load()
-	if t == nil || t.Revision <= revision {
+	if t == nil || !t.NewerThan(p) {
 		return nil
 	}
-	if changes := c.history.since(revision); changes != nil {
+	if changes := c.history.since(p); changes != nil {
 		return changes
 	}
 	return []Change{Diff(nil, t)}
--- a/policy/routes/routes_test.go
+++ b/policy/routes/routes_test.go
@@ -12,13 +12,13 @@
 // arrives late.
 func TestOlderTableIsRejected(t *testing.T) {
 	var c routes.Current
-	_, ok := c.Offer(&routes.Table{Revision: 5})
+	_, ok := c.Offer(&routes.Table{Position: routes.Position{Revision: 5}})
 	assert.Assert(t, ok)
-	_, ok = c.Offer(&routes.Table{Revision: 4})
+	_, ok = c.Offer(&routes.Table{Position: routes.Position{Revision: 4}})
 	assert.Assert(t, !ok)
-	_, ok = c.Offer(&routes.Table{Revision: 5})
+	_, ok = c.Offer(&routes.Table{Position: routes.Position{Revision: 5}})
 	assert.Assert(t, !ok)
-	assert.Equal(t, c.Revision(), uint64(5))
+	assert.Equal(t, c.Position().Revision, uint64(5))
 }
 
 // Guards against flows at a service whose share of a route is zero.
