node/fleet: readers watch from a revision of the store's present era

And the store got 469 lists in 4.8 s from four nodes, 4,477 calls in 3 s from one in a test.

Cause: the watch started from the larger of the listed revision and the one in force. The latter may be of before the restore: the store answers 410, at which the reader lists and watches again at once; or it has given that revision out again, and the watch waits for later ones while the change lies below.

Why this works: a watch starts from what this pass has listed or received, never from what is in force; an answer of another era than the list's ends the pass, and the next one lists.

--- a/node/fleet/routes.go
+++ b/node/fleet/routes.go
@@ -85,18 +85,20 @@
 			return
 		}
 		f.recordStoreResult(err)
-		if err == nil || errors.Is(err, platform.ErrHistoryGone) {
+		if err == nil {
 			retry.reset()
 			continue
 		}
+		// A discarded history needs a new list only, but must not cause calls without a pause.
 		retry.wait(ctx)
 	}
 }
 
-// followRoutes lists the routes, then watches them until a call fails, the next list is due or this
-// node is no longer a reader. A watch that returns nothing must not advance the revision from which
-// the next one starts, because it may have missed a change; each starts at a revision that was
-// listed or applied.
+// followRoutes lists the routes, then watches them until a call fails, the next list is due, the store
+// was restored or this node is no longer a reader. A watch that returns nothing must not advance the
+// revision from which the next one starts, because it may have missed a change; each starts at a
+// revision that was listed or received. A revision in force does not count: it may be of another era
+// of the store.
 func (f *Fleet) followRoutes(ctx context.Context) error {
 	listed, err := f.store.ListRoutes(ctx)
 	if err != nil {
@@ -112,14 +114,19 @@
 		// After this pause, most nodes that have just started have a heartbeat of another reader.
 		timing.Sleep(ctx, readerCheckInterval)
 	}
+	since := listed.AsOf
 	for until := time.Now().Add(routesRelistInterval); time.Now().Before(until) && f.isReader(); {
-		changes, err := f.store.WatchRoutes(ctx, max(listed.AsOf, f.Routes.Position().Revision), watchWait)
+		changes, err := f.store.WatchRoutes(ctx, since, watchWait)
 		if err != nil {
 			return err
 		}
 		if changes.Newest != nil {
 			f.applyStored(&changes, "watch")
 		}
+		since = max(since, changes.LastChange)
+		if changes.Era != listed.Era {
+			return nil // changes at revisions below since may have been missed
+		}
 	}
 	return nil
 }
