node/fleet: nodes write their records again after a restore of the store

Readers noticed their own loss up to 20 s later, all other nodes only at the renewal after 30 minutes.

Cause: a node took an acknowledged write for lasting, and most nodes make no call after their start, so that they could not learn of the restore at all.

Why this works: the highest known era of the store goes along with heartbeats and digests; a record counts as written only in the era in which the store has acknowledged it. All nodes learn of a restore at the same moment, so each waits a random time that keeps the fleet below 200 writes a second. A store result is now recorded only after a call: the loop used to report the store as regained without one.

Evidence: TestRecordIsWrittenAgainAfterARestore failed without the comparison of eras.

Older programs ignore the field and send 0, which is never later.

--- a/bench/flows/restore_test.go
+++ b/bench/flows/restore_test.go
@@ -1,6 +1,7 @@
 package flows_test
 
 import (
+	"context"
 	"fmt"
 	"net/netip"
 	"syscall"
@@ -10,6 +11,7 @@
 	"gotest.tools/v3/assert"
 
 	"lacewinglever.dev/bench/flows"
+	"lacewinglever.dev/platform"
 	"lacewinglever.dev/platform/platformtest"
 )
 
@@ -80,3 +82,37 @@
 		f.SetStoreLink(cut, flows.Pass)
 	}
 }
+
+// Guards against nodes that starting nodes can't find after the store has lost their records, although
+// they live and reach it. Most nodes make no calls after their start.
+func TestRecordsAreBackAfterARestore(t *testing.T) {
+	t.Parallel()
+	empty := platformtest.StoreCopy{}
+	f := start(t, map[string]int{"a": 4, "b": 3})
+	nodes := len(f.Entries) + len(f.Agents)
+	client := platform.NewStore(f.Store.Address(), func(platform.CallResult) {})
+	waitForRecords := func(want int, bound time.Duration) {
+		t.Helper()
+		for until := time.Now().Add(bound); ; time.Sleep(20 * time.Millisecond) {
+			records, _, err := client.Nodes(context.Background())
+			assert.NilError(t, err)
+			if len(records) >= want {
+				return
+			}
+			assert.Assert(t, time.Now().Before(until), "%d of %d records", len(records), want)
+		}
+	}
+	waitForRecords(nodes, 5*time.Second)
+	for range 2 {
+		frozen, cut := f.Entries[1], f.Agents[2]
+		frozen.Signal(syscall.SIGSTOP)
+		f.SetStoreLink(cut, flows.Silence)
+		f.Store.Restore(empty)
+		f.Store.PutRoutes(1, []string{"a", "b"}, routesOf())
+		// The watches of the readers last 1.5 s, their backoff 1 s; then the records are due within 2 s.
+		waitForRecords(nodes-2, 4*time.Second)
+		frozen.Signal(syscall.SIGCONT)
+		f.SetStoreLink(cut, flows.Pass)
+		waitForRecords(nodes, 4*time.Second)
+	}
+}
--- a/node/fleet/convert.go
+++ b/node/fleet/convert.go
@@ -41,7 +41,7 @@
 func toHeartbeat(n *roster.Node, hb *roster.Heartbeat, join bool) *fleetv1.Heartbeat {
 	h := &fleetv1.Heartbeat{
 		Sender: toNode(n), Sequence: hb.Sequence, Leaving: hb.Leaving, Join: join,
-		Revision: hb.Routes.Revision, Era: hb.Routes.Era, Version: hb.Routes.Version,
+		Revision: hb.Routes.Revision, Era: hb.Routes.Era, Version: hb.Routes.Version, StoreEra: hb.StoreEra,
 		IntervalMs: uint32(hb.Interval.Milliseconds()), Digested: hb.ViaDigest,
 	}
 	if n.Entry {
@@ -63,7 +63,7 @@
 	}
 	t := h.GetTarget()
 	return n, roster.Heartbeat{
-		Sequence: h.GetSequence(), Leaving: h.GetLeaving(),
+		Sequence: h.GetSequence(), Leaving: h.GetLeaving(), StoreEra: h.GetStoreEra(),
 		Routes:   routes.Position{Version: h.GetVersion(), Era: h.GetEra(), Revision: h.GetRevision()},
 		Interval: time.Duration(h.GetIntervalMs()) * time.Millisecond, ViaDigest: h.GetDigested(),
 		Target: roster.Target{
--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -104,7 +104,7 @@
 	nodeLog         *logging.Decisions
 	draining        atomic.Bool                          // the target has announced its end
 	targetReported  atomic.Bool                          // the target has reported since the start
-	rewriteRecord   chan struct{}                        // receives when this node's record is out of date
+	rewriteRecord   chan struct{}                        // receives when this node's record may be out of date
 	recordObserver  stalerecords.Observer                // only used by the goroutine of maintainRecord
 	pendingChange   atomic.Pointer[fleetv1.RoutesChange] // sent with the next announcement
 	outgoing        outgoingState
@@ -208,6 +208,11 @@
 	if f.draining.Swap(draining) == draining {
 		return
 	}
+	f.wakeRecordWriter()
+}
+
+// wakeRecordWriter makes maintainRecord check this node's record at once.
+func (f *Fleet) wakeRecordWriter() {
 	select {
 	case f.rewriteRecord <- struct{}{}:
 	default:
@@ -388,9 +393,10 @@
 	f.handleNodeChange(&n, &hb, change)
 }
 
-// handleNodeChange logs what a heartbeat or a digest has changed, and queues a fetch of the routes
-// if the node has newer ones.
+// handleNodeChange logs what a heartbeat or a digest has changed, queues a fetch of the routes if the
+// node has newer ones, and takes note of the store's era.
 func (f *Fleet) handleNodeChange(n *roster.Node, hb *roster.Heartbeat, change roster.Change) {
+	f.observeStoreEra(hb.StoreEra, n.Name)
 	if change > roster.Unchanged {
 		f.logNodeChange(n, hb, change)
 	}
--- a/node/fleet/restore_test.go
+++ b/node/fleet/restore_test.go
@@ -12,7 +12,9 @@
 	"github.com/go-kit/log"
 	"gotest.tools/v3/assert"
 
+	"lacewinglever.dev/platform"
 	"lacewinglever.dev/platform/platformtest"
+	"lacewinglever.dev/policy/roster"
 )
 
 // routesBound is the time within which an accepted change must be in force.
@@ -126,3 +128,40 @@
 		assert.Equal(t, f.Routes.Load().Version, int64(2))
 	}
 }
+
+// Guards against a node that starting nodes can't find because the restored store has lost its record,
+// or has one of before its target's drain. The node itself calls the store only at its start.
+func TestRecordIsWrittenAgainAfterARestore(t *testing.T) {
+	store, err := platformtest.NewStore("127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(store.Close)
+	f := newTestFleet(t, store, "agent")
+	f.options.Entry = false
+	empty := store.Copy()
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	t.Cleanup(func() { cancel(); <-ended })
+	go func() { defer close(ended); f.maintainRecord(ctx) }()
+	client := platform.NewStore(store.Address(), func(platform.CallResult) {})
+	waitForRecord := func(draining bool) {
+		t.Helper()
+		for until := time.Now().Add(2 * time.Second); ; time.Sleep(10 * time.Millisecond) {
+			records, _, err := client.Nodes(ctx)
+			assert.NilError(t, err)
+			if len(records) == 1 && records[0].Draining == draining {
+				return
+			}
+			assert.Assert(t, time.Now().Before(until), "records: %+v", records)
+		}
+	}
+	f.RecordTargetReport(false)
+	waitForRecord(false)
+	ready := store.Copy()
+	f.RecordTargetReport(true)
+	waitForRecord(true)
+	for era, saved := range []platformtest.StoreCopy{empty, ready, empty} {
+		store.Restore(saved)
+		f.handleNodeChange(&roster.Node{Name: "peer"}, &roster.Heartbeat{StoreEra: uint64(era + 2)}, roster.Unchanged)
+		waitForRecord(true)
+	}
+}
--- a/node/fleet/store.go
+++ b/node/fleet/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"sync"
 	"time"
@@ -62,7 +63,9 @@
 	}
 }
 
-// observeStoreEra takes note of the store's era, as an answer of the store or another node names it.
+// observeStoreEra takes note of the store's era, as an answer of the store or another node names it. If
+// it is a later one, the store has lost writes that it had acknowledged: this node's record is written
+// again.
 func (f *Fleet) observeStoreEra(era uint64, from string) {
 	for {
 		before := f.storeEra.Load()
@@ -72,11 +75,14 @@
 		if !f.storeEra.CompareAndSwap(before, era) {
 			continue
 		}
-		message := "store restored from an older copy"
-		if before == 0 {
-			message = "store era" // the first one that this node has learned
+		if before == 0 { // the first one that this node has learned
+			_ = level.Info(f.options.Logger).Log(logging.KeyMessage, "store era", logging.KeyEra, era, "from", from)
+			return
 		}
-		_ = level.Info(f.options.Logger).Log(logging.KeyMessage, message, logging.KeyEra, era, "before", before, "from", from)
+		_ = level.Warn(f.options.Logger).Log(logging.KeyMessage, "store restored from an older copy",
+			logging.KeyEra, era, "before", before, "from", from)
+		f.wakeRecordWriter()
+		f.Announce() // other nodes may make no calls for a long time
 		return
 	}
 }
@@ -108,41 +114,42 @@
 	return timing.Sleep(ctx, d)
 }
 
-// maintainRecord keeps the node's record up to date, and lists the records of all nodes at the
-// start. Readers list them again periodically on behalf of their data centre. The record is written
-// before the list: of two nodes that start together, at least one finds the other.
+// ownRecord is this node's record and what is known of the one in the store.
+type ownRecord struct {
+	platform.NodeRecord
+	written   bool // the store has acknowledged the record as it is
+	renewedAt time.Duration
+}
+
+// maintainRecord keeps the node's record up to date, writes it again after a restore of the store, and
+// lists the records of all nodes at the start. Readers list them again periodically on behalf of their
+// data centre. The record is written before the list: of two nodes that start together, at least one
+// finds the other.
 func (f *Fleet) maintainRecord(ctx context.Context) {
-	record := platform.NodeRecord{
+	record := ownRecord{renewedAt: Now(), NodeRecord: platform.NodeRecord{
 		Name: f.Self.Name, Incarnation: uint64(f.Self.Incarnation), Entry: f.Self.Entry,
 		DataCentre: string(f.Self.DataCentre), Address: f.Self.Address.String(), Service: f.options.Service,
-	}
+	}}
 	var retry backoff
-	written, renewedAt := false, Now()
 	for {
-		if now := Now(); now-renewedAt > stalerecords.RenewInterval {
-			written, renewedAt = false, now
-			record.Renewals++
-		}
-		if draining := f.draining.Load(); draining != record.Draining {
-			written, record.Draining = false, draining
+		if !f.checkOwnRecord(ctx, &record) {
+			return
 		}
-		err := error(nil)
-		if !written {
-			record.Unreported = !f.options.Entry && !f.targetReported.Load() // entries have no target
-			record, err = f.store.Register(ctx, record)
-			written = err == nil
-			if record.Draining && f.draining.CompareAndSwap(false, true) {
-				f.options.OnDrained()
-			}
+		called, err := false, error(nil)
+		if !record.written {
+			called, err = true, f.writeOwnRecord(ctx, &record)
 		}
-		if written && (!f.storeListed.Load() || f.isReader()) {
-			written, err = f.listNodes(ctx)
+		if record.written && (!f.storeListed.Load() || f.isReader()) {
+			called = true
+			record.written, err = f.listNodes(ctx)
 		}
 		if ctx.Err() != nil {
 			return
 		}
-		f.recordStoreResult(err)
-		if err == nil && written {
+		if called {
+			f.recordStoreResult(err)
+		}
+		if err == nil && record.written {
 			retry.reset()
 			if !f.waitForRewrite(ctx, timing.Jitter(relistInterval)) {
 				return
@@ -155,6 +162,38 @@
 	}
 }
 
+// checkOwnRecord brings the record up to date and decides whether it has to be written. All nodes have
+// to after a restore of the store, so it then waits a random time. It returns false if the context
+// ended.
+func (f *Fleet) checkOwnRecord(ctx context.Context, record *ownRecord) bool {
+	if now := Now(); now-record.renewedAt > stalerecords.RenewInterval {
+		record.written, record.renewedAt = false, now
+		record.Renewals++
+	}
+	if record.written && record.Era < f.storeEra.Load() {
+		record.written = false
+		spread := stalerecords.RewriteSpread(len(f.Roster.Peers()) + 1)
+		if !timing.Sleep(ctx, time.Duration(rand.Int64N(int64(spread)))) {
+			return false
+		}
+	}
+	if draining := f.draining.Load(); draining != record.Draining {
+		record.written, record.Draining = false, draining
+	}
+	return true
+}
+
+func (f *Fleet) writeOwnRecord(ctx context.Context, record *ownRecord) error {
+	record.Unreported = !f.options.Entry && !f.targetReported.Load() // entries have no target
+	var err error
+	record.NodeRecord, err = f.store.Register(ctx, record.NodeRecord)
+	record.written = err == nil
+	if record.Draining && f.draining.CompareAndSwap(false, true) {
+		f.options.OnDrained()
+	}
+	return err
+}
+
 // waitForRewrite waits until this node's record is out of date, for at most d. It returns false if
 // the context ended first.
 func (f *Fleet) waitForRewrite(ctx context.Context, d time.Duration) bool {
--- a/policy/roster/roster.go
+++ b/policy/roster/roster.go
@@ -95,6 +95,7 @@
 type Heartbeat struct {
 	Sequence uint64
 	Routes   routes.Position // of the routes in force at the sender
+	StoreEra uint64          // highest era of the store that the sender knows, 0 if none
 	Leaving  bool            // the process is stopping
 	Target   Target          // agents only
 	// Interval is the time within which the sender's next heartbeat is due here, DefaultInterval if
