policy/stalerecords: a revision of another era is another write

What callers would have seen: nothing at once. A record that a node wrote again after a restore may get the revision that it had before. A reader then took it for one that was not renewed, and could delete it after 90 minutes; its conditional delete could also hit a record that only shares the revision with the one listed.

Evidence: TestRecordOfAnotherEraCountsAsRenewed fails when the era is not compared (1 record stale, want 0).

Why it works: observations are compared by era and revision, and a record is only deleted in the era in which it was listed, as far as the reader knows. Between its check and the call a restore can still happen; the node then lacks a record until it learns of the restore itself, and writes it.

--- a/node/fleet/store.go
+++ b/node/fleet/store.go
@@ -255,13 +255,16 @@
 	}
 	list := make([]stalerecords.Record, len(records))
 	for i := range records {
-		list[i] = stalerecords.Record{Name: records[i].Name, Revision: records[i].Revision}
+		list[i] = stalerecords.Record{Name: records[i].Name, Era: records[i].Era, Revision: records[i].Revision}
 	}
 	isRunning := func(name string) bool {
 		p, ok := f.Roster.Find(ident.NewNodeID(name))
 		return name == f.Self.Name || ok && p.Running(now)
 	}
 	for _, r := range f.recordObserver.Observe(now, list, isRunning) {
+		if r.Era != f.storeEra.Load() {
+			continue // its revision may be that of another record by now
+		}
 		// The revision guards against a race: a record that was renewed since the list has another
 		// one and stays.
 		err := f.store.Deregister(ctx, r.Name, r.Revision)
--- a/policy/stalerecords/stalerecords.go
+++ b/policy/stalerecords/stalerecords.go
@@ -2,7 +2,7 @@
 // The store expires nothing, and a node that loses its instance can't remove its own record.
 //
 // Running nodes renew their record periodically. The observer judges renewals by its own clock and
-// by the revision of the stored object, so clock differences between nodes don't matter.
+// by the version of the stored object, so clock differences between nodes don't matter.
 package stalerecords
 
 import "time"
@@ -29,11 +29,12 @@
 // Record is the stored object of one node.
 type Record struct {
 	Name     string
-	Revision uint64 // of the object
+	Era      uint64 // of the store
+	Revision uint64 // of the object in that era
 }
 
 type observation struct {
-	revision  uint64
+	record    Record
 	firstSeen time.Duration
 }
 
@@ -49,8 +50,8 @@
 	next := make(map[string]observation, len(list))
 	for _, r := range list {
 		before, ok := o.records[r.Name]
-		if !ok || before.revision != r.Revision {
-			before = observation{r.Revision, now}
+		if !ok || before.record != r {
+			before = observation{r, now}
 		}
 		next[r.Name] = before
 		if now-before.firstSeen > staleAfter && !isLive(r.Name) {
--- a/policy/stalerecords/stalerecords_test.go
+++ b/policy/stalerecords/stalerecords_test.go
@@ -39,3 +39,15 @@
 	assert.Equal(t, len(o.Observe(102*time.Hour, []stalerecords.Record{{Name: "a", Revision: 9}}, neverLive)), 0)
 	assert.Equal(t, len(o.Observe(103*time.Hour, []stalerecords.Record{{Name: "a", Revision: 9}}, neverLive)), 1)
 }
+
+// Guards against removing the record of a node that wrote it again after a restore of the store, in
+// which it got the revision that it had before.
+func TestRecordOfAnotherEraCountsAsRenewed(t *testing.T) {
+	var o stalerecords.Observer
+	neverLive := func(string) bool { return false }
+	for era := uint64(1); era <= 3; era++ {
+		now := time.Duration(era) * 2 * time.Hour
+		assert.Equal(t, len(o.Observe(now, []stalerecords.Record{{Name: "a", Era: era, Revision: 5}}, neverLive)), 0)
+	}
+	assert.Equal(t, len(o.Observe(8*time.Hour, []stalerecords.Record{{Name: "a", Era: 3, Revision: 5}}, neverLive)), 1)
+}
