node/fleet: readers remove restored records of agents that have left

A restore brings back the records of agents that left after the copy. For 90 minutes, each node that starts takes such an agent for one that may hold flows and lets searches wait for it (up to 1.5 s), and readers discover it again each minute. The same holds for a record whose deletion failed while the store was away.

Cause: the deletion is acknowledged and lost; the only node that would repeat it has ended.

Why it works: every node that was there saw the agent leave with its target. A reader that lists a record of such an incarnation, after the time that a restart takes, deletes it at the revision that it has listed.

Evidence: TestRestoredRecordOfALeftNodeIsRemoved failed before (2 records, want 1), TestOnlyEndedAgentsHaveLeft bounds it.

--- a/node/fleet/restore_test.go
+++ b/node/fleet/restore_test.go
@@ -14,6 +14,7 @@
 
 	"lacewinglever.dev/platform"
 	"lacewinglever.dev/platform/platformtest"
+	"lacewinglever.dev/policy/ident"
 	"lacewinglever.dev/policy/roster"
 )
 
@@ -165,3 +166,29 @@
 		waitForRecord(true)
 	}
 }
+
+// Guards against searches that wait for an agent that has left, because a restore of the store has
+// brought its deleted record back.
+func TestRestoredRecordOfALeftNodeIsRemoved(t *testing.T) {
+	store, err := platformtest.NewStore("127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(store.Close)
+	f := newTestFleet(t, store, "reader")
+	ctx := context.Background()
+	for _, name := range []string{"left", "other"} {
+		_, err = f.store.Register(ctx, recordOf(name))
+		assert.NilError(t, err)
+	}
+	saved := store.Copy()
+	n := roster.Node{ID: ident.NewNodeID("left"), Name: "left", Incarnation: 1}
+	f.Roster.RecordHeartbeat(Now()-10*time.Second, n,
+		roster.Heartbeat{Sequence: 9, Leaving: true, Target: roster.Target{Ended: true}})
+	assert.NilError(t, f.store.Deregister(ctx, "left", 0))
+	store.Restore(saved)
+	_, err = f.listNodes(ctx)
+	assert.NilError(t, err)
+	records, _, err := f.store.Nodes(ctx)
+	assert.NilError(t, err)
+	assert.Equal(t, len(records), 1)
+	assert.Equal(t, records[0].Name, "other")
+}
--- a/node/fleet/store.go
+++ b/node/fleet/store.go
@@ -246,7 +246,8 @@
 	return ownFound, nil
 }
 
-// removeStaleRecords deletes records of nodes that are gone for good, if this node reads the store
+// removeStaleRecords deletes records of nodes that are gone for good, also those of agents that a
+// restore of the store has brought back, if this node reads the store
 // for its data centre.
 func (f *Fleet) removeStaleRecords(ctx context.Context, now time.Duration, records []platform.NodeRecord) {
 	if !f.isReader() {
@@ -261,16 +262,25 @@
 		p, ok := f.Roster.Find(ident.NewNodeID(name))
 		return name == f.Self.Name || ok && p.Running(now)
 	}
-	for _, r := range f.recordObserver.Observe(now, list, isRunning) {
+	stale := f.recordObserver.Observe(now, list, isRunning)
+	for i := range records {
+		if f.Roster.HasLeft(now, ident.NewNodeID(records[i].Name), ident.Incarnation(records[i].Incarnation)) {
+			stale = append(stale, list[i])
+		}
+	}
+	for _, r := range stale {
 		if r.Era != f.storeEra.Load() {
 			continue // its revision may be that of another record by now
 		}
 		// The revision guards against a race: a record that was renewed since the list has another
 		// one and stays.
-		err := f.store.Deregister(ctx, r.Name, r.Revision)
+		if err := f.store.Deregister(ctx, r.Name, r.Revision); err != nil {
+			_ = level.Warn(f.options.Logger).Log(logging.KeyMessage, "removing a stale node record failed",
+				logging.KeyPeer, r.Name, logging.KeyRevision, r.Revision, logging.KeyError, err)
+			continue
+		}
 		_ = level.Info(f.options.Logger).Log(
-			logging.KeyMessage, "stale node record removed", logging.KeyPeer, r.Name, logging.KeyRevision, r.Revision,
-			logging.KeyError, err)
+			logging.KeyMessage, "stale node record removed", logging.KeyPeer, r.Name, logging.KeyRevision, r.Revision)
 	}
 }
 
--- a/policy/roster/roster.go
+++ b/policy/roster/roster.go
@@ -415,6 +415,14 @@
 	return false
 }
 
+// HasLeft reports whether an incarnation of an agent has stopped with its target and is not back in the
+// time that a restart takes. Such a node deletes its record; one that is still in the store was not
+// deleted, or was restored.
+func (r *Roster) HasLeft(now time.Duration, id ident.NodeID, incarnation ident.Incarnation) bool {
+	p, ok := r.Find(id)
+	return ok && !p.Entry && p.Incarnation >= incarnation && p.Leaving && p.Target.Ended && p.Health(now) == Gone
+}
+
 // Expire removes peers that have been silent for a long time, and returns them.
 func (r *Roster) Expire(now time.Duration) []Peer {
 	r.mu.Lock()
--- a/policy/roster/roster_test.go
+++ b/policy/roster/roster_test.go
@@ -39,6 +39,30 @@
 	assert.Equal(t, b.Health(9*time.Second), roster.Gone)
 }
 
+// Guards against removing the record of an agent that is being restarted or whose target holds flows.
+func TestOnlyEndedAgentsHaveLeft(t *testing.T) {
+	r := roster.New(1)
+	left := roster.Heartbeat{Sequence: 1, Leaving: true, Target: roster.Target{Ended: true}}
+	r.RecordHeartbeat(0, node("left", 2), left)
+	r.RecordHeartbeat(0, node("restarts", 2), roster.Heartbeat{Sequence: 1, Leaving: true})
+	r.RecordHeartbeat(0, node("lost", 2), roster.Heartbeat{Sequence: 1, Target: roster.Target{Ended: true}})
+	entry := node("entry", 2)
+	entry.Entry = true
+	r.RecordHeartbeat(0, entry, left)
+	hasLeft := func(now time.Duration, name string, incarnation ident.Incarnation) bool {
+		return r.HasLeft(now, ident.NewNodeID(name), incarnation)
+	}
+	late := 10 * time.Second
+	assert.Assert(t, hasLeft(late, "left", 2) && hasLeft(late, "left", 1))
+	assert.Assert(t, !hasLeft(7*time.Second, "left", 2), "may be back")
+	assert.Assert(t, !hasLeft(late, "left", 3), "a later incarnation")
+	for _, name := range []string{"restarts", "lost", "entry", "unknown"} {
+		assert.Assert(t, !hasLeft(late, name, 2), name)
+	}
+	r.RecordHeartbeat(late, node("left", 3), roster.Heartbeat{Sequence: 1})
+	assert.Assert(t, !hasLeft(late+time.Minute, "left", 2), "back")
+}
+
 // Guards against new flows at a node that a record lists but that has never sent a heartbeat here.
 func TestNodeWithoutHeartbeatIsNotLive(t *testing.T) {
 	r := roster.New(1)
