--- a/bench/flows/cluster.go
+++ b/bench/flows/cluster.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -279,11 +280,14 @@
 	return p.unexpectedExits
 }
 
+// Nodes returns all nodes.
+func (c *Cluster) Nodes() []*Node { return append(slices.Clone(c.Entries), c.Agents...) }
+
 // Close kills all processes and ends the stand-ins.
 func (c *Cluster) Close() {
 	close(c.stop)
 	var closing sync.WaitGroup
-	for _, n := range append(append([]*Node{}, c.Entries...), c.Agents...) {
+	for _, n := range c.Nodes() {
 		closing.Go(func() {
 			n.Signal(syscall.SIGCONT)
 			n.Kill()
--- a/bench/flows/flows_test.go
+++ b/bench/flows/flows_test.go
@@ -244,7 +244,10 @@
 // Guards against violated guarantees under faults, in a short run of the soak: one seed has planned
 // work only, the other any fault. Seeds that fail are added here, each with its cause.
 func TestSoak(t *testing.T) {
-	for _, seed := range []uint64{3, 4} {
+	for _, seed := range []uint64{
+		3, 4,
+		607, // nodes without a record after the store was restored
+	} {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
 			t.Parallel()
 			violations, err := flows.Soak(flows.SoakOptions{
--- a/bench/flows/soak.go
+++ b/bench/flows/soak.go
@@ -42,6 +42,7 @@
 	killMany
 	freezeOne
 	failStore
+	restoreStore
 	degradeLink
 	crashOne
 	restartEntry
@@ -60,7 +61,7 @@
 var (
 	plannedWork = []faultKind{restartEntry, restartAgent, hangup, drainOne, changeSettings, changeSettings}
 	anyFault    = append([]faultKind{
-		killOne, killOne, freezeOne, freezeOne, failStore, failStore, degradeLink, degradeLink,
+		killOne, killOne, freezeOne, freezeOne, failStore, failStore, restoreStore, restoreStore, degradeLink, degradeLink,
 		crashOne, crashOne, killMany,
 	}, plannedWork...)
 )
@@ -76,9 +77,18 @@
 	mu            sync.Mutex
 	busy          map[*Node]bool // nodes with a fault in progress
 	routesVersion int
-	routes        []platformtest.Route
+	routes        []platformtest.Route // those with traffic first
+	removed       []platformtest.Route
+
+	storeCopy  platformtest.StoreCopy // to which the store is restored
+	changesDue int                    // changes of the routes that come before the next fault
 }
 
+// permanentRoutes is the number of routes with traffic, which are never removed.
+const permanentRoutes = 2
+
+var soakServices = []string{"a", "b"}
+
 // Soak runs the programs under faults drawn from the seed and returns the violated guarantees.
 func Soak(o SoakOptions) ([]string, error) {
 	l := NewLoad()
@@ -96,12 +106,14 @@
 		{Name: "b", Host: addressB.Addr().String(), Port: int(addressB.Port()), Service: "b"},
 	}
 	s.putRoutes()
+	s.storeCopy = c.Store.Copy()
 	time.Sleep(warmUp)
 	if err := l.Start(c, o.Callers); err != nil {
 		return nil, err
 	}
 	time.Sleep(time.Second)
 	for end := time.Now().Add(o.Faults); time.Now().Before(end); {
+		s.copyStore()
 		s.startFault()
 		time.Sleep(time.Duration(s.rand.IntN(900)) * time.Millisecond)
 	}
@@ -110,13 +122,14 @@
 	time.Sleep(recoveryTime)
 	windowStart := time.Now()
 	time.Sleep(servedWindow)
+	s.checkStoredState()
 	l.Stop()
 	share, total, unanswered := l.ServedShare(windowStart)
 	if share < minServedShare {
 		l.RecordViolation("only %.3f of %d requests answered after the recovery: %s", share, total,
 			strings.Join(unanswered, ", "))
 	}
-	for _, n := range append(append([]*Node{}, c.Entries...), c.Agents...) {
+	for _, n := range c.Nodes() {
 		if n.UnexpectedExits() > 0 {
 			l.RecordViolation("%s exited unexpectedly %d times", n.Name, n.UnexpectedExits())
 		}
@@ -133,7 +146,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.routesVersion += 1 + s.rand.IntN(5)
-	s.cluster.Store.PutRoutes(s.routesVersion, []string{"a", "b"}, s.routes)
+	s.cluster.Store.PutRoutes(s.routesVersion, soakServices, s.routes)
 }
 
 // reserve picks a random node for a fault. It returns nil if the node has a fault in progress: two
@@ -169,7 +182,12 @@
 
 // startFault starts a random fault. Faults may overlap.
 func (s *soak) startFault() {
-	all := append(append([]*Node{}, s.cluster.Entries...), s.cluster.Agents...)
+	if s.changesDue > 0 {
+		s.changesDue--
+		s.changeRoutes()
+		return
+	}
+	all := s.cluster.Nodes()
 	kinds := anyFault
 	if s.options.Seed%plannedWorkEvery == 0 {
 		kinds = plannedWork
@@ -189,6 +207,8 @@
 		n.Signal(syscall.SIGHUP)
 	case failStore:
 		s.failStoreFor(s.randomDuration(500*time.Millisecond, 4*time.Second))
+	case restoreStore:
+		s.restoreStore(s.randomDuration(100*time.Millisecond, 2*time.Second))
 	case degradeLink:
 		s.setLinkFault(s.reserve(all), s.randomDuration(500*time.Millisecond, 4*time.Second))
 	case crashOne:
@@ -345,7 +365,7 @@
 // change is in force.
 func (s *soak) changeRoutes() {
 	s.mu.Lock()
-	added := len(s.routes) < 3 || s.rand.IntN(2) == 0
+	added := len(s.routes) == permanentRoutes || s.rand.IntN(2) == 0
 	var route platformtest.Route
 	if added {
 		port := 9000 + s.routesVersion
@@ -354,6 +374,7 @@
 	} else {
 		route = s.routes[len(s.routes)-1]
 		s.routes = s.routes[:len(s.routes)-1]
+		s.removed = append(s.removed, route)
 	}
 	s.mu.Unlock()
 	s.logf("route %s: added %v", route.Name, added)
@@ -391,7 +412,7 @@
 func (s *soak) killAllNodes(down time.Duration) {
 	var reserved []*Node
 	s.mu.Lock()
-	for _, n := range append(append([]*Node{}, s.cluster.Entries...), s.cluster.Agents...) {
+	for _, n := range s.cluster.Nodes() {
 		if !s.busy[n] {
 			s.busy[n] = true
 			reserved = append(reserved, n)
