--- a/bench/platform/store.go
+++ b/bench/platform/store.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -43,6 +44,40 @@
 	return &Store{now: time.Now, objects: map[string][]objectState{}, nextWrite: make(chan struct{})}
 }
 
+// StoreCopy is a copy of a store's content.
+type StoreCopy struct {
+	version   uint64
+	objects   map[string][]objectState
+	changeLog []objectState
+}
+
+// Copy returns a copy of the store's content.
+func (s *Store) Copy() StoreCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return StoreCopy{s.version, cloneStates(s.objects), slices.Clone(s.changeLog)}
+}
+
+// Restore replaces the store's content by a copy: later writes are lost, and versions are given out
+// again.
+func (s *Store) Restore(c StoreCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version, s.objects, s.changeLog = c.version, cloneStates(c.objects), slices.Clone(c.changeLog)
+	s.superseded = len(s.changeLog) - len(s.objects)
+	s.sortedPaths, s.unsortedPaths = nil, slices.Collect(maps.Keys(s.objects))
+	close(s.nextWrite)
+	s.nextWrite = make(chan struct{})
+}
+
+func cloneStates(objects map[string][]objectState) map[string][]objectState {
+	c := make(map[string][]objectState, len(objects))
+	for path, states := range objects {
+		c[path] = slices.Clone(states)
+	}
+	return c
+}
+
 // Write is a conditional write. IfVersion 0 requires that the object doesn't exist.
 type Write struct {
 	Path          string
