--- a/node/fleet/compatibility_test.go
+++ b/node/fleet/compatibility_test.go
@@ -71,7 +71,7 @@
 	_, hb, err := fromHeartbeat(&fleetv1.Heartbeat{Revision: 7,
 		Sender: &fleetv1.Node{Name: "peer", Incarnation: 1, Address: "127.0.0.1:7400"}})
 	assert.NilError(t, err)
-	assert.Assert(t, IsNewer(hb.Routes, f.Routes.Position()))
+	assert.Assert(t, AreRoutesNewer(hb.Routes, f.Routes.Position()))
 	assert.NilError(t, f.fetchFrom(context.Background(), server.Client(), peerAt(server)))
 	assert.DeepEqual(t, requested, []uint64{5, 0})
 	assert.Equal(t, f.Routes.Load().Version, int64(6))
--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -104,7 +104,7 @@
 	nodeLog         *logging.Decisions
 	draining        atomic.Bool                          // the target has announced its end
 	targetReported  atomic.Bool                          // the target has reported since the start
-	rewriteRecord   chan struct{}                        // receives when this node's record may be out of date
+	recordDue       chan struct{}                        // receives when this node's record may be out of date
 	recordObserver  stalerecords.Observer                // only used by the goroutine of maintainRecord
 	pendingChange   atomic.Pointer[fleetv1.RoutesChange] // sent with the next announcement
 	outgoing        outgoingState
@@ -129,7 +129,7 @@
 		},
 		conn: conn, started: Now(),
 		announceDue: make(chan struct{}, 1), announceLoadDue: make(chan struct{}, 1),
-		fetch: make(chan roster.Peer, 16), rewriteRecord: make(chan struct{}, 1),
+		fetch: make(chan roster.Peer, 16), recordDue: make(chan struct{}, 1),
 		storeDependency: dependency{name: "store", logger: o.Logger},
 		nodeLog:         logging.NewDecisionsWithLimit(o.Logger, nodeLinesPerSecond),
 	}
@@ -208,13 +208,13 @@
 	if f.draining.Swap(draining) == draining {
 		return
 	}
-	f.wakeRecordWriter()
+	f.checkRecordNow()
 }
 
-// wakeRecordWriter makes maintainRecord check this node's record at once.
-func (f *Fleet) wakeRecordWriter() {
+// checkRecordNow makes maintainRecord check this node's record at once.
+func (f *Fleet) checkRecordNow() {
 	select {
-	case f.rewriteRecord <- struct{}{}:
+	case f.recordDue <- struct{}{}:
 	default:
 	}
 }
@@ -400,7 +400,7 @@
 	if change > roster.Unchanged {
 		f.logNodeChange(n, hb, change)
 	}
-	if IsNewer(hb.Routes, f.Routes.Position()) {
+	if AreRoutesNewer(hb.Routes, f.Routes.Position()) {
 		p, _ := f.Roster.Find(n.ID)
 		select {
 		case f.fetch <- p:
--- a/node/fleet/restore_test.go
+++ b/node/fleet/restore_test.go
@@ -41,11 +41,16 @@
 	assert.NilError(t, err)
 	t.Cleanup(store.Close)
 	f := newTestFleet(t, store, "reader")
+	runUntilEnd(t, f.readRoutes)
+	return store, f
+}
+
+// runUntilEnd runs a part of a node until the test ends.
+func runUntilEnd(t *testing.T, part func(context.Context)) {
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	t.Cleanup(func() { cancel(); <-ended })
-	go func() { defer close(ended); f.readRoutes(ctx) }()
-	return store, f
+	go func() { defer close(ended); part(ctx) }()
 }
 
 // putVersion writes routes whose only port is the version.
@@ -139,15 +144,12 @@
 	f := newTestFleet(t, store, "agent")
 	f.options.Entry = false
 	empty := store.Copy()
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan struct{})
-	t.Cleanup(func() { cancel(); <-ended })
-	go func() { defer close(ended); f.maintainRecord(ctx) }()
+	runUntilEnd(t, f.maintainRecord)
 	client := platform.NewStore(store.Address(), func(platform.CallResult) {})
 	waitForRecord := func(draining bool) {
 		t.Helper()
 		for until := time.Now().Add(2 * time.Second); ; time.Sleep(10 * time.Millisecond) {
-			records, _, err := client.Nodes(ctx)
+			records, _, err := client.Nodes(context.Background())
 			assert.NilError(t, err)
 			if len(records) == 1 && records[0].Draining == draining {
 				return
--- a/node/fleet/routes.go
+++ b/node/fleet/routes.go
@@ -225,9 +225,9 @@
 	return nil
 }
 
-// IsNewer reports whether another node's routes are newer than own. A node of an older release tells
+// AreRoutesNewer reports whether another node's routes are newer than own. A node of an older release tells
 // only their revision.
-func IsNewer(other, own routes.Position) bool {
+func AreRoutesNewer(other, own routes.Position) bool {
 	if other.Version == 0 && other.Era == 0 {
 		return other.Revision > own.Revision
 	}
@@ -242,7 +242,7 @@
 		case <-ctx.Done():
 			return
 		case p := <-f.fetch:
-			if !IsNewer(p.Routes, f.Routes.Position()) {
+			if !AreRoutesNewer(p.Routes, f.Routes.Position()) {
 				continue
 			}
 			if err := f.fetchFrom(ctx, client, &p); err != nil && ctx.Err() == nil && f.nodeLog.Allow() {
--- a/node/fleet/store.go
+++ b/node/fleet/store.go
@@ -64,8 +64,7 @@
 }
 
 // observeStoreEra takes note of the store's era, as an answer of the store or another node names it. If
-// it is a later one, the store has lost writes that it had acknowledged: this node's record is written
-// again.
+// it is a later one, the store has lost writes that it had acknowledged: this node's record is checked.
 func (f *Fleet) observeStoreEra(era uint64, from string) {
 	for {
 		before := f.storeEra.Load()
@@ -81,7 +80,7 @@
 		}
 		_ = level.Warn(f.options.Logger).Log(logging.KeyMessage, "store restored from an older copy",
 			logging.KeyEra, era, "before", before, "from", from)
-		f.wakeRecordWriter()
+		f.checkRecordNow()
 		f.Announce() // other nodes may make no calls for a long time
 		return
 	}
@@ -141,7 +140,7 @@
 		}
 		if err == nil && record.written {
 			retry.reset()
-			if !f.waitForRewrite(ctx, timing.Jitter(relistInterval)) {
+			if !f.waitForRecordDue(ctx, timing.Jitter(relistInterval)) {
 				return
 			}
 			continue
@@ -216,15 +215,15 @@
 	return err
 }
 
-// waitForRewrite waits until this node's record is out of date, for at most d. It returns false if
+// waitForRecordDue waits until this node's record may be out of date, for at most d. It returns false if
 // the context ended first.
-func (f *Fleet) waitForRewrite(ctx context.Context, d time.Duration) bool {
+func (f *Fleet) waitForRecordDue(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
 		return false
-	case <-f.rewriteRecord:
+	case <-f.recordDue:
 	case <-timer.C:
 	}
 	return true
--- a/node/fleet/store_test.go
+++ b/node/fleet/store_test.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"io"
 	"testing"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
-	"github.com/go-kit/log"
 	"gotest.tools/v3/assert"
 
 	"lacewinglever.dev/platform"
@@ -30,13 +27,7 @@
 	client := platform.NewStore(store.Address(), func(platform.CallResult) {})
 	_, err = client.Register(ctx, platform.NodeRecord{Name: "e", Incarnation: 1, Draining: true})
 	assert.NilError(t, err)
-	f, err := New(Options{
-		Settings: &Settings{Name: "e", DataCentre: "dc", Fleet: "127.0.0.1:0", Advertise: "127.0.0.1:7400",
-			Store: store.Address()},
-		Entry: true, Handler: idleHandler{}, Logger: log.NewLogfmtLogger(io.Discard), Metrics: metrics.NewSet(),
-	})
-	assert.NilError(t, err)
-	defer func() { _ = f.conn.Close() }()
+	f := newTestFleet(t, store, "e")
 	go f.maintainRecord(ctx)
 	for until := time.Now().Add(10 * time.Second); !f.storeListed.Load(); time.Sleep(10 * time.Millisecond) {
 		assert.Assert(t, time.Now().Before(until), "the records were not listed in time")
--- a/node/packetagent/agent.go
+++ b/node/packetagent/agent.go
@@ -444,7 +444,7 @@
 	}
 	// Routes of this node decide if they are at least as new as the entry's. Otherwise the service
 	// in the packet, which the entry took from its newer routes, has been checked above.
-	if t := a.fleet.Routes.Load(); t != nil && !fleet.IsNewer(fp.Routes, t.Position) {
+	if t := a.fleet.Routes.Load(); t != nil && !fleet.AreRoutesNewer(fp.Routes, t.Position) {
 		if route, ok := t.Lookup(p.CallerFlow().Service()); !ok || !route.HasService(s.Service) {
 			return "route changed"
 		}
