--- a/bench/flows/flows_test.go
+++ b/bench/flows/flows_test.go
@@ -67,6 +67,13 @@
 	}
 }
 
+func (f *fixture) waitUntilReady(t *testing.T, n *flows.Node) {
+	t.Helper()
+	for until := time.Now().Add(10 * time.Second); !f.Ready(n); time.Sleep(50 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(until), "%s is not ready again", n.Name)
+	}
+}
+
 func (f *fixture) openFlow(t *testing.T) *platformtest.Flow {
 	t.Helper()
 	for range 5 {
@@ -131,9 +138,7 @@
 		}
 		assertOutcome(t, f.openFlow(t), fmt.Sprint("new-", round), platformtest.Answered)
 		assert.NilError(t, n.Launch())
-		for until := time.Now().Add(10 * time.Second); !f.Ready(n); time.Sleep(50 * time.Millisecond) {
-			assert.Assert(t, time.Now().Before(until), "%s is not ready again", n.Name)
-		}
+		f.waitUntilReady(t, n)
 	}
 	for _, n := range f.Agents {
 		target, service := f.Target(n)
--- a/bench/flows/restore_test.go
+++ b/bench/flows/restore_test.go
@@ -60,21 +60,27 @@
 		time.Sleep(routesBound)
 		f.assertServed(t, lost, true)
 
-		frozen, killed, cut := f.Entries[0], f.Agents[0], f.Agents[1]
+		frozen, cut, killed := f.Entries[0], f.Agents[1], []*flows.Node{f.Entries[1], f.Agents[0]}
 		frozen.Signal(syscall.SIGSTOP)
-		killed.Kill()
+		for _, n := range killed {
+			n.Kill()
+		}
 		f.SetStoreLink(cut, flows.Silence)
 		f.Store.SetFault(platformtest.Reset)
 		time.Sleep(time.Second)
 		f.Store.Restore(saved)
 		f.Store.SetFault(platformtest.Healthy)
-		version -= 3
-		put(kept, lost) // the operator writes the last version again
-		time.Sleep(500 * time.Millisecond)
-		assert.NilError(t, killed.Launch())
+		for _, n := range killed { // start with the older routes of the store
+			assert.NilError(t, n.Launch())
+		}
 		frozen.Signal(syscall.SIGCONT)
+		for _, n := range f.Entries {
+			f.waitUntilReady(t, n)
+		}
 		time.Sleep(time.Second)
 		f.assertServed(t, lost, true)
+		version -= 3
+		put(kept, lost) // the operator writes the last version again
 		put(lost, added)
 		time.Sleep(routesBound)
 		f.assertServed(t, added, true)
