--- a/node/fleet/compatibility_test.go
+++ b/node/fleet/compatibility_test.go
@@ -13,19 +13,10 @@
 	"gotest.tools/v3/assert"
 
 	fleetv1 "lacewinglever.dev/node/gen/lacewing/fleet/v1"
-	"lacewinglever.dev/platform/platformtest"
 	"lacewinglever.dev/policy/roster"
 	"lacewinglever.dev/policy/routes"
 )
 
-func newStoreFleet(t *testing.T, name string) *Fleet {
-	t.Helper()
-	store, err := platformtest.NewStore("127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(store.Close)
-	return newTestFleet(t, store, name)
-}
-
 func peerAt(server *httptest.Server) *roster.Peer {
 	return &roster.Peer{Node: roster.Node{Name: "peer", Address: netip.MustParseAddrPort(server.Listener.Addr().String())}}
 }
--- a/node/fleet/restore_test.go
+++ b/node/fleet/restore_test.go
@@ -3,13 +3,10 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"net/netip"
 	"testing"
 	"time"
 
-	"github.com/VictoriaMetrics/metrics"
-	"github.com/go-kit/log"
 	"gotest.tools/v3/assert"
 
 	"lacewinglever.dev/platform"
@@ -21,19 +18,6 @@
 // routesBound is the time within which an accepted change must be in force.
 const routesBound = 3 * time.Second
 
-// newTestFleet returns a node of a store. Nothing runs.
-func newTestFleet(t *testing.T, store *platformtest.Store, name string) *Fleet {
-	t.Helper()
-	f, err := New(Options{
-		Settings: &Settings{Name: name, DataCentre: "dc", Fleet: "127.0.0.1:0", Advertise: "127.0.0.1:7400",
-			Store: store.Address()},
-		Entry: true, Handler: idleHandler{}, Logger: log.NewLogfmtLogger(io.Discard), Metrics: metrics.NewSet(),
-	})
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = f.conn.Close() })
-	return f
-}
-
 // startReader returns a store, and a node that reads its routes.
 func startReader(t *testing.T) (*platformtest.Store, *Fleet) {
 	t.Helper()
@@ -45,14 +29,6 @@
 	return store, f
 }
 
-// runUntilEnd runs a part of a node until the test ends.
-func runUntilEnd(t *testing.T, part func(context.Context)) {
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan struct{})
-	t.Cleanup(func() { cancel(); <-ended })
-	go func() { defer close(ended); part(ctx) }()
-}
-
 // putVersion writes routes whose only port is the version.
 func putVersion(store *platformtest.Store, version int) {
 	store.PutRoutes(version, []string{"a"}, []platformtest.Route{
--- a/node/fleet/store_test.go
+++ b/node/fleet/store_test.go
@@ -9,13 +9,8 @@
 
 	"lacewinglever.dev/platform"
 	"lacewinglever.dev/platform/platformtest"
-	"lacewinglever.dev/policy/roster"
 )
 
-type idleHandler struct{ Handler }
-
-func (idleHandler) FillHeartbeat(time.Duration, *roster.Heartbeat) {}
-
 // Guards against an entry that stops because another writer has stored a draining record under its
 // name. Only agents have a target that may have drained.
 func TestEntryIgnoresADrainingRecord(t *testing.T) {
