--- a/bench/flows/restore_test.go
+++ b/bench/flows/restore_test.go
@@ -115,7 +115,7 @@
 		f.SetStoreLink(cut, flows.Silence)
 		f.Store.Restore(empty)
 		f.Store.PutRoutes(1, []string{"a", "b"}, routesOf())
-		// The watches of the readers last 1.5 s, their backoff 1 s; then the records are due within 2 s.
+		// Readers pause up to 1 s after a failed call; then the records are due within 2 s.
 		waitForRecords(nodes-2, 4*time.Second)
 		frozen.Signal(syscall.SIGCONT)
 		f.SetStoreLink(cut, flows.Pass)
--- a/bench/platform/restore_test.go
+++ b/bench/platform/restore_test.go
@@ -28,7 +28,8 @@
 	c.apply(45) // the operator writes again what was lost
 	c.apply(50)
 	want := fmt.Sprintf(feedSpec, 50)
-	for until := time.Now().Add(settingsBound); c.newestSpecs()[want] < len(c.network.meshes); time.Sleep(10 * time.Millisecond) {
+	for until := time.Now().Add(settingsBound); c.newestSpecs()[want] < len(c.network.meshes); {
+		time.Sleep(10 * time.Millisecond)
 		assert.Assert(t, time.Now().Before(until), "in force: %q, status %+v", c.newestSpecs(), c.status())
 	}
 }
--- a/node/fleet/frame_test.go
+++ b/node/fleet/frame_test.go
@@ -12,7 +12,8 @@
 
 func testPacket() ForwardedPacket {
 	return ForwardedPacket{
-		Entry: netip.MustParseAddrPort("10.1.0.10:7720"), Origin: "dc-1", Service: "a", Routes: routes.Position{Version: 31, Era: 2, Revision: 412}, WantsOwner: true,
+		Entry: netip.MustParseAddrPort("10.1.0.10:7720"), Origin: "dc-1", Service: "a",
+		Routes: routes.Position{Version: 31, Era: 2, Revision: 412}, WantsOwner: true,
 		Tried: []ident.NodeID{1, 1 << 63}, Packet: []byte("packet"),
 	}
 }
--- a/node/packetagent/agent.go
+++ b/node/packetagent/agent.go
@@ -404,7 +404,8 @@
 			load := a.flows.Load(now)
 			a.logs.Usual.Log("flow offered", logging.KeyFlow, p.CallerFlow(), "copy", p.CopyIndex(),
 				logging.KeyService, s.Service, logging.KeyTarget, s.ID, logging.KeyRevision, fp.Routes.Revision,
-				logging.KeyVersion, fp.Routes.Version, "tried", len(fp.Tried), "flows", load.Flows, "busy", float32(load.Busy), "failing", float32(load.Failing),
+				logging.KeyVersion, fp.Routes.Version, "tried", len(fp.Tried), "flows", load.Flows,
+				"busy", float32(load.Busy), "failing", float32(load.Failing),
 				logging.KeyAge, s.Age)
 		}
 	} else if s.Ended || fp.Service != "" && fp.Service != a.service(&s) {
