--- a/review/1/main.go
+++ b/review/1/main.go
@@ -18,7 +18,7 @@
 	// others is the number of targets of the other service. With the two of service b and the two
 	// entries there are 33 nodes.
 	others = 29
-	added  = 3
+	added  = 1
 	opened = 60 // flows
 	// darkFor is how long the machine of the entry has no power.
 	darkFor = 3500 * time.Millisecond
