node/fleet: log lines and metrics on the heartbeat plan and on nodes that are gone

A search leaves out nodes that count as gone, and nothing said which ones, or by what promise: whether their own heartbeats stayed away (the sender stopped sending), or digests did (no relay). Nor did a log show when a node changes from heartbeats to all to heartbeats within its data centre.

--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -168,6 +168,18 @@
 	m.NewGauge("lacewing_routes_version", func() float64 { return float64(f.Routes.Position().Version) })
 	m.NewGauge("lacewing_store_era", func() float64 { return float64(f.storeEra.Load()) })
 	m.NewGauge("lacewing_fleet_nodes", func() float64 { return float64(len(f.Roster.Peers())) })
+	m.NewGauge("lacewing_fleet_direct", func() float64 {
+		plan := f.outgoing.plan.Load()
+		return gaugeOf(plan != nil && plan.Direct)
+	})
+	m.NewGauge("lacewing_fleet_relay", func() float64 { return gaugeOf(f.outgoing.isRelay.Load()) })
+}
+
+func gaugeOf(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
 }
 
 // Run runs the background work of the node until the context ends.
--- a/node/fleet/heartbeats.go
+++ b/node/fleet/heartbeats.go
@@ -37,6 +37,8 @@
 	recentEntries heartbeat.ActiveEntries
 	service       string       // of the target, in the last heartbeat
 	digests       digest.Relay // only used by the goroutine of sendDigests
+	isRelay       atomic.Bool
+	gone          map[ident.NodeID]struct{} // only used by the goroutine of sendHeartbeats
 }
 
 // sendHeartbeats sends heartbeats until the context ends: by the plan in each round, and at once
@@ -78,11 +80,37 @@
 	f.outgoing.mu.Lock()
 	service := f.outgoing.service
 	f.outgoing.mu.Unlock()
-	plan := heartbeat.NewPlan(now, &f.Self, service, f.Roster.Peers())
-	f.outgoing.plan.Store(plan)
+	peers := f.Roster.Peers()
+	plan := heartbeat.NewPlan(now, &f.Self, service, peers)
+	before := f.outgoing.plan.Swap(plan)
+	if before == nil || before.Direct != plan.Direct {
+		_ = level.Info(f.options.Logger).Log(logging.KeyMessage, "heartbeat plan changed", "direct", plan.Direct,
+			"nodes", len(peers))
+	}
+	f.logGoneNodes(now, peers)
 	return plan
 }
 
+// logGoneNodes logs which nodes have become gone, and by what promise of their last heartbeat: why a
+// search for a flow has left them out.
+func (f *Fleet) logGoneNodes(now time.Duration, peers []roster.Peer) {
+	gone := map[ident.NodeID]struct{}{}
+	for i := range peers {
+		p := &peers[i]
+		if p.Health(now) != roster.Gone {
+			continue
+		}
+		gone[p.ID] = struct{}{}
+		if _, known := f.outgoing.gone[p.ID]; known || !f.nodeLog.Allow() {
+			continue
+		}
+		f.nodeLog.Log("node gone", logging.KeyPeer, p.Name, "incarnation", uint64(p.Incarnation), "sequence", p.Sequence,
+			logging.KeyAge, now-p.LastSeen, "interval", p.Interval, "via_digest", p.ViaDigest, "silent", p.Silent,
+			"leaving", p.Leaving, "heartbeat_seen", p.HeartbeatSeen)
+	}
+	f.outgoing.gone = gone
+}
+
 // sendHeartbeat sends a heartbeat to each receiver. A change of the routes that is not nil goes
 // with it.
 func (f *Fleet) sendHeartbeat(to []heartbeat.Receiver, change *fleetv1.RoutesChange) {
@@ -187,6 +215,7 @@
 	isRelay := digest.IsRelay(now, &f.Self, peers)
 	if isRelay != wasRelay {
 		f.outgoing.digests = digest.Relay{}
+		f.outgoing.isRelay.Store(isRelay)
 		_ = level.Info(f.options.Logger).Log(logging.KeyMessage, "relay role changed", "relays", isRelay,
 			"nodes", len(peers))
 	}
