node/fleet, policy/heartbeat: nodes say whether they need a relay, and end promises explicitly

After targets had been replaced and entries rolled (planned work), packets of open flows reached other targets for 2 to 3 s and never their own.

Cause: each node decided by the size of its own roster whether it sends heartbeats to all data centres, and whether it relays for others. Rosters differ (replaced nodes stay for a minute, a node that has just started knows few), so there were data centres that nobody reported. And a node that stopped its heartbeats told nobody, so that receivers took it for gone after 1.5 s. Ruled out: expiry of replaced nodes, which only decides when rosters differ.

Change: a heartbeat says whether its sender reaches all data centres itself; relays report whoever doesn't, whatever they know themselves. Only nodes in the plan are promised heartbeats. On a change of mode, both ways overlap for 4 s, and the receivers are told that no heartbeats are due. Infrequent heartbeats keep their turn when the list changes, and demoted receivers are told. Searches ask agents that are suspect only for want of digests last, instead of not at all.

Why it works: no two nodes have to agree on a mode any more. The one that changes is the one that says so, to those who rely on it. Older programs set no field and are relayed.

--- a/bench/flows/flows_test.go
+++ b/bench/flows/flows_test.go
@@ -150,6 +150,28 @@
 	assert.Assert(t, time.Since(begun) < 2*time.Second, "reset after %v", time.Since(begun))
 }
 
+// Guards against resets of open flows when a fleet grows past the size at which its nodes send their
+// heartbeats to all others, and a data centre loses its only entry, which would relay them, at that
+// moment.
+func TestFlowsOutliveGrowthWithoutARelay(t *testing.T) {
+	t.Parallel()
+	f := start(t, map[string]int{"a": 2, "b": 29})
+	var open []*platformtest.Flow
+	for i := range 20 {
+		flow := f.openFlow(t)
+		assertOutcome(t, flow, fmt.Sprint("before-", i), platformtest.Answered)
+		open = append(open, flow)
+	}
+	time.Sleep(2 * time.Second) // all nodes have heartbeats of each other
+	assert.NilError(t, f.AddAgent(0, "b"))
+	time.Sleep(500 * time.Millisecond)
+	f.Entries[0].Kill()
+	time.Sleep(1500 * time.Millisecond)
+	for i, flow := range open {
+		assertOutcome(t, flow, fmt.Sprint("after-", i), platformtest.Answered)
+	}
+}
+
 // Guards against callers that wait for their deadline on a flow that no target holds any more.
 func TestLostFlowsAreReset(t *testing.T) {
 	t.Parallel()
--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -168,10 +168,7 @@
 	m.NewGauge("lacewing_routes_version", func() float64 { return float64(f.Routes.Position().Version) })
 	m.NewGauge("lacewing_store_era", func() float64 { return float64(f.storeEra.Load()) })
 	m.NewGauge("lacewing_fleet_nodes", func() float64 { return float64(len(f.Roster.Peers())) })
-	m.NewGauge("lacewing_fleet_direct", func() float64 {
-		plan := f.outgoing.plan.Load()
-		return gaugeOf(plan != nil && plan.Direct)
-	})
+	m.NewGauge("lacewing_fleet_direct", func() float64 { return gaugeOf(f.reachesAll(Now())) })
 	m.NewGauge("lacewing_fleet_relay", func() float64 { return gaugeOf(f.outgoing.isRelay.Load()) })
 }
 
@@ -304,7 +301,8 @@
 			return
 		}
 		now := Now()
-		message := encode(f.heartbeatMessage(now, heartbeat.Receiver{}, true))
+		// The seeds are of any data centre, and may never be in the heartbeat plan.
+		message := encode(f.heartbeatMessage(now, heartbeat.Receiver{ViaDigest: true}, true))
 		for _, seed := range *f.seeds.Load() {
 			if seed != f.Self.Address {
 				f.write(seed, message)
--- a/node/fleet/heartbeats.go
+++ b/node/fleet/heartbeats.go
@@ -33,6 +33,7 @@
 // outgoingState holds what a node needs to decide which nodes get its heartbeats and digests.
 type outgoingState struct {
 	plan          atomic.Pointer[heartbeat.Plan]
+	planning      sync.Mutex // held while a plan replaces the one before
 	mu            sync.Mutex // guards recentEntries and service
 	recentEntries heartbeat.ActiveEntries
 	service       string       // of the target, in the last heartbeat
@@ -77,18 +78,27 @@
 func (f *Fleet) replan() *heartbeat.Plan {
 	now := Now()
 	f.removeSilentNodes(now)
+	plan, peers := f.updatePlan(now)
+	f.logGoneNodes(now, peers)
+	return plan
+}
+
+// updatePlan recomputes the heartbeat plan, and returns it and the peers that it was made for.
+func (f *Fleet) updatePlan(now time.Duration) (*heartbeat.Plan, []roster.Peer) {
+	f.outgoing.planning.Lock()
+	defer f.outgoing.planning.Unlock()
 	f.outgoing.mu.Lock()
 	service := f.outgoing.service
 	f.outgoing.mu.Unlock()
 	peers := f.Roster.Peers()
-	plan := heartbeat.NewPlan(now, &f.Self, service, peers)
-	before := f.outgoing.plan.Swap(plan)
+	before := f.outgoing.plan.Load()
+	plan := heartbeat.NewPlan(now, &f.Self, service, peers, before)
+	f.outgoing.plan.Store(plan)
 	if before == nil || before.Direct != plan.Direct {
 		_ = level.Info(f.options.Logger).Log(logging.KeyMessage, "heartbeat plan changed", "direct", plan.Direct,
 			"nodes", len(peers))
 	}
-	f.logGoneNodes(now, peers)
-	return plan
+	return plan, peers
 }
 
 // logGoneNodes logs which nodes have become gone, and by what promise of their last heartbeat: why a
@@ -138,7 +148,8 @@
 
 // ownHeartbeat returns this node's next heartbeat, without the fields that depend on the receiver.
 func (f *Fleet) ownHeartbeat(now time.Duration) roster.Heartbeat {
-	hb := roster.Heartbeat{Routes: f.Routes.Position(), StoreEra: f.storeEra.Load(), Leaving: f.leaving.Load()}
+	hb := roster.Heartbeat{Routes: f.Routes.Position(), StoreEra: f.storeEra.Load(), Leaving: f.leaving.Load(),
+		Direct: f.reachesAll(now)}
 	f.options.Handler.FillHeartbeat(now, &hb)
 	hb.Sequence = f.sequence.Add(1)
 	f.outgoing.mu.Lock()
@@ -147,19 +158,29 @@
 	return hb
 }
 
-// receiverOutsidePlan returns a node as the receiver of a single heartbeat that the plan does not
-// contain.
-func (f *Fleet) receiverOutsidePlan(dc ident.DataCentre, address netip.AddrPort) heartbeat.Receiver {
+// reachesAll reports whether this node sends heartbeats to the nodes of all data centres, so that
+// relays needn't report it.
+func (f *Fleet) reachesAll(now time.Duration) bool {
+	plan := f.outgoing.plan.Load()
+	return plan != nil && plan.ReachesAll(now)
+}
+
+// receiverOutsidePlan returns a node as the receiver of a single heartbeat outside of the rounds. If
+// this node sends to all nodes, that one becomes part of the plan first.
+func (f *Fleet) receiverOutsidePlan(now time.Duration, dc ident.DataCentre, address netip.AddrPort) heartbeat.Receiver {
 	plan := f.outgoing.plan.Load()
 	if plan == nil {
-		return heartbeat.Receiver{Address: address}
+		return heartbeat.Receiver{Address: address, ViaDigest: dc != f.Self.DataCentre}
+	}
+	if plan.Direct && !plan.Promises(address) {
+		plan, _ = f.updatePlan(now)
 	}
 	return plan.OneOff(f.Self.DataCentre, dc, address)
 }
 
 // introduceSelf sends a heartbeat of this node to a node that may not have it in its roster.
 func (f *Fleet) introduceSelf(now time.Duration, n *roster.Node) {
-	f.sendMessage(n.Address, f.heartbeatMessage(now, f.receiverOutsidePlan(n.DataCentre, n.Address), false))
+	f.sendMessage(n.Address, f.heartbeatMessage(now, f.receiverOutsidePlan(now, n.DataCentre, n.Address), false))
 }
 
 // RecordOffer records that an entry of a data centre has placed a flow on this node, and sends the
@@ -184,24 +205,26 @@
 	return f.outgoing.recentEntries.TakeReceivers(Now())
 }
 
-// sendDigests sends digests of this data centre to the others while this node is one of its relays,
-// until the context ends.
+// sendDigests sends digests of this data centre to the others while this node is one of its relays
+// and a node there needs one, until the context ends.
 func (f *Fleet) sendDigests(ctx context.Context) error {
-	check, isRelay := 0, false
+	check := 0
 	return timing.Every(ctx, digestCheckInterval, func(time.Time) {
-		plan := f.outgoing.plan.Load()
-		if plan == nil || !plan.Relayed || f.leaving.Load() {
-			return
-		}
 		due := check%checksPerDigest == 0
 		check++
-		if !due && !isRelay {
+		isRelay := f.outgoing.isRelay.Load()
+		if f.leaving.Load() || !due && !isRelay {
 			return
 		}
 		now := Now()
+		if f.reachesAll(now) && !f.Roster.NeedsRelay(f.Self.DataCentre) {
+			f.updateRelayRole(false, 0)
+			return
+		}
 		peers := f.Roster.Peers()
 		if due {
-			isRelay = f.updateRelayRole(now, peers, isRelay)
+			isRelay = digest.IsRelay(now, &f.Self, peers)
+			f.updateRelayRole(isRelay, len(peers))
 		}
 		if isRelay {
 			f.sendDigest(now, peers, due)
@@ -209,17 +232,14 @@
 	})
 }
 
-// updateRelayRole reports whether this node is a relay of its data centre. A change of the role
-// clears the record of what the digests contained.
-func (f *Fleet) updateRelayRole(now time.Duration, peers []roster.Peer, wasRelay bool) bool {
-	isRelay := digest.IsRelay(now, &f.Self, peers)
-	if isRelay != wasRelay {
-		f.outgoing.digests = digest.Relay{}
-		f.outgoing.isRelay.Store(isRelay)
-		_ = level.Info(f.options.Logger).Log(logging.KeyMessage, "relay role changed", "relays", isRelay,
-			"nodes", len(peers))
+// updateRelayRole records whether this node is a relay of its data centre. A change of the role clears
+// the record of what the digests contained.
+func (f *Fleet) updateRelayRole(isRelay bool, nodes int) {
+	if f.outgoing.isRelay.Swap(isRelay) == isRelay {
+		return
 	}
-	return isRelay
+	f.outgoing.digests = digest.Relay{}
+	_ = level.Info(f.options.Logger).Log(logging.KeyMessage, "relay role changed", "relays", isRelay, "nodes", nodes)
 }
 
 // sendDigest sends the changed nodes of this data centre to each other data centre, and some of the
@@ -242,11 +262,14 @@
 }
 
 // digestItems returns the state of this node and of each node of its data centre that has sent a
-// heartbeat.
+// heartbeat, without those that send heartbeats to the other data centres themselves.
 func (f *Fleet) digestItems(now time.Duration, peers []roster.Peer) []digest.NodeUpdate {
-	items := []digest.NodeUpdate{{Node: f.Self, Heartbeat: f.ownHeartbeat(now)}}
+	var items []digest.NodeUpdate
+	if !f.reachesAll(now) {
+		items = append(items, digest.NodeUpdate{Node: f.Self, Heartbeat: f.ownHeartbeat(now)})
+	}
 	for i := range peers {
-		if p := &peers[i]; p.DataCentre == f.Self.DataCentre && p.HeartbeatSeen {
+		if p := &peers[i]; p.DataCentre == f.Self.DataCentre && p.HeartbeatSeen && !p.Direct {
 			items = append(items, digest.NodeUpdate{Node: p.Node, Heartbeat: p.Heartbeat, Age: now - p.LastSeen,
 				Silent: p.Overdue(now)})
 		}
--- /dev/null
+++ b/node/fleet/membership_test.go
@@ -0,0 +1,185 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/go-kit/log"
+	"gotest.tools/v3/assert"
+
+	"lacewinglever.dev/platform/platformtest"
+	"lacewinglever.dev/policy/ident"
+	"lacewinglever.dev/policy/roster"
+)
+
+// targetHandler fills in the heartbeats of an agent whose target serves one service.
+type targetHandler struct{ Handler }
+
+func (targetHandler) FillHeartbeat(_ time.Duration, hb *roster.Heartbeat) {
+	hb.Target = roster.Target{Service: "s", ID: "t", Accepting: true, Slots: 3}
+}
+
+// testMember is a node whose membership runs: its heartbeats, digests and record.
+type testMember struct {
+	*Fleet
+	stop context.CancelFunc // ends it without an announcement, as a kill does
+}
+
+// testMembers are nodes on loopback that share a store.
+type testMembers struct {
+	store   *platformtest.Store
+	network int // third octet of their addresses, so that tests can run in parallel
+	count   int
+	running []*testMember
+}
+
+func newTestMembers(t *testing.T, network int) *testMembers {
+	t.Helper()
+	store, err := platformtest.NewStore("127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(store.Close)
+	return &testMembers{store: store, network: network}
+}
+
+func (m *testMembers) start(t *testing.T, entry bool, dc int) *testMember {
+	t.Helper()
+	m.count++
+	return m.startAt(t, entry, dc, m.count)
+}
+
+// startAt starts the node with a number, also one that has run before.
+func (m *testMembers) startAt(t *testing.T, entry bool, dc, number int) *testMember {
+	t.Helper()
+	address := fmt.Sprintf("127.61.%d.%d:7400", m.network, number)
+	o := Options{
+		Settings: &Settings{Name: fmt.Sprint("n-", number), DataCentre: fmt.Sprint("dc-", dc), Fleet: address,
+			Advertise: address, Store: m.store.Address()},
+		Entry: entry, Service: "s", Handler: targetHandler{}, Logger: log.NewLogfmtLogger(io.Discard), Metrics: metrics.NewSet(),
+	}
+	if entry {
+		o.Service, o.Handler = "", idleHandler{}
+	}
+	f, err := New(o)
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	var parts sync.WaitGroup
+	parts.Go(func() { _ = f.receive(ctx) })
+	parts.Go(func() { f.sendHeartbeats(ctx) })
+	parts.Go(func() { _ = f.sendDigests(ctx) })
+	parts.Go(func() { f.join(ctx) })
+	parts.Go(func() { f.maintainRecord(ctx) })
+	n := &testMember{Fleet: f, stop: func() { cancel(); parts.Wait() }}
+	t.Cleanup(n.stop)
+	m.running = append(m.running, n)
+	return n
+}
+
+func (m *testMembers) kill(n *testMember) {
+	n.stop()
+	for i := range m.running {
+		if m.running[i] == n {
+			m.running = append(m.running[:i], m.running[i+1:]...)
+			return
+		}
+	}
+}
+
+// awaitAcquainted waits until all running nodes have heard of each other.
+func (m *testMembers) awaitAcquainted(t *testing.T) {
+	t.Helper()
+	for until := time.Now().Add(10 * time.Second); ; time.Sleep(50 * time.Millisecond) {
+		if m.worst(roster.Suspect) == "" {
+			return
+		}
+		assert.Assert(t, time.Now().Before(until), m.worst(roster.Suspect))
+	}
+}
+
+// worst names a pair of running nodes of which one judges the other by at least this health, "" if
+// there is none. A node that is not known counts as gone.
+func (m *testMembers) worst(health roster.Health) string {
+	now := Now()
+	for _, n := range m.running {
+		for _, other := range m.running {
+			if n == other {
+				continue
+			}
+			p, ok := n.Roster.Find(other.Self.ID)
+			if !ok || p.Health(now) >= health {
+				return fmt.Sprintf("%s (%s) judges %s: known %v, health %v, %+v", n.Self.Name, n.Self.DataCentre,
+					other.Self.Name, ok, p.Health(now), p)
+			}
+		}
+	}
+	return ""
+}
+
+// assertNone asserts for a time that no running node judges another by at least this health for longer
+// than tolerated.
+func (m *testMembers) assertNone(t *testing.T, health roster.Health, tolerated, d time.Duration) {
+	t.Helper()
+	since := time.Now()
+	for until := since.Add(d); time.Now().Before(until); time.Sleep(checkInterval) {
+		found := m.worst(health)
+		if found == "" {
+			since = time.Now()
+			continue
+		}
+		assert.Assert(t, time.Since(since) <= tolerated, found)
+	}
+}
+
+const checkInterval = 50 * time.Millisecond
+
+// reorderBound is how long packets of a flow may reach other targets than its own.
+const reorderBound = 2 * time.Second
+
+// Guards against flows that are reset because nodes stop their heartbeats to other data centres when
+// the fleet grows, while no relay runs that would report them.
+func TestGrowthWithoutARelayLosesNoNode(t *testing.T) {
+	t.Parallel()
+	m := newTestMembers(t, 1)
+	var relay *testMember
+	for i := range 33 {
+		n := m.start(t, i < 2, i%2)
+		if i == 0 {
+			relay = n
+		}
+	}
+	m.awaitAcquainted(t)
+	time.Sleep(time.Second) // heartbeats are sent by a plan that contains all
+	m.start(t, false, 0)
+	m.awaitAcquainted(t)
+	m.kill(relay)
+	m.assertNone(t, roster.Gone, 0, 4*time.Second)
+}
+
+// Guards against nodes that nobody reports to other data centres, because they know more nodes than
+// their relay, which has just started.
+func TestRelaysReportNodesWithLargerRosters(t *testing.T) {
+	t.Parallel()
+	m := newTestMembers(t, 2)
+	relay := m.start(t, true, 0)
+	for i := range 5 {
+		n := m.start(t, i == 4, (i+1)%2)
+		if i == 4 {
+			continue
+		}
+		for j := range 35 { // replaced nodes, which are in no record any more
+			name := fmt.Sprint("gone-", j)
+			n.Roster.Add(Now(), roster.Node{ID: ident.NewNodeID(name), Name: name, Incarnation: 1, DataCentre: "dc-0",
+				Address: netip.MustParseAddrPort(fmt.Sprintf("127.61.200.%d:7400", j+1))}, "s", false)
+		}
+	}
+	m.awaitAcquainted(t)
+	m.kill(relay)
+	m.startAt(t, true, 0, 1)
+	m.awaitAcquainted(t)
+	m.assertNone(t, roster.Suspect, reorderBound, 7*time.Second)
+}
--- a/node/fleet/routes.go
+++ b/node/fleet/routes.go
@@ -206,7 +206,7 @@
 	now := Now()
 	all := func(*roster.Peer) bool { return true }
 	for _, p := range heartbeat.Sample(changeFanout, f.Roster.Peers(), all, rand.IntN) {
-		message := f.heartbeatMessage(now, f.receiverOutsidePlan(p.DataCentre, p.Address), false)
+		message := f.heartbeatMessage(now, f.receiverOutsidePlan(now, p.DataCentre, p.Address), false)
 		message.Routes = m
 		f.sendMessage(p.Address, message)
 	}
--- a/policy/heartbeat/heartbeat.go
+++ b/policy/heartbeat/heartbeat.go
@@ -4,11 +4,15 @@
 // An agent sends its heartbeats frequently to the nodes that forward packets to it. These are the
 // entries of its data centre and the agents of its service there, at a rate within the budget, and
 // each entry anywhere that has recently placed a flow on it, at the full rate. Other nodes of the
-// data centre get a heartbeat every second. Other data centres receive digests (package digest). In
-// a fleet small enough for the budget, all nodes send heartbeats to all others directly.
+// data centre get a heartbeat every second. Other data centres receive digests (package digest). A
+// node whose roster is small enough for the budget sends heartbeats to all others directly.
+//
+// Nodes don't need to agree on which of them send directly: each tells so in its heartbeats, the
+// relays report those that don't, and a node that stops sending directly first tells the receivers.
 package heartbeat
 
 import (
+	"encoding/binary"
 	"net/netip"
 	"slices"
 	"time"
@@ -26,10 +30,13 @@
 	// maxDirectNodes is the number of peers up to which all nodes send heartbeats to each other
 	// directly: the budget of one round then covers all.
 	maxDirectNodes = budgetPerRound
-	// minRelayedNodes is the number of peers above which relays send digests. It is well below
-	// maxDirectNodes, because nodes discover each other at different times: a node that sends
-	// heartbeats only to its own data centre needs relays that list it.
-	minRelayedNodes = maxDirectNodes / 2
+	// handoverPeriod is how long a node that stops or starts sending to all nodes is both reported by
+	// relays and sends to the nodes of other data centres. It is longer than the time after which
+	// others replace a relay that is lost at that moment.
+	handoverPeriod = 4 * time.Second
+	// handoverRounds is the number of rounds between the heartbeats that tell a node that it gets
+	// fewer of them. The first arrives before the silence that ends new flows.
+	handoverRounds = 2
 	// infrequentRounds is the number of rounds between heartbeats to nodes that place no flows
 	// here.
 	infrequentRounds = 5
@@ -46,15 +53,18 @@
 type Receiver struct {
 	Address   netip.AddrPort
 	Interval  time.Duration // of heartbeats to it
-	ViaDigest bool          // no heartbeats are promised to it
+	ViaDigest bool          // no further heartbeats are promised to it
 }
 
 // Plan lists the receivers of a node's heartbeats by round.
 type Plan struct {
 	Direct     bool // heartbeats go to all nodes
-	Relayed    bool // relays send digests to other data centres
 	frequent   rotation
 	infrequent rotation
+	demoted    rotation // infrequent ones that the plan before had among the frequent ones
+	// handover are the nodes of other data centres that the last direct plan contained, until handoverEnd.
+	handover    rotation
+	handoverEnd time.Duration
 }
 
 // rotation is a list of nodes that get a heartbeat in turn, each once in the given number of
@@ -71,52 +81,113 @@
 
 func (r *rotation) interval() time.Duration { return RoundInterval * time.Duration(r.rounds) }
 
-// append appends every step-th node of the list, starting at first.
-func (r *rotation) append(to []Receiver, first, step int) []Receiver {
-	for i := first; i < len(r.addresses); i += step {
-		to = append(to, Receiver{Address: r.addresses[i], Interval: r.interval()})
+// append appends all nodes of the list.
+func (r *rotation) append(to []Receiver) []Receiver {
+	for _, address := range r.addresses {
+		to = append(to, Receiver{Address: address, Interval: r.interval()})
 	}
 	return to
 }
 
-// due appends the nodes of the list that are due in a round.
+// due appends the nodes of the list that are due in a round. A node's turn doesn't depend on the other
+// nodes of the list: if it did, a node could miss its turn whenever the list changes.
 func (r *rotation) due(to []Receiver, round uint64) []Receiver {
-	return r.append(to, int(round%uint64(r.rounds)), r.rounds)
+	turn := uint32(round % uint64(r.rounds))
+	for _, address := range r.addresses {
+		if r.rounds == 1 || hash(address)%uint32(r.rounds) == turn {
+			to = append(to, Receiver{Address: address, Interval: r.interval()})
+		}
+	}
+	return to
+}
+
+// hash returns a number that spreads addresses evenly over the rounds.
+func hash(a netip.AddrPort) uint32 {
+	const multiplier = 0x9e3779b1 // 2^32 divided by the golden ratio
+	ip := a.Addr().As16()         // also of addresses that aren't IPv4
+	h := (binary.BigEndian.Uint32(ip[12:]) ^ uint32(a.Port())) * multiplier
+	return (h ^ h>>15) * multiplier >> 16
 }
 
-// NewPlan returns the plan of the node self. service is that of its target if self is an agent.
-func NewPlan(now time.Duration, self *roster.Node, service string, peers []roster.Peer) *Plan {
-	p := &Plan{Direct: len(peers) <= maxDirectNodes, Relayed: len(peers) > minRelayedNodes}
+// NewPlan returns the plan of the node self that replaces the plan before, nil at the start. service
+// is that of the target if self is an agent.
+func NewPlan(now time.Duration, self *roster.Node, service string, peers []roster.Peer, before *Plan) *Plan {
+	p := &Plan{Direct: len(peers) <= maxDirectNodes}
+	if before == nil {
+		before = &Plan{Direct: p.Direct}
+	}
+	switch {
+	case p.Direct != before.Direct:
+		p.handoverEnd = now + handoverPeriod
+	case now < before.handoverEnd:
+		p.handover, p.handoverEnd = before.handover, before.handoverEnd
+	}
+	wasFrequent := make(map[netip.AddrPort]struct{}, len(before.frequent.addresses))
+	for _, address := range before.frequent.addresses {
+		wasFrequent[address] = struct{}{}
+	}
 	for i := range peers {
 		peer := &peers[i]
 		if !p.Direct && peer.DataCentre != self.DataCentre {
+			if before.Promises(peer.Address) {
+				p.handover.addresses = append(p.handover.addresses, peer.Address)
+			}
 			continue
 		}
 		if !self.Entry && peer.Running(now) && (peer.Entry || peer.Service == service) {
 			p.frequent.addresses = append(p.frequent.addresses, peer.Address)
-		} else {
-			p.infrequent.addresses = append(p.infrequent.addresses, peer.Address)
+			continue
+		}
+		p.infrequent.addresses = append(p.infrequent.addresses, peer.Address)
+		if _, ok := wasFrequent[peer.Address]; ok {
+			p.demoted.addresses = append(p.demoted.addresses, peer.Address)
 		}
 	}
 	p.frequent.setRounds(1)
 	p.infrequent.setRounds(infrequentRounds)
+	p.demoted.setRounds(handoverRounds)
+	p.handover.setRounds(handoverRounds)
 	return p
 }
 
+// ReachesAll reports whether all nodes get heartbeats and none relies on what relays report of this one.
+func (p *Plan) ReachesAll(now time.Duration) bool { return p.Direct && now >= p.handoverEnd }
+
+// Promises reports whether the plan sends heartbeats to a node of another data centre and tells it so.
+func (p *Plan) Promises(address netip.AddrPort) bool {
+	return p.Direct && (slices.Contains(p.frequent.addresses, address) || slices.Contains(p.infrequent.addresses, address))
+}
+
 // Due returns the receivers of a round.
 func (p *Plan) Due(round uint64) []Receiver {
-	return p.infrequent.due(p.frequent.due(nil, round), round)
+	to := p.infrequent.due(p.frequent.due(nil, round), round)
+	for _, r := range p.demoted.due(nil, round) {
+		r.Interval = p.infrequent.interval()
+		to = append(to, r)
+	}
+	return viaDigest(to, p.handover.due(nil, round))
 }
 
 // All returns all receivers, for changes that can't wait for their round.
 func (p *Plan) All() []Receiver {
-	return p.infrequent.append(p.frequent.append(nil, 0, 1), 0, 1)
+	to := p.infrequent.append(p.frequent.append(nil))
+	return viaDigest(to, p.handover.append(nil))
+}
+
+// viaDigest appends receivers to which no further heartbeats are promised.
+func viaDigest(to, receivers []Receiver) []Receiver {
+	for _, r := range receivers {
+		r.ViaDigest = true
+		to = append(to, r)
+	}
+	return to
 }
 
 // OneOff returns a node of the data centre dc as a receiver outside of the rounds. self is the data
-// centre of the sender.
+// centre of the sender. A node of another data centre that the plan doesn't contain is promised
+// nothing: the next plan may not contain it either.
 func (p *Plan) OneOff(self, dc ident.DataCentre, address netip.AddrPort) Receiver {
-	return Receiver{Address: address, Interval: p.infrequent.interval(), ViaDigest: !p.Direct && dc != self}
+	return Receiver{Address: address, Interval: p.infrequent.interval(), ViaDigest: dc != self && !p.Promises(address)}
 }
 
 // Sample returns n different peers drawn at random, preferred ones first, or all if there are fewer
@@ -166,7 +237,7 @@
 		index = len(a.entries) - 1
 	}
 	active := a.entries[index]
-	active.Receiver = Receiver{Address: entry, Interval: p.frequent.interval(), ViaDigest: !p.Direct && dc != self}
+	active.Receiver = Receiver{Address: entry, Interval: p.frequent.interval(), ViaDigest: dc != self && !p.Promises(entry)}
 	active.lastPlacement = now
 	sendNow := now-active.lastSent >= minAnswerInterval
 	if sendNow {
--- a/policy/roster/roster.go
+++ b/policy/roster/roster.go
@@ -104,6 +104,9 @@
 	// ViaDigest is set if the sender promises no heartbeats to this node, because digests of its
 	// data centre report its state.
 	ViaDigest bool
+	// Direct is set if the sender sends heartbeats to the nodes of all data centres itself, so that
+	// the relays of its data centre don't report it.
+	Direct bool
 }
 
 // Health is the state of a node as judged by its silence.
@@ -155,6 +158,9 @@
 // since.
 func (p *Peer) Unanswered() bool { return p.unansweredSince != 0 && p.unansweredSince >= p.LastSeen }
 
+// isReported reports whether digests of its data centre are evidence that the peer is running.
+func (p *Peer) isReported() bool { return p.ViaDigest && !p.Direct && !p.Silent }
+
 // silence returns the time since the last evidence that the peer is running.
 func (p *Peer) silence(now time.Duration) time.Duration {
 	if p.lastDigest != 0 {
@@ -213,6 +219,12 @@
 		p.silence(now) <= max(p.suspectAfter(), minRunningSilence)+notRunningSlack
 }
 
+// AwaitsDigests reports whether the peer is suspect only because digests of its data centre stay away.
+// It most likely runs, and its relays are lost or cut off.
+func (p *Peer) AwaitsDigests(now time.Duration) bool {
+	return p.isReported() && p.HeartbeatSeen && !p.Leaving && !p.Unanswered() && p.Overdue(now) && p.Health(now) == Suspect
+}
+
 // Overdue reports whether a heartbeat of the peer is late by so much that the peer gets no new
 // flows.
 func (p *Peer) Overdue(now time.Duration) bool { return p.silence(now) > p.suspectAfter() }
@@ -246,7 +258,7 @@
 // centre is evidence that the nodes there which it doesn't report as silent are running.
 func (r *Roster) view(p *Peer) Peer {
 	v := *p
-	if p.ViaDigest && !p.Silent {
+	if p.isReported() {
 		v.lastDigest = r.lastDigests[p.DataCentre]
 	}
 	return v
@@ -389,6 +401,18 @@
 	return ids
 }
 
+// NeedsRelay reports whether relays have to report a node of a data centre to the others.
+func (r *Roster) NeedsRelay(dc ident.DataCentre) bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	for _, p := range r.peers {
+		if p.DataCentre == dc && p.HeartbeatSeen && !p.Direct {
+			return true
+		}
+	}
+	return false
+}
+
 // Agents appends the agents of a service, or of all services if service is empty, to agents.
 func (r *Roster) Agents(agents []Peer, service string) []Peer {
 	r.mu.RLock()
--- a/policy/roster/roster_test.go
+++ b/policy/roster/roster_test.go
@@ -210,6 +210,29 @@
 	assert.Equal(t, p.Health(13*time.Second), roster.Gone)
 }
 
+// Guards against a lost node that counts as live by digests which report only other nodes, because it
+// had sent its heartbeats itself.
+func TestDigestsAreNoEvidenceOfNodesThatRelaysLeaveOut(t *testing.T) {
+	const dc = "far"
+	r := roster.New(1)
+	n := node("a", 1)
+	n.DataCentre = dc
+	assert.Assert(t, !r.NeedsRelay(dc))
+	r.RecordHeartbeat(0, n, roster.Heartbeat{Sequence: 1, ViaDigest: true, Direct: true})
+	assert.Assert(t, !r.NeedsRelay(dc))
+	r.RecordDigest(13*time.Second, dc)
+	p, _ := r.Find(n.ID)
+	assert.Equal(t, p.Health(2*time.Second), roster.Suspect)
+	assert.Assert(t, !p.AwaitsDigests(2*time.Second))
+	assert.Equal(t, p.Health(13*time.Second), roster.Gone)
+	r.RecordHeartbeat(14*time.Second, n, roster.Heartbeat{Sequence: 2, ViaDigest: true})
+	assert.Assert(t, r.NeedsRelay(dc) && !r.NeedsRelay("other"))
+	p, _ = r.Find(n.ID)
+	assert.Assert(t, !p.AwaitsDigests(15*time.Second), "live")
+	assert.Assert(t, p.AwaitsDigests(18*time.Second))
+	assert.Assert(t, !p.AwaitsDigests(27*time.Second), "gone")
+}
+
 // Guards against judging a node that sends heartbeats here by the interval of digests, which arrive
 // less often, and against giving up a node that has stopped sending heartbeats although digests
 // list it. In a growing fleet, nodes switch to digests at different times.
--- a/policy/steering/search.go
+++ b/policy/steering/search.go
@@ -22,9 +22,10 @@
 // those in tried have bounced the flow's packet. complete means that agents is the complete list.
 // With Unknown, the index is that of the agent to wait for, or -1 if there is none and the list
 // isn't complete. Targets that may have ended come last: an ended target doesn't bounce packets,
-// and the search would stop there.
+// and the search would stop there. So do agents of which nothing was heard because digests of their
+// data centre stay away.
 func NextCandidate(now time.Duration, agents []roster.Peer, tried []ident.NodeID, complete bool) (int, SearchResult) {
-	mayHaveEnded, suspect := -1, -1
+	mayHaveEnded, unreported, suspect := -1, -1, -1
 	for i := range agents {
 		p := &agents[i]
 		if slices.Contains(tried, p.ID) || p.Target.Ended {
@@ -35,6 +36,8 @@
 			return i, Continue
 		case health == roster.Live:
 			mayHaveEnded = firstValid(mayHaveEnded, i)
+		case p.AwaitsDigests(now):
+			unreported = firstValid(unreported, i)
 		case health == roster.Suspect:
 			suspect = firstValid(suspect, i)
 		}
@@ -42,6 +45,8 @@
 	switch {
 	case mayHaveEnded >= 0:
 		return mayHaveEnded, Continue
+	case unreported >= 0:
+		return unreported, Continue
 	case suspect >= 0 && len(tried) == 0:
 		return suspect, Continue // the only agent left
 	case suspect >= 0 || !complete:
--- a/policy/steering/steering_test.go
+++ b/policy/steering/steering_test.go
@@ -106,6 +106,26 @@
 	assert.Equal(t, result, steering.Unknown, "the stopping agent may return")
 }
 
+// Guards against packets of an open flow that reach other targets and never their own, because digests
+// of its data centre stay away for a while and the search doesn't try it.
+func TestSearchTriesAgentsWithoutDigestsLast(t *testing.T) {
+	agents := pool(3)
+	agents[0].ViaDigest = true
+	now := 3 * time.Second
+	agents[1].LastSeen, agents[2].LastSeen = now, now
+	assert.Equal(t, agents[0].Health(now), roster.Suspect)
+	at, result := steering.NextCandidate(now, agents, nil, true)
+	assert.Equal(t, at, 1)
+	assert.Equal(t, result, steering.Continue)
+	tried := []ident.NodeID{agents[1].ID, agents[2].ID}
+	at, result = steering.NextCandidate(now, agents, tried, true)
+	assert.Equal(t, at, 0)
+	assert.Equal(t, result, steering.Continue)
+	agents[0].Leaving = true
+	_, result = steering.NextCandidate(now, agents, tried, true)
+	assert.Equal(t, result, steering.Unknown, "it has announced its stop")
+}
+
 // Guards against a search that ends early because two nodes rank agents differently.
 func TestRankDependsOnFlowAndOriginOnly(t *testing.T) {
 	a, b := pool(7), pool(7)
