node/packetagent, node/fleet: a restarting agent keeps its record, and starting nodes learn of it

Cause: an agent that stops took the announced end of its target for its end, and deleted its record. And a starting node knew of nodes that are away from the store only: not at all without a record, else for 1.5 s (0.4 s if the target drains), where all others wait 8 s for a node that has announced its stop; yet it took its roster for complete. Ruled out: giving up a known node too early; that is what follows once the record stays.

Change: the record is deleted only if the target has left, or has announced its end or never been seen and is silent. Answers to starting nodes contain what was last heard of those that are away, with its age. An answer completes the roster if its sender's is complete, or if no running node has started earlier; such nodes are asked first. A stopping node repeats its announcement in two rounds.

Why it works: a starting node now holds what the others hold of a node that is away, and resets nothing before one of them has told it.

--- a/bench/flows/flows_test.go
+++ b/bench/flows/flows_test.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"os"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -172,6 +173,69 @@
 	}
 }
 
+// Guards against resets of open flows while the agents of their service are rolled: an agent that
+// starts while that of the flow's target is away must know that it returns, also if the target drains.
+func TestFlowsOutliveARollOfTheirAgents(t *testing.T) {
+	for _, c := range []struct {
+		name              string
+		drain             bool
+		gap, restartDelay time.Duration
+		before            [2]int // agents that are restarted before that of the flows; searches end at the second one
+	}{
+		{"draining", true, time.Second, 1300 * time.Millisecond, [2]int{1, 2}},
+		{"slow restart", false, 2 * time.Second, 2500 * time.Millisecond, [2]int{2, 1}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			f := start(t, map[string]int{"a": 3})
+			first := f.Agents[0]
+			target, _ := f.Target(first)
+			var open []*platformtest.Flow
+			for i := 0; len(open) < 12; i++ {
+				assert.Assert(t, i < 200, "the target gets no flows")
+				flow := f.openFlow(t)
+				assertOutcome(t, flow, fmt.Sprint("before-", i), platformtest.Answered)
+				if target.Holds(flow.ID) {
+					open = append(open, flow)
+				}
+			}
+			if c.drain {
+				target.Drain()
+			}
+			var restarts sync.WaitGroup
+			defer restarts.Wait()
+			restart := func(n *flows.Node) {
+				restarts.Go(func() {
+					n.Stop()
+					time.Sleep(c.restartDelay)
+					assert.Check(t, n.Launch())
+				})
+			}
+			restart(f.Entries[0]) // the other one has to search for the flows of this one
+			for _, i := range c.before {
+				restart(f.Agents[i])
+				time.Sleep(c.gap)
+			}
+			restart(first)
+			time.Sleep(c.restartDelay + stopTime - c.gap + joinTime) // the agent before is back, this one is not
+			var requests sync.WaitGroup
+			for i, flow := range open {
+				requests.Go(func() {
+					got, _, _ := flow.Request(fmt.Sprint("after-", i), 4*time.Second)
+					assert.Check(t, got == platformtest.Answered, "after-%d on %s: %v", i, flow.ID, got)
+				})
+			}
+			requests.Wait()
+		})
+	}
+}
+
+// Times that a process takes to stop, and after its start to join the fleet, about.
+const (
+	stopTime = 300 * time.Millisecond
+	joinTime = 400 * time.Millisecond
+)
+
 // Guards against callers that wait for their deadline on a flow that no target holds any more.
 func TestLostFlowsAreReset(t *testing.T) {
 	t.Parallel()
--- a/node/fleet/convert.go
+++ b/node/fleet/convert.go
@@ -81,15 +81,17 @@
 func toDigest(dc ident.DataCentre, items []digest.NodeUpdate, passOn bool) *fleetv1.Digest {
 	d := &fleetv1.Digest{DataCentre: string(dc), PassOn: passOn}
 	for i := range items {
-		n := &items[i]
-		d.News = append(d.News, &fleetv1.News{
-			Heartbeat: toHeartbeat(&n.Node, &n.Heartbeat, false), AgeMs: uint32(max(0, n.Age).Milliseconds()),
-			Silent: n.Silent,
-		})
+		d.News = append(d.News, toNews(&items[i]))
 	}
 	return d
 }
 
+func toNews(n *digest.NodeUpdate) *fleetv1.News {
+	return &fleetv1.News{
+		Heartbeat: toHeartbeat(&n.Node, &n.Heartbeat, false), AgeMs: uint32(max(0, n.Age).Milliseconds()), Silent: n.Silent,
+	}
+}
+
 func fromNews(m *fleetv1.News) (digest.NodeUpdate, error) {
 	n, hb, err := fromHeartbeat(m.GetHeartbeat())
 	return digest.NodeUpdate{Node: n, Heartbeat: hb, Age: time.Duration(m.GetAgeMs()) * time.Millisecond,
--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -10,6 +10,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -25,6 +26,7 @@
 	"lacewinglever.dev/node/logging"
 	"lacewinglever.dev/node/timing"
 	"lacewinglever.dev/platform"
+	"lacewinglever.dev/policy/digest"
 	"lacewinglever.dev/policy/heartbeat"
 	"lacewinglever.dev/policy/ident"
 	"lacewinglever.dev/policy/roster"
@@ -44,6 +46,9 @@
 	// answers with all nodes of its roster, at some 70 bytes per node: if all nodes of a starting
 	// fleet sent requests to all others, the answers would exceed its callers' traffic of a minute.
 	joinPeers = 2
+	// settlingTime is how much earlier than this node another one must have started to know of nodes that
+	// were away when this one started. It exceeds the spread of a common start.
+	settlingTime = 2 * time.Second
 	// nodesPerMessage keeps each answer to a join request below the smallest usual MTU.
 	nodesPerMessage   = 10
 	socketBufferBytes = 1 << 20
@@ -85,7 +90,8 @@
 	started time.Duration
 
 	storeListed     atomic.Bool // the store's node records have been read since the start
-	joined          atomic.Bool // a node has answered with the nodes of its roster
+	joined          atomic.Bool // a node has answered that knows all nodes that may hold flows
+	answered        atomic.Bool // any node has answered with the nodes of its roster
 	leaving         atomic.Bool
 	announceDue     chan struct{}    // receives when a heartbeat to all receivers of the plan is due
 	announceLoadDue chan struct{}    // receives when a heartbeat to the recent entries is due
@@ -194,12 +200,22 @@
 }
 
 // RosterComplete reports whether the roster contains all nodes that may hold flows. The store lists
-// those that have registered; another node, or the heartbeats of one round, adds those that could
-// not register. The roster tracks which of them have sent a heartbeat.
+// those that have registered. Nodes that run introduce themselves. Of those that are away and will
+// return, only a node that has run for longer knows; the heartbeats of one round show whether there is
+// such a node.
 func (f *Fleet) RosterComplete(now time.Duration) bool {
 	return f.storeListed.Load() && (f.joined.Load() || now-f.started > heartbeatWindow)
 }
 
+// recordAnswer records that a node has answered a join request, settled or not. Its answer completes the
+// roster also if no node is known that may know more.
+func (f *Fleet) recordAnswer(now time.Duration, settled bool) {
+	f.answered.Store(true)
+	if settled || !f.Roster.HasEarlier(now, f.Self.Incarnation, settlingTime) {
+		f.joined.Store(true)
+	}
+}
+
 // heartbeatWindow is the time within which every node whose roster contains this one has sent it a
 // heartbeat, or a relay of that node's data centre a digest.
 const heartbeatWindow = 1200 * time.Millisecond
@@ -294,22 +310,29 @@
 	}
 }
 
-// join requests nodes from the seeds and a few known nodes until one has answered.
+// join requests nodes from the seeds and a few known nodes until one has answered that knows all nodes
+// that may hold flows, or until those have sent a heartbeat and a node has answered.
 func (f *Fleet) join(ctx context.Context) {
 	for timing.Sleep(ctx, joinInterval) {
-		if f.joined.Load() {
+		now := Now()
+		if f.joined.Load() || f.answered.Load() && now-f.started > heartbeatWindow {
 			return
 		}
-		now := Now()
 		// The seeds are of any data centre, and may never be in the heartbeat plan.
 		message := encode(f.heartbeatMessage(now, heartbeat.Receiver{ViaDigest: true}, true))
-		for _, seed := range *f.seeds.Load() {
-			if seed != f.Self.Address {
-				f.write(seed, message)
+		if !f.answered.Load() {
+			for _, seed := range *f.seeds.Load() {
+				if seed != f.Self.Address {
+					f.write(seed, message)
+				}
 			}
 		}
-		for _, p := range heartbeat.Sample(joinPeers, f.Roster.Peers(),
-			func(p *roster.Peer) bool { return p.Running(now) }, rand.IntN) {
+		peers := f.Roster.Peers()
+		settled := func(p *roster.Peer) bool { return p.Running(now) && p.StartedBefore(f.Self.Incarnation, settlingTime) }
+		if !slices.ContainsFunc(peers, func(p roster.Peer) bool { return settled(&p) }) {
+			settled = func(p *roster.Peer) bool { return p.Running(now) }
+		}
+		for _, p := range heartbeat.Sample(joinPeers, peers, settled, rand.IntN) {
 			f.write(p.Address, message)
 		}
 	}
@@ -369,8 +392,11 @@
 	for _, n := range m.GetNodes() {
 		f.addReceivedNode(now, n, "node")
 	}
+	for _, n := range m.GetAbsent() {
+		f.addAbsentNode(now, n)
+	}
 	if len(m.GetNodes()) > 0 {
-		f.joined.Store(true)
+		f.recordAnswer(now, m.GetSettled())
 	}
 	if o := m.GetFlowOwner(); o != nil {
 		flow, err := steering.DecodeFlow(o.GetFlow())
@@ -442,6 +468,19 @@
 	f.addNode(now, node, "", false, source)
 }
 
+// addAbsentNode records what another node knows of a node that is away.
+func (f *Fleet) addAbsentNode(now time.Duration, m *fleetv1.News) {
+	n, err := fromNews(m)
+	if err != nil {
+		f.malformed.Inc()
+		return
+	}
+	if f.Roster.RecordAbsent(now, n.Age, n.Node, n.Heartbeat) != roster.Stale && f.nodeLog.Allow() {
+		f.nodeLog.Log("absent node discovered", logging.KeyPeer, n.Node.Name, "incarnation", uint64(n.Node.Incarnation),
+			"leaving", n.Heartbeat.Leaving, logging.KeyAge, n.Age)
+	}
+}
+
 // addNode adds a node to the roster. If the node was unknown, it sends it a heartbeat of this node
 // and returns true.
 func (f *Fleet) addNode(now time.Duration, n roster.Node, service string, drained bool, source string) bool {
@@ -456,19 +495,27 @@
 	return true
 }
 
-// sendNodes sends a node the list of all running nodes.
+// sendNodes sends a node the list of all running nodes, and what is known of those that may return. The
+// latter go first, because the former complete the roster of the receiver.
 func (f *Fleet) sendNodes(to roster.Node) {
 	now := Now()
+	settled := f.RosterComplete(now)
+	for absent := range slices.Chunk(f.Roster.Absent(now), digest.NodesPerDatagram) {
+		m := &fleetv1.Message{}
+		for i := range absent {
+			p := &absent[i]
+			m.Absent = append(m.Absent, toNews(&digest.NodeUpdate{Node: p.Node, Heartbeat: p.Heartbeat, Age: now - p.LastSeen}))
+		}
+		f.sendMessage(to.Address, m)
+	}
 	nodes := []*fleetv1.Node{toNode(&f.Self)}
 	for _, p := range f.Roster.Peers() {
 		if p.Running(now) {
 			nodes = append(nodes, toNode(&p.Node))
 		}
 	}
-	for len(nodes) > 0 {
-		n := min(nodesPerMessage, len(nodes))
-		f.sendMessage(to.Address, &fleetv1.Message{Nodes: nodes[:n]})
-		nodes = nodes[n:]
+	for part := range slices.Chunk(nodes, nodesPerMessage) {
+		f.sendMessage(to.Address, &fleetv1.Message{Nodes: part, Settled: settled})
 	}
 }
 
--- a/node/fleet/heartbeats.go
+++ b/node/fleet/heartbeats.go
@@ -26,6 +26,9 @@
 	// digestCheckInterval is the interval at which a relay looks for changes to send to other data
 	// centres.
 	digestCheckInterval = 100 * time.Millisecond
+	// leaveRepeats is the number of rounds in which a stopping node repeats its announcement to all
+	// receivers, because datagrams may be lost.
+	leaveRepeats = 2
 	// checksPerDigest is the number of checks of which one sends a digest even without changes.
 	checksPerDigest = int(roster.DigestInterval / digestCheckInterval)
 )
@@ -48,6 +51,7 @@
 	ticker := time.NewTicker(heartbeat.RoundInterval)
 	defer ticker.Stop()
 	f.replan()
+	leaveAnnounced := 0
 	for round := uint64(0); ; {
 		select {
 		case <-ctx.Done():
@@ -57,7 +61,12 @@
 				f.replan()
 			}
 			plan := f.outgoing.plan.Load()
-			f.sendHeartbeat(plan.Due(round), nil)
+			due := plan.Due(round)
+			if f.leaving.Load() && leaveAnnounced < leaveRepeats {
+				due = plan.All()
+				leaveAnnounced++
+			}
+			f.sendHeartbeat(due, nil)
 			if !plan.Direct {
 				f.sendHeartbeat(f.recentEntries(), nil)
 			}
--- a/node/fleet/membership_test.go
+++ b/node/fleet/membership_test.go
@@ -137,6 +137,9 @@
 
 const checkInterval = 50 * time.Millisecond
 
+// stopTime is longer than a stopping node takes to send its announcement.
+const stopTime = 300 * time.Millisecond
+
 // reorderBound is how long packets of a flow may reach other targets than its own.
 const reorderBound = 2 * time.Second
 
@@ -183,3 +186,67 @@
 	m.awaitAcquainted(t)
 	m.assertNone(t, roster.Suspect, reorderBound, 7*time.Second)
 }
+
+// Guards against a search that leaves out a node which is being restarted, because the searching node
+// has started meanwhile and knows it from the store only, or not at all.
+func TestStartingNodesWaitForThoseThatAreAway(t *testing.T) {
+	t.Parallel()
+	for i, registered := range []bool{true, false} {
+		m := newTestMembers(t, 3+i)
+		for range 3 {
+			m.start(t, false, 0)
+		}
+		m.awaitAcquainted(t)
+		time.Sleep(settlingTime)
+		away := m.running[0]
+		away.Leave()
+		time.Sleep(stopTime)
+		m.kill(away)
+		if !registered {
+			assert.NilError(t, away.Deregister(context.Background()))
+		}
+		time.Sleep(500 * time.Millisecond)
+		started := m.start(t, false, 0)
+		for until := time.Now().Add(2 * time.Second); !started.RosterComplete(Now()); time.Sleep(checkInterval) {
+			assert.Assert(t, time.Now().Before(until), "the roster stays incomplete")
+		}
+		for until := time.Now().Add(3 * time.Second); time.Now().Before(until); time.Sleep(checkInterval) {
+			p, ok := started.Roster.Find(away.Self.ID)
+			assert.Assert(t, ok && p.Health(Now()) != roster.Gone, "registered %v: known %v, %+v", registered, ok, p)
+			assert.Equal(t, p.Service, "s")
+		}
+	}
+}
+
+// Guards against a roster that counts as complete by the answer of a node that has just started too.
+func TestAnswersOfNodesThatHaveJustStarted(t *testing.T) {
+	f := newStoreFleet(t, "n")
+	f.storeListed.Store(true)
+	now := Now()
+	f.Roster.RecordHeartbeat(now, roster.Node{ID: 1, Name: "earlier", Incarnation: f.Self.Incarnation - 60_000_000},
+		roster.Heartbeat{Sequence: 1})
+	f.recordAnswer(now, false)
+	assert.Assert(t, !f.RosterComplete(now))
+	f.recordAnswer(now, true)
+	assert.Assert(t, f.RosterComplete(now))
+	first := newStoreFleet(t, "first") // after the loss of all nodes
+	first.storeListed.Store(true)
+	first.recordAnswer(now, false)
+	assert.Assert(t, first.RosterComplete(now))
+}
+
+// Guards against a planned stop that a peer takes for a crash because one datagram was lost.
+func TestLeaveIsAnnouncedRepeatedly(t *testing.T) {
+	t.Parallel()
+	m := newTestMembers(t, 5)
+	leaving, peer := m.start(t, true, 0), m.start(t, true, 0) // entries, which get a heartbeat every second
+	m.awaitAcquainted(t)
+	leaving.Leave()
+	received := map[uint64]bool{}
+	for until := time.Now().Add(700 * time.Millisecond); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
+		if p, ok := peer.Roster.Find(leaving.Self.ID); ok && p.Leaving {
+			received[p.Sequence] = true
+		}
+	}
+	assert.Assert(t, len(received) >= 3, "%d announcements", len(received))
+}
--- a/node/packetagent/agent.go
+++ b/node/packetagent/agent.go
@@ -45,9 +45,9 @@
 	// announced its stop. It is short because the target may outlive the agent: what counts then is
 	// that the next agent starts soon.
 	stopGrace = 300 * time.Millisecond
-	// deregisterTimeout bounds the deletion of the node's record when the agent stops. The platform
-	// kills a process some 6 s after the signal.
-	deregisterTimeout       = 4 * time.Second
+	// maxStopTime bounds the time in which a stopping agent waits for its target and deletes the node's
+	// record. The platform kills a process some 6 s after the signal.
+	maxStopTime             = 5500*time.Millisecond - stopGrace
 	deregisterRetryInterval = 250 * time.Millisecond
 	// maxOffersWhenFull is the number of agents without capacity that forward a new flow. The next
 	// one holds it until its target has capacity: after the loss of many targets, all others are
@@ -259,28 +259,29 @@
 	a.fleet.Announce()
 }
 
-// stop announces the stop and forwards the packets that are on the way. It deletes the node's
-// record only if the target has ended: otherwise the process is being restarted. A target that has
-// announced its end has ended by now, because the platform stops an agent after its target.
+// stop announces the stop and forwards the packets that are on the way. It deletes the node's record
+// only if the target has ended: otherwise the process is being restarted, and the target holds flows.
 func (a *Agent) stop(ctx context.Context) {
-	for a.targetState.AwaitsFirstReport(fleet.Now()) && timing.Sleep(ctx, checkInterval) {
+	bounded, cancel := context.WithTimeout(ctx, maxStopTime)
+	defer cancel()
+	for a.targetState.AwaitsFirstReport(fleet.Now()) && timing.Sleep(bounded, checkInterval) {
 		// If the target's state stayed unknown, searches of other nodes would wait much longer for
 		// this agent.
 		continue
 	}
-	a.targetState.MarkStopping(fleet.Now())
+	ended := a.targetState.MarkStopping(fleet.Now())
+	_ = level.Info(a.logger).Log(logging.KeyMessage, "leaving", logging.KeyTarget, a.targetState.Status(fleet.Now()).ID,
+		"draining", a.targetState.Draining(), "absent", ended)
 	a.fleet.Leave()
-	if a.targetState.Draining() {
-		a.deregister(ctx)
+	if ended {
+		a.deregister(bounded)
 	}
 	timing.Sleep(ctx, stopGrace)
 }
 
-// deregister deletes the node's record. It retries while the store is unavailable and the platform
-// lets the process run.
+// deregister deletes the node's record. It retries while the store is unavailable, until the context
+// ends.
 func (a *Agent) deregister(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, deregisterTimeout)
-	defer cancel()
 	for {
 		err := a.fleet.Deregister(ctx)
 		if err == nil {
--- a/policy/roster/roster.go
+++ b/policy/roster/roster.go
@@ -75,6 +75,11 @@
 	Address     netip.AddrPort // for datagrams and RPCs between nodes
 }
 
+// StartedBefore reports whether the node was started longer than d before the time of day start.
+func (n *Node) StartedBefore(start ident.Incarnation, d time.Duration) bool {
+	return n.Incarnation+ident.Incarnation(d.Microseconds()) < start
+}
+
 // Target is the state of an agent's target, as its heartbeats report it.
 type Target struct {
 	Service      string // empty until a target has reported
@@ -318,6 +323,39 @@
 	return change
 }
 
+// RecordAbsent records the last heartbeat that another node has received, age ago, of a node that it
+// doesn't take for running. This node then waits for it as long as the other one does.
+func (r *Roster) RecordAbsent(now, age time.Duration, n Node, heartbeat Heartbeat) Change {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.recordHeartbeat(now, now-age, n, heartbeat)
+}
+
+// Absent returns the peers that don't run but may return, or hold flows.
+func (r *Roster) Absent(now time.Duration) []Peer {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	var absent []Peer
+	for _, p := range r.peers {
+		if v := r.view(p); v.HeartbeatSeen && !v.Running(now) && v.Health(now) != Gone {
+			absent = append(absent, v)
+		}
+	}
+	return absent
+}
+
+// HasEarlier reports whether a running peer was started longer than d before the time of day start.
+func (r *Roster) HasEarlier(now time.Duration, start ident.Incarnation, d time.Duration) bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	for _, p := range r.peers {
+		if p.StartedBefore(start, d) && r.isRunning(now, p) {
+			return true
+		}
+	}
+	return false
+}
+
 // recordHeartbeat records a heartbeat that was sent at the time at.
 func (r *Roster) recordHeartbeat(now, at time.Duration, n Node, heartbeat Heartbeat) Change {
 	if n.ID == r.self {
--- a/policy/targetstate/target.go
+++ b/policy/targetstate/target.go
@@ -233,13 +233,14 @@
 	t.drainedBeforeStart = !t.hasReported
 }
 
-// MarkStopping records that the target's instance is being stopped. A target that has announced its
-// end has ended by then. So has one that was not seen since the agent started, unless it may not
-// have had the time to report.
-func (t *Target) MarkStopping(now time.Duration) {
+// MarkStopping records that the target's instance is being stopped, and reports whether the target has
+// ended. It has if it has left, or announced its end and then fallen silent, or was not seen since the
+// agent started. One that has only announced its end still holds flows.
+func (t *Target) MarkStopping(now time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.endedAtStop = t.left || t.isUnseen() && (t.drainedBeforeStart || now-t.started > t.silentAfter)
+	t.endedAtStop = t.left || t.report.Draining && t.hasEnded(now) || t.isUnseen() && now-t.started > t.silentAfter
+	return t.endedAtStop
 }
 
 // isUnseen reports whether the target has sent, since the agent started, neither a report nor a
@@ -251,7 +252,7 @@
 func (t *Target) AwaitsFirstReport(now time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.isUnseen() && !t.drainedBeforeStart && now-t.started <= t.silentAfter
+	return t.isUnseen() && now-t.started <= t.silentAfter
 }
 
 // hasEnded reports whether the target holds no flow any more.
