node/fleet: odd records and messages replace no node and end no process

What could be seen: a record or message under the name of a running node with a start in the far future replaced that node in the roster, and its own heartbeats then counted as stale: it was taken for gone by every node that had read it. A sequence near the largest number did the same for one incarnation; an interval of weeks kept a dead node running; a rate that is no number drew all new flows to one target. Rejected messages were counted, without a reason in the log.

Change: checkNode and checkHeartbeat check what records and messages say of nodes, in one place: IPv4 address with a port, names of at most 253 bytes, a start that isn't later than this node's clock plus a minute, a sequence that the time since the start allows, intervals, slots and rates within reason. A message that can't be encoded is logged and not sent. All rejections are logged with their reason; entries beside the rejected one hold.

--- a/node/fleet/convert.go
+++ b/node/fleet/convert.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/binary"
+	"math"
 	"net/netip"
 	"time"
+	"unicode/utf8"
 
 	"github.com/go-faster/errors"
 
@@ -14,8 +16,58 @@
 	"lacewinglever.dev/policy/routes"
 )
 
-// perMille converts between requests in progress and the thousandths in heartbeats.
-const perMille = 1000
+const (
+	// perMille converts between requests in progress and the thousandths in heartbeats.
+	perMille = 1000
+	// maxNameBytes bounds the names of nodes and data centres.
+	maxNameBytes = 253
+	// maxClockAhead is more than the clock of another node can be ahead of this one. A node that seems to
+	// have started later than that would replace the real one, whose heartbeats then count as stale.
+	maxClockAhead = time.Minute
+	// maxInterval is more than any interval of heartbeats. A node that promised none for longer would be
+	// taken for running after its end.
+	maxInterval = 2 * time.Minute
+	// maxSlots is more than any target has.
+	maxSlots = 1 << 20
+)
+
+// checkNode checks a node as another node or a record in the store, which may be of another writer,
+// describes it. now is the time of day.
+func checkNode(now time.Time, n *roster.Node) error {
+	address := n.Address.Addr()
+	switch {
+	case n.Name == "" || len(n.Name) > maxNameBytes || !utf8.ValidString(n.Name):
+		return errors.Errorf("node name of %d bytes", len(n.Name))
+	case len(n.DataCentre) > maxNameBytes || !utf8.ValidString(string(n.DataCentre)):
+		return errors.Errorf("data centre of %d bytes", len(n.DataCentre))
+	case !address.Is4() || address.IsUnspecified() || address.IsMulticast() || n.Address.Port() == 0:
+		return errors.Errorf("node address %v", n.Address)
+	case n.Incarnation == 0 || n.Incarnation > ident.Incarnation(now.Add(maxClockAhead).UnixMicro()):
+		return errors.Errorf("incarnation %d", n.Incarnation)
+	}
+	return nil
+}
+
+// checkHeartbeat checks a heartbeat of a node.
+func checkHeartbeat(now time.Time, n *roster.Node, hb *roster.Heartbeat) error {
+	// Even a node that sent a heartbeat in each microsecond since its start would not have sent more.
+	maxSequence := uint64(now.Add(maxClockAhead).UnixMicro()) - uint64(n.Incarnation)
+	t := &hb.Target
+	switch {
+	case hb.Sequence > maxSequence:
+		return errors.Errorf("sequence %d", hb.Sequence)
+	case hb.Interval > maxInterval:
+		return errors.Errorf("interval of %v", hb.Interval)
+	case t.Slots > maxSlots:
+		return errors.Errorf("%d slots", t.Slots)
+	case !isAmount(t.Rate) || !isAmount(t.Failing) || t.Failing > 1:
+		return errors.Errorf("rate %g, failing %g", t.Rate, t.Failing)
+	}
+	return nil
+}
+
+// isAmount reports whether x is a number that can be compared and added up.
+func isAmount(x float64) bool { return x >= 0 && x <= math.MaxFloat32 }
 
 func toNode(n *roster.Node) *fleetv1.Node {
 	return &fleetv1.Node{
@@ -24,18 +76,16 @@
 	}
 }
 
-func fromNode(n *fleetv1.Node) (roster.Node, error) {
-	address, err := netip.ParseAddrPort(n.GetAddress())
+func fromNode(m *fleetv1.Node) (roster.Node, error) {
+	address, err := netip.ParseAddrPort(m.GetAddress())
 	if err != nil {
 		return roster.Node{}, errors.Wrap(err, "node address")
 	}
-	if n.GetName() == "" || n.GetIncarnation() == 0 {
-		return roster.Node{}, errors.New("node without name or incarnation")
+	n := roster.Node{
+		ID: ident.NewNodeID(m.GetName()), Name: m.GetName(), Incarnation: ident.Incarnation(m.GetIncarnation()),
+		Entry: m.GetEntry(), DataCentre: ident.DataCentre(m.GetDataCentre()), Address: address,
 	}
-	return roster.Node{
-		ID: ident.NewNodeID(n.GetName()), Name: n.GetName(), Incarnation: ident.Incarnation(n.GetIncarnation()),
-		Entry: n.GetEntry(), DataCentre: ident.DataCentre(n.GetDataCentre()), Address: address,
-	}, nil
+	return n, checkNode(time.Now(), &n)
 }
 
 func toHeartbeat(n *roster.Node, hb *roster.Heartbeat, join bool) *fleetv1.Heartbeat {
@@ -62,7 +112,7 @@
 		return n, roster.Heartbeat{}, err
 	}
 	t := h.GetTarget()
-	return n, roster.Heartbeat{
+	hb := roster.Heartbeat{
 		Sequence: h.GetSequence(), Leaving: h.GetLeaving(), StoreEra: h.GetStoreEra(),
 		Routes:   routes.Position{Version: h.GetVersion(), Era: h.GetEra(), Revision: h.GetRevision()},
 		Interval: time.Duration(h.GetIntervalMs()) * time.Millisecond, ViaDigest: h.GetDigested(),
@@ -73,7 +123,8 @@
 			WarmingUp: t.GetCold(), Flows: int(t.GetFlows()), Slots: int(t.GetSlots()),
 			Busy: float64(t.GetBusyPerMille()) / perMille,
 		},
-	}, nil
+	}
+	return n, hb, checkHeartbeat(time.Now(), &n, &hb)
 }
 
 // toDigest returns the message for digest items of nodes of the data centre dc. passOn requests
@@ -155,6 +206,9 @@
 		}
 		route := routes.Route{Name: r.GetName(), Objective: time.Duration(r.GetObjectiveMs()) * time.Millisecond}
 		for _, share := range r.GetShares() {
+			if !isAmount(share.GetWeight()) {
+				return c, errors.Errorf("route %q has weight %g", r.GetName(), share.GetWeight())
+			}
 			route.Shares = append(route.Shares, routes.Share{Service: share.GetService(), Weight: share.GetWeight()})
 		}
 		if len(route.Shares) == 0 {
--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -282,6 +282,10 @@
 }
 
 func (f *Fleet) write(to netip.AddrPort, b []byte) {
+	if len(b) == 0 {
+		f.sendFailures.Inc()
+		return
+	}
 	if _, err := f.conn.WriteToUDPAddrPort(b, to); err != nil {
 		f.sendFailures.Inc()
 		return
@@ -290,14 +294,16 @@
 }
 
 func (f *Fleet) sendMessage(to netip.AddrPort, m *fleetv1.Message) {
-	f.write(to, encode(m))
+	f.write(to, f.encode(m))
 }
 
-func encode(m *fleetv1.Message) []byte {
+// encode returns a datagram with a message, nil if the message can't be encoded.
+func (f *Fleet) encode(m *fleetv1.Message) []byte {
 	b, err := proto.MarshalOptions{}.MarshalAppend([]byte{kindControl}, m)
 	if err != nil {
-		// Only text that is not UTF-8 cannot be encoded, and the settings exclude it.
-		panic("message can't be encoded: " + err.Error())
+		// Text that is not UTF-8 can't be encoded. It is rejected where it enters the process.
+		_ = level.Error(f.options.Logger).Log(logging.KeyMessage, "message can't be encoded", logging.KeyError, err)
+		return nil
 	}
 	return b
 }
@@ -319,7 +325,7 @@
 			return
 		}
 		// The seeds are of any data centre, and may never be in the heartbeat plan.
-		message := encode(f.heartbeatMessage(now, heartbeat.Receiver{ViaDigest: true}, true))
+		message := f.encode(f.heartbeatMessage(now, heartbeat.Receiver{ViaDigest: true}, true))
 		if !f.answered.Load() {
 			for _, seed := range *f.seeds.Load() {
 				if seed != f.Self.Address {
@@ -361,23 +367,31 @@
 		now := Now()
 		switch buffer[0] {
 		case kindPacket:
-			if packet.decode(buffer[1:n], interned) != nil {
-				f.malformed.Inc()
+			if err := packet.decode(buffer[1:n], interned); err != nil {
+				f.rejectMessage("packet", err)
 				continue
 			}
 			f.options.Handler.HandlePacket(now, &packet)
 		case kindControl:
 			f.handleControl(now, buffer[1:n])
 		default:
-			f.malformed.Inc()
+			f.rejectMessage("datagram", errors.Errorf("kind %d", buffer[0]))
 		}
 	}
 }
 
+// rejectMessage counts and logs a message of another node, or a part of one, that isn't used.
+func (f *Fleet) rejectMessage(part string, err error) {
+	f.malformed.Inc()
+	if f.nodeLog.Allow() {
+		f.nodeLog.Log("message rejected", "part", part, logging.KeyReason, err)
+	}
+}
+
 func (f *Fleet) handleControl(now time.Duration, b []byte) {
 	var m fleetv1.Message
-	if proto.Unmarshal(b, &m) != nil {
-		f.malformed.Inc()
+	if err := proto.Unmarshal(b, &m); err != nil {
+		f.rejectMessage("message", err)
 		return
 	}
 	if m.GetRoutes() != nil {
@@ -401,7 +415,7 @@
 	if o := m.GetFlowOwner(); o != nil {
 		flow, err := steering.DecodeFlow(o.GetFlow())
 		if err != nil {
-			f.malformed.Inc()
+			f.rejectMessage("flow owner", err)
 			return
 		}
 		f.options.Handler.RecordOwner(flow, ident.NewNodeID(o.GetOwner()))
@@ -413,7 +427,7 @@
 func (f *Fleet) handleHeartbeat(now time.Duration, h *fleetv1.Heartbeat) {
 	n, hb, err := fromHeartbeat(h)
 	if err != nil {
-		f.malformed.Inc()
+		f.rejectMessage("heartbeat", err)
 		return
 	}
 	if n.ID == f.Self.ID {
@@ -462,7 +476,7 @@
 func (f *Fleet) addReceivedNode(now time.Duration, n *fleetv1.Node, source string) {
 	node, err := fromNode(n)
 	if err != nil {
-		f.malformed.Inc()
+		f.rejectMessage("node", err)
 		return
 	}
 	f.addNode(now, node, "", false, source)
@@ -472,7 +486,7 @@
 func (f *Fleet) addAbsentNode(now time.Duration, m *fleetv1.News) {
 	n, err := fromNews(m)
 	if err != nil {
-		f.malformed.Inc()
+		f.rejectMessage("absent node", err)
 		return
 	}
 	if f.Roster.RecordAbsent(now, n.Age, n.Node, n.Heartbeat) != roster.Stale && f.nodeLog.Allow() {
--- a/node/fleet/heartbeats.go
+++ b/node/fleet/heartbeats.go
@@ -140,7 +140,7 @@
 		if i == 0 || r.Interval != to[i-1].Interval || r.ViaDigest != to[i-1].ViaDigest {
 			message := f.heartbeatMessage(now, r, false)
 			message.Routes = change
-			encoded = encode(message)
+			encoded = f.encode(message)
 		}
 		f.write(r.Address, encoded)
 	}
@@ -261,7 +261,7 @@
 	receivers := digest.Receivers(now, &f.Self, peers, rand.IntN)
 	for len(items) > 0 {
 		n := min(digest.NodesPerDatagram, len(items))
-		b := encode(&fleetv1.Message{Digest: toDigest(f.Self.DataCentre, items[:n], true)})
+		b := f.encode(&fleetv1.Message{Digest: toDigest(f.Self.DataCentre, items[:n], true)})
 		for i := range receivers {
 			f.write(receivers[i].Address, b)
 		}
@@ -297,7 +297,7 @@
 	for _, m := range d.GetNews() {
 		n, err := fromNews(m)
 		if err != nil {
-			f.malformed.Inc()
+			f.rejectMessage("digest", err)
 			continue
 		}
 		f.handleNodeChange(&n.Node, &n.Heartbeat, f.Roster.RecordRelayed(now, n.Age, n.Node, n.Heartbeat, n.Silent))
@@ -306,7 +306,7 @@
 		return
 	}
 	d.PassOn = false
-	b := encode(&fleetv1.Message{Digest: d})
+	b := f.encode(&fleetv1.Message{Digest: d})
 	for _, p := range f.Roster.Peers() {
 		if p.DataCentre == f.Self.DataCentre && p.Running(now) {
 			f.write(p.Address, b)
--- a/node/fleet/routes.go
+++ b/node/fleet/routes.go
@@ -200,7 +200,7 @@
 		return
 	}
 	if err := f.applyChange(m, from, "announced"); err != nil {
-		f.malformed.Inc()
+		f.rejectMessage("routes change", err)
 		return
 	}
 	now := Now()
--- a/node/fleet/store.go
+++ b/node/fleet/store.go
@@ -248,16 +248,12 @@
 			ownFound = r.Incarnation <= uint64(f.Self.Incarnation) && r.Address == f.Self.Address.String()
 			continue
 		}
-		address, err := netip.ParseAddrPort(r.Address)
-		if err != nil || r.Incarnation == 0 {
-			_ = level.Warn(f.options.Logger).Log(logging.KeyMessage, "node record without address or incarnation",
-				logging.KeyPeer, r.Name)
+		n, err := fromRecord(r)
+		if err != nil {
+			_ = level.Warn(f.options.Logger).Log(logging.KeyMessage, "node record rejected", logging.KeyPeer, r.Name,
+				logging.KeyReason, err)
 			continue
 		}
-		n := roster.Node{
-			ID: ident.NewNodeID(r.Name), Name: r.Name, Incarnation: ident.Incarnation(r.Incarnation), Entry: r.Entry,
-			DataCentre: ident.DataCentre(r.DataCentre), Address: address,
-		}
 		if f.addNode(now, n, r.Service, r.Draining, "store") && relisted {
 			f.sendNodes(n) // a node that only a later list contains may lack other nodes as well
 		}
@@ -267,6 +263,19 @@
 	return ownFound, nil
 }
 
+// fromRecord returns the node that a record describes.
+func fromRecord(r *platform.NodeRecord) (roster.Node, error) {
+	address, err := netip.ParseAddrPort(r.Address)
+	if err != nil {
+		return roster.Node{}, errors.Wrap(err, "address")
+	}
+	n := roster.Node{
+		ID: ident.NewNodeID(r.Name), Name: r.Name, Incarnation: ident.Incarnation(r.Incarnation), Entry: r.Entry,
+		DataCentre: ident.DataCentre(r.DataCentre), Address: address,
+	}
+	return n, checkNode(time.Now(), &n)
+}
+
 // removeStaleRecords deletes records of nodes that are gone for good, also those of agents that a
 // restore of the store has brought back, if this node reads the store
 // for its data centre.
