policy/heartbeat, policy/steering: starting nodes promise nothing; mean load of recent heartbeats

Tests: TestMeanLoadIsThatOfRecentHeartbeats, TestNodesOutsideThePlanArePromisedNothing, TestPromisesAreKept with a start.

--- a/node/fleet/heartbeats.go
+++ b/node/fleet/heartbeats.go
@@ -57,10 +57,10 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			if round%roundsPerPlan == 0 {
-				f.replan()
-			}
 			plan := f.outgoing.plan.Load()
+			if round%roundsPerPlan == 0 || !plan.Complete && f.knowsNodes(Now()) {
+				plan = f.replan()
+			}
 			due := plan.Due(round)
 			if f.leaving.Load() && leaveAnnounced < leaveRepeats {
 				due = plan.All()
@@ -101,7 +101,7 @@
 	f.outgoing.mu.Unlock()
 	peers := f.Roster.Peers()
 	before := f.outgoing.plan.Load()
-	plan := heartbeat.NewPlan(now, &f.Self, service, peers, before)
+	plan := heartbeat.NewPlan(now, &f.Self, service, peers, f.knowsNodes(now), before)
 	f.outgoing.plan.Store(plan)
 	if before == nil || before.Direct != plan.Direct {
 		_ = level.Info(f.options.Logger).Log(logging.KeyMessage, "heartbeat plan changed", "direct", plan.Direct,
@@ -110,6 +110,11 @@
 	return plan, peers
 }
 
+// knowsNodes reports whether the roster contains the nodes of this fleet, as far as they can be known.
+func (f *Fleet) knowsNodes(now time.Duration) bool {
+	return f.RosterComplete(now) || now-f.started > heartbeatWindow
+}
+
 // logGoneNodes logs which nodes have become gone, and by what promise of their last heartbeat: why a
 // search for a flow has left them out.
 func (f *Fleet) logGoneNodes(now time.Duration, peers []roster.Peer) {
@@ -181,7 +186,7 @@
 	if plan == nil {
 		return heartbeat.Receiver{Address: address, ViaDigest: dc != f.Self.DataCentre}
 	}
-	if plan.Direct && !plan.Promises(address) {
+	if plan.Direct && plan.Complete && dc != f.Self.DataCentre && !plan.Promises(address) {
 		plan, _ = f.updatePlan(now)
 	}
 	return plan.OneOff(f.Self.DataCentre, dc, address)
--- a/policy/heartbeat/heartbeat.go
+++ b/policy/heartbeat/heartbeat.go
@@ -58,7 +58,8 @@
 
 // Plan lists the receivers of a node's heartbeats by round.
 type Plan struct {
-	Direct     bool // heartbeats go to all nodes
+	Direct     bool // heartbeats go to all nodes, once the plan is complete
+	Complete   bool // the node knew all nodes
 	frequent   rotation
 	infrequent rotation
 	demoted    rotation // infrequent ones that the plan before had among the frequent ones
@@ -110,9 +111,10 @@
 }
 
 // NewPlan returns the plan of the node self that replaces the plan before, nil at the start. service
-// is that of the target if self is an agent.
-func NewPlan(now time.Duration, self *roster.Node, service string, peers []roster.Peer, before *Plan) *Plan {
-	p := &Plan{Direct: len(peers) <= maxDirectNodes}
+// is that of the target if self is an agent. Until complete, the node may know a few of many nodes,
+// and promises no heartbeats to other data centres.
+func NewPlan(now time.Duration, self *roster.Node, service string, peers []roster.Peer, complete bool, before *Plan) *Plan {
+	p := &Plan{Direct: len(peers) <= maxDirectNodes, Complete: complete}
 	if before == nil {
 		before = &Plan{Direct: p.Direct}
 	}
@@ -128,7 +130,7 @@
 	}
 	for i := range peers {
 		peer := &peers[i]
-		if !p.Direct && peer.DataCentre != self.DataCentre {
+		if !(p.Direct && complete) && peer.DataCentre != self.DataCentre {
 			if before.Promises(peer.Address) {
 				p.handover.addresses = append(p.handover.addresses, peer.Address)
 			}
--- a/policy/heartbeat/heartbeat_test.go
+++ b/policy/heartbeat/heartbeat_test.go
@@ -46,7 +46,7 @@
 	const perSecond = 170 // 32 per round, plus rounding up of two lists
 	for _, c := range []struct{ nodes, dataCentres int }{{17, 3}, {89, 5}, {200, 5}, {2000, 18}, {48000, 18}} {
 		peers := fleet(c.nodes, c.dataCentres)
-		plan := heartbeat.NewPlan(0, self(), "s", peers, nil)
+		plan := heartbeat.NewPlan(0, self(), "s", peers, true, nil)
 		sent, far := 0, 0
 		dataCentre := map[netip.AddrPort]ident.DataCentre{}
 		for i := range peers {
@@ -72,7 +72,7 @@
 func TestHeartbeatsArriveWithinTheirInterval(t *testing.T) {
 	for _, c := range []struct{ nodes, dataCentres int }{{17, 3}, {200, 5}, {2000, 18}} {
 		peers := fleet(c.nodes, c.dataCentres)
-		plan := heartbeat.NewPlan(0, self(), "s", peers, nil)
+		plan := heartbeat.NewPlan(0, self(), "s", peers, true, nil)
 		last := map[netip.AddrPort]uint64{}
 		for round := range uint64(200) {
 			for _, r := range plan.Due(round) {
@@ -95,10 +95,10 @@
 // nodes, which the budget of a small fleet allows.
 func TestSmallFleetsSendToAllDirectly(t *testing.T) {
 	peers := fleet(17, 3)
-	plan := heartbeat.NewPlan(0, self(), "s", peers, nil)
+	plan := heartbeat.NewPlan(0, self(), "s", peers, true, nil)
 	assert.Assert(t, plan.Direct)
 	for n := range 40 {
-		plan := heartbeat.NewPlan(0, self(), "s", fleet(n, 3), nil)
+		plan := heartbeat.NewPlan(0, self(), "s", fleet(n, 3), true, nil)
 		assert.Equal(t, plan.ReachesAll(0), n <= 32, "%d nodes", n)
 	}
 	interval := map[netip.AddrPort]time.Duration{}
@@ -135,7 +135,7 @@
 			peers = append(peers, p.all[i])
 		}
 	}
-	p.plan = heartbeat.NewPlan(now, &p.node, "s", peers, p.plan)
+	p.plan = heartbeat.NewPlan(now, &p.node, "s", peers, now >= time.Second, p.plan)
 }
 
 func (p *promiseTest) heartbeat(now time.Duration, r heartbeat.Receiver) roster.Heartbeat {
@@ -217,8 +217,8 @@
 // Guards against nodes of other data centres that wait for direct heartbeats of a node which has left
 // them to the relays, and against a node that is reported by no relay before all have its heartbeats.
 func TestModesOverlap(t *testing.T) {
-	small := heartbeat.NewPlan(0, self(), "s", fleet(32, 3), nil)
-	large := heartbeat.NewPlan(time.Second, self(), "s", fleet(33, 3), small)
+	small := heartbeat.NewPlan(0, self(), "s", fleet(32, 3), true, nil)
+	large := heartbeat.NewPlan(time.Second, self(), "s", fleet(33, 3), true, small)
 	assert.Assert(t, small.ReachesAll(0) && !large.ReachesAll(time.Second))
 	told := map[netip.AddrPort]bool{}
 	for _, r := range append(large.Due(0), large.Due(1)...) {
@@ -232,19 +232,24 @@
 		}
 	}
 	assert.Equal(t, len(large.All()), 11+21, "announcements still go to those of the other data centres")
-	later := heartbeat.NewPlan(4*time.Second, self(), "s", fleet(33, 3), large)
+	later := heartbeat.NewPlan(4*time.Second, self(), "s", fleet(33, 3), true, large)
 	assert.Equal(t, len(later.All()), 11+21)
-	over := heartbeat.NewPlan(6*time.Second, self(), "s", fleet(33, 3), later)
+	over := heartbeat.NewPlan(6*time.Second, self(), "s", fleet(33, 3), true, later)
 	assert.Equal(t, len(over.All()), 11)
-	again := heartbeat.NewPlan(7*time.Second, self(), "s", fleet(32, 3), over)
+	again := heartbeat.NewPlan(7*time.Second, self(), "s", fleet(32, 3), true, over)
 	assert.Assert(t, again.Direct && !again.ReachesAll(7*time.Second) && again.ReachesAll(12*time.Second))
 }
 
 // Guards against a promise of heartbeats to a node that only a later plan may contain.
 func TestNodesOutsideThePlanArePromisedNothing(t *testing.T) {
 	peers := fleet(30, 3)
-	plan := heartbeat.NewPlan(0, self(), "s", peers, nil)
+	plan := heartbeat.NewPlan(0, self(), "s", peers, true, nil)
 	unknown := netip.MustParseAddrPort("10.9.9.9:7720")
+	starting := heartbeat.NewPlan(0, self(), "s", peers, false, nil)
+	assert.Assert(t, starting.OneOff("dc-0", "dc-1", peers[1].Address).ViaDigest)
+	assert.Equal(t, len(starting.All()), 10, "those of its data centre")
+	assert.Equal(t, len(heartbeat.NewPlan(time.Second, self(), "s", fleet(200, 3), true, starting).All()), 67,
+		"a node that starts in a large fleet has promised nothing")
 	assert.Assert(t, plan.OneOff("dc-0", "dc-1", unknown).ViaDigest)
 	assert.Assert(t, !plan.OneOff("dc-0", "dc-0", unknown).ViaDigest, "the next plan contains it")
 	assert.Assert(t, !plan.OneOff("dc-0", "dc-1", peers[1].Address).ViaDigest)
@@ -256,7 +261,7 @@
 // Guards against entries that place flows by loads that are a second old, and against an answer to
 // each of many flows.
 func TestEntriesThatPlaceFlowsGetHeartbeats(t *testing.T) {
-	plan := heartbeat.NewPlan(0, self(), "s", fleet(200, 5), nil)
+	plan := heartbeat.NewPlan(0, self(), "s", fleet(200, 5), true, nil)
 	entry := func(i int) netip.AddrPort {
 		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 9, 0, byte(i)}), 7720)
 	}
--- a/policy/steering/load.go
+++ b/policy/steering/load.go
@@ -62,18 +62,40 @@
 	return time.Duration(busy / rate * float64(time.Second))
 }
 
-// MeanLoad returns the mean number of requests in progress per slot over the live agents, 0 if
-// there are none.
+// MeanLoad returns the mean number of requests in progress per slot over the live agents, 0 if there
+// are none. If some send heartbeats here themselves, only those count: loads that digests report may be
+// seconds old.
 func MeanLoad(now time.Duration, agents []roster.Peer) float64 {
-	busy, slots := 0.0, 0
+	var recent, relayed meanLoad
 	for i := range agents {
-		if p := &agents[i]; p.Health(now) == roster.Live && !p.Target.Ended {
-			busy += p.Target.Busy
-			slots += p.Target.Slots
+		p := &agents[i]
+		switch {
+		case p.Health(now) != roster.Live || p.Target.Ended:
+		case p.ViaDigest:
+			relayed.add(&p.Target)
+		default:
+			recent.add(&p.Target)
 		}
 	}
-	if slots == 0 {
+	if recent.slots > 0 {
+		return recent.value()
+	}
+	return relayed.value()
+}
+
+type meanLoad struct {
+	busy  float64
+	slots int
+}
+
+func (m *meanLoad) add(t *roster.Target) {
+	m.busy += t.Busy
+	m.slots += t.Slots
+}
+
+func (m *meanLoad) value() float64 {
+	if m.slots == 0 {
 		return 0
 	}
-	return busy / float64(slots)
+	return m.busy / float64(m.slots)
 }
--- a/policy/steering/steering_test.go
+++ b/policy/steering/steering_test.go
@@ -126,6 +126,18 @@
 	assert.Equal(t, result, steering.Unknown, "it has announced its stop")
 }
 
+// Guards against resets that are held back after an outage because of loads which digests have reported
+// seconds ago.
+func TestMeanLoadIsThatOfRecentHeartbeats(t *testing.T) {
+	agents := pool(3)
+	agents[0].Target.Busy, agents[1].Target.Busy, agents[2].Target.Busy = 3, 9, 9
+	agents[1].ViaDigest, agents[2].ViaDigest = true, true
+	assert.Equal(t, steering.MeanLoad(0, agents), 1.0)
+	agents[0].Target.Ended = true
+	assert.Equal(t, steering.MeanLoad(0, agents), 3.0)
+	assert.Equal(t, steering.MeanLoad(0, nil), 0.0)
+}
+
 // Guards against a search that ends early because two nodes rank agents differently.
 func TestRankDependsOnFlowAndOriginOnly(t *testing.T) {
 	a, b := pool(7), pool(7)
