node/fleet, policy/storereader: another node reads the store while the reader can't

Cause: the reader is the first in rank of the nodes whose heartbeats arrive. Whether it reaches the store played no part. Evidence: `dependency lost` at the readers, and no `reading routes` of another node until the end of the cut.

Change: a node whose read fails says so in its heartbeats and tries on; the next of five candidates reads meanwhile. If none reaches the store, the first one stays the reader.

Why it works: the one that knows whether it reaches the store says so, and the others act on that. At most five nodes of a data centre ask a store that is away, whatever the size.

--- a/bench/flows/flows_test.go
+++ b/bench/flows/flows_test.go
@@ -17,6 +17,8 @@
 
 	"lacewinglever.dev/bench/flows"
 	"lacewinglever.dev/platform/platformtest"
+	"lacewinglever.dev/policy/ident"
+	"lacewinglever.dev/policy/storereader"
 )
 
 var (
@@ -285,6 +287,31 @@
 	}
 }
 
+// Guards against routes that are not followed anywhere because the only reader of each data centre is cut
+// off from the store.
+func TestRoutesReachAllNodesWhileTheirReadersAreCutOff(t *testing.T) {
+	t.Parallel()
+	f := start(t, map[string]int{"a": 4, "b": 2})
+	time.Sleep(2 * time.Second) // all nodes have heartbeats of each other
+	cutOff := 0
+	for _, n := range f.Nodes() {
+		var others []ident.NodeID
+		for _, o := range f.Nodes() {
+			if o != n && o.Zone == n.Zone {
+				others = append(others, ident.NewNodeID(o.Name))
+			}
+		}
+		if storereader.IsReader(ident.NewNodeID(n.Name), others) {
+			f.SetStoreLink(n, flows.Silence)
+			cutOff++
+		}
+	}
+	assert.Equal(t, cutOff, 2)
+	f.Store.PutRoutes(7, []string{"a", "b"}, routesOf(idleRoute(9100)))
+	time.Sleep(routesBound)
+	f.assertServed(t, 9100, true)
+}
+
 // Guards against a node that starts during a store outage and can't serve. It must get the nodes
 // and routes from its seeds.
 func TestEntryStartsWhileTheStoreIsAway(t *testing.T) {
--- a/node/fleet/convert.go
+++ b/node/fleet/convert.go
@@ -92,7 +92,7 @@
 	h := &fleetv1.Heartbeat{
 		Sender: toNode(n), Sequence: hb.Sequence, Leaving: hb.Leaving, Join: join,
 		Revision: hb.Routes.Revision, Era: hb.Routes.Era, Version: hb.Routes.Version, StoreEra: hb.StoreEra,
-		IntervalMs: uint32(hb.Interval.Milliseconds()), Digested: hb.ViaDigest, Direct: hb.Direct,
+		IntervalMs: uint32(hb.Interval.Milliseconds()), Digested: hb.ViaDigest, Direct: hb.Direct, StoreLost: hb.StoreLost,
 	}
 	if n.Entry {
 		return h
@@ -116,7 +116,7 @@
 		Sequence: h.GetSequence(), Leaving: h.GetLeaving(), StoreEra: h.GetStoreEra(),
 		Routes:   routes.Position{Version: h.GetVersion(), Era: h.GetEra(), Revision: h.GetRevision()},
 		Interval: time.Duration(h.GetIntervalMs()) * time.Millisecond, ViaDigest: h.GetDigested(),
-		Direct: h.GetDirect(),
+		Direct: h.GetDirect(), StoreLost: h.GetStoreLost(),
 		Target: roster.Target{
 			Service: t.GetService(), ID: t.GetId(), StartUnixMs: t.GetBornUnixMs(), Accepting: t.GetAccepting(),
 			Ended: t.GetAbsent(), MayHaveEnded: t.GetDoubtful(), Rate: float64(t.GetRate()), Failing: float64(t.GetFailing()),
--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -106,6 +106,7 @@
 	digestsSent     *metrics.Counter
 	sendFailures    *metrics.Counter
 	storeDependency dependency
+	storeLost       atomic.Bool   // the last read of the routes has failed
 	storeEra        atomic.Uint64 // highest era of the store that this node knows, 0 if none
 	nodeLog         *logging.Decisions
 	draining        atomic.Bool                          // the target has announced its end
--- a/node/fleet/membership_test.go
+++ b/node/fleet/membership_test.go
@@ -4,8 +4,13 @@
 	"context"
 	"fmt"
 	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/http/httputil"
 	"net/netip"
+	"net/url"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -37,6 +42,27 @@
 	network int // third octet of their addresses, so that tests can run in parallel
 	count   int
 	running []*testMember
+	links   map[string]*storeLink // to the store, by node; those without one reach it directly
+}
+
+// storeLink is a node's link to the store, which can be cut.
+type storeLink struct {
+	*httptest.Server
+	cut atomic.Bool
+}
+
+func (m *testMembers) addStoreLink(t *testing.T, node string) {
+	t.Helper()
+	link := &storeLink{}
+	proxy := httputil.NewSingleHostReverseProxy(&url.URL{Scheme: "http", Host: m.store.Address()})
+	link.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if link.cut.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		proxy.ServeHTTP(w, r)
+	}))
+	t.Cleanup(link.Close)
+	m.links[node] = link
 }
 
 func newTestMembers(t *testing.T, network int) *testMembers {
@@ -44,7 +70,7 @@
 	store, err := platformtest.NewStore("127.0.0.1:0")
 	assert.NilError(t, err)
 	t.Cleanup(store.Close)
-	return &testMembers{store: store, network: network}
+	return &testMembers{store: store, network: network, links: map[string]*storeLink{}}
 }
 
 func (m *testMembers) start(t *testing.T, entry bool, dc int) *testMember {
@@ -65,6 +91,9 @@
 	if entry {
 		o.Service, o.Handler = "", idleHandler{}
 	}
+	if link := m.links[o.Settings.Name]; link != nil {
+		o.Settings.Store = link.Listener.Addr().String()
+	}
 	f, err := New(o)
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -250,3 +279,40 @@
 	}
 	assert.Assert(t, len(received) >= 3, "%d announcements", len(received))
 }
+
+// Guards against a data centre in which no node learns of changes of the routes because its reader can't
+// reach the store, while its other nodes can.
+func TestAnotherNodeReadsWhileTheReaderCannot(t *testing.T) {
+	t.Parallel()
+	m := newTestMembers(t, 6)
+	putVersion(m.store, 1)
+	for i := range 3 {
+		m.addStoreLink(t, fmt.Sprint("n-", i+1))
+		n := m.start(t, true, 0)
+		runUntilEnd(t, n.readRoutes)
+	}
+	m.awaitAcquainted(t)
+	for _, n := range m.running {
+		waitForVersion(t, n.Fleet, 1)
+	}
+	cutOff := 0
+	for _, n := range m.running {
+		if n.isReader() {
+			cutOff++
+			m.links[n.Self.Name].cut.Store(true)
+			m.links[n.Self.Name].CloseClientConnections()
+		}
+	}
+	assert.Equal(t, cutOff, 1)
+	putVersion(m.store, 2)
+	reached := 0
+	for until := time.Now().Add(routesBound); reached < 2; time.Sleep(checkInterval) {
+		assert.Assert(t, time.Now().Before(until), "in force at %d nodes", reached)
+		reached = 0
+		for _, n := range m.running {
+			if n.Routes.Position().Version == 2 {
+				reached++
+			}
+		}
+	}
+}
--- a/node/fleet/routes.go
+++ b/node/fleet/routes.go
@@ -24,6 +24,7 @@
 	"lacewinglever.dev/node/timing"
 	"lacewinglever.dev/platform"
 	"lacewinglever.dev/policy/heartbeat"
+	"lacewinglever.dev/policy/ident"
 	"lacewinglever.dev/policy/roster"
 	"lacewinglever.dev/policy/routes"
 	"lacewinglever.dev/policy/storereader"
@@ -60,16 +61,31 @@
 
 // isReader reports whether this node reads the store on behalf of its data centre.
 func (f *Fleet) isReader() bool {
-	return storereader.IsReader(f.Self.ID, f.Roster.Running(Now(), f.Self.DataCentre))
+	return storereader.IsReaderAmong(f.Self.ID, f.Roster.Running(Now(), f.Self.DataCentre), func(id ident.NodeID) bool {
+		if id == f.Self.ID {
+			return !f.storeLost.Load()
+		}
+		p, ok := f.Roster.Find(id)
+		return ok && !p.StoreLost
+	})
+}
+
+// recordRoutesRead records whether the routes could be read. A change is announced, because another node
+// of the data centre takes over as reader, or hands the role back.
+func (f *Fleet) recordRoutesRead(err error) {
+	ok := f.recordStoreResult(err)
+	if f.storeLost.Swap(!ok) == ok {
+		f.Announce()
+	}
 }
 
 // readRoutes reads the routes from the store: once at the start, and continuously while this node
-// is a reader.
+// is a reader. A node that has lost the store tries on, so that it can be the reader again.
 func (f *Fleet) readRoutes(ctx context.Context) {
 	var retry backoff
 	reading := false
 	for ctx.Err() == nil {
-		if f.Routes.Load() != nil && !f.isReader() {
+		if f.Routes.Load() != nil && !f.isReader() && !f.storeLost.Load() {
 			reading = false
 			timing.Sleep(ctx, readerCheckInterval)
 			continue
@@ -84,7 +100,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		f.recordStoreResult(err)
+		f.recordRoutesRead(err)
 		if err == nil {
 			retry.reset()
 			continue
@@ -104,7 +120,7 @@
 	if err != nil {
 		return err
 	}
-	f.recordStoreResult(nil)
+	f.recordRoutesRead(nil)
 	if listed.Newest == nil {
 		timing.Sleep(ctx, readerCheckInterval) // the operator has not written any routes yet
 		return nil
--- a/node/fleet/store.go
+++ b/node/fleet/store.go
@@ -86,9 +86,9 @@
 	}
 }
 
-// recordStoreResult updates the availability of the store after a call. An error that rejects only
-// that one call shows that the store is available.
-func (f *Fleet) recordStoreResult(err error) {
+// recordStoreResult updates the availability of the store after a call, and returns whether it is
+// available. An error that rejects only that one call shows that it is.
+func (f *Fleet) recordStoreResult(err error) bool {
 	ok := err == nil || errors.Is(err, platform.ErrNotFound) || errors.Is(err, platform.ErrConflict) ||
 		errors.Is(err, platform.ErrHistoryGone)
 	detail := ""
@@ -96,6 +96,7 @@
 		detail = err.Error()
 	}
 	f.storeDependency.update(ok, detail)
+	return ok
 }
 
 // backoff is the pause between failed calls. It is jittered, so that nodes whose calls failed
--- a/policy/roster/roster.go
+++ b/policy/roster/roster.go
@@ -102,7 +102,9 @@
 	Routes   routes.Position // of the routes in force at the sender
 	StoreEra uint64          // highest era of the store that the sender knows, 0 if none
 	Leaving  bool            // the process is stopping
-	Target   Target          // agents only
+	// StoreLost is set if the sender has tried to read the store and can't reach it.
+	StoreLost bool
+	Target    Target // agents only
 	// Interval is the time within which the sender's next heartbeat is due here, DefaultInterval if
 	// it is 0.
 	Interval time.Duration
--- a/policy/storereader/storereader.go
+++ b/policy/storereader/storereader.go
@@ -17,6 +17,23 @@
 // key makes the choice independent of other rendezvous choices among the same nodes.
 const key uint64 = 0x6c61636577726561
 
+// candidateCount is the number of nodes per data centre of which one reads. It bounds the nodes that try
+// to reach the store while it is unavailable.
+const candidateCount = 5
+
+// IsReaderAmong reports whether the node self reads the store, as IsReader does, if some of the nodes
+// can't reach the store. The next candidate then takes over; if none of them reaches it, the first one
+// keeps trying.
+func IsReaderAmong(self ident.NodeID, others []ident.NodeID, canReach func(ident.NodeID) bool) bool {
+	candidates := rendezvous.Top(key, append(others, self), candidateCount)
+	for _, id := range candidates {
+		if canReach(id) {
+			return id == self
+		}
+	}
+	return candidates[0] == self
+}
+
 // IsReader reports whether the node self reads the store. others are the other running nodes of its
 // data centre.
 func IsReader(self ident.NodeID, others []ident.NodeID) bool {
--- a/policy/storereader/storereader_test.go
+++ b/policy/storereader/storereader_test.go
@@ -22,3 +22,39 @@
 	assert.Equal(t, count, 1)
 	assert.Assert(t, storereader.IsReader(11, nil))
 }
+
+// Guards against a data centre in which no node reads the store because its reader can't reach it, and
+// against all of its nodes trying to reach a store that is away.
+func TestReadersThatCannotReachTheStoreAreReplaced(t *testing.T) {
+	var nodes []ident.NodeID
+	for i := range 40 {
+		nodes = append(nodes, ident.NodeID(100+i))
+	}
+	lost := map[ident.NodeID]bool{}
+	reader := func() ident.NodeID {
+		var readers []ident.NodeID
+		for i, self := range nodes {
+			others := append(append([]ident.NodeID{}, nodes[:i]...), nodes[i+1:]...)
+			if storereader.IsReaderAmong(self, others, func(id ident.NodeID) bool { return !lost[id] }) {
+				readers = append(readers, self)
+			}
+		}
+		assert.Equal(t, len(readers), 1)
+		return readers[0]
+	}
+	first := reader()
+	tried := map[ident.NodeID]bool{}
+	for range 20 {
+		r := reader()
+		tried[r], lost[r] = true, true
+	}
+	assert.Equal(t, len(tried), 5)
+	assert.Equal(t, reader(), first, "the first one keeps trying")
+	for id := range lost {
+		if id != first {
+			delete(lost, id)
+			assert.Equal(t, reader(), id, "the one that reaches it again")
+			break
+		}
+	}
+}
