node/fleet: a process whose incarnation is too low takes a later one

Cause: the incarnation is the time of day at the start. After the clock has gone back it is lower than that of the process before, and the other nodes drop the heartbeats as stale for up to a minute, take the agent for gone and reset its flows; the process never learns.

Change: a node answers a heartbeat of an earlier incarnation with the one that it knows; the sender takes the next one above and announces itself. Its own record tells it the same.

Why it works: whoever is ignored is told so by those who ignore it, within a round trip. The clock's order remains for all other cases, and old programs ignore the answer.

Test: TestRestartAfterTheClockHasGoneBack fails without the answer.

--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -88,6 +88,9 @@
 	conn    *net.UDPConn
 	seeds   atomic.Pointer[[]netip.AddrPort]
 	started time.Duration
+	// incarnation is that of Self, or a later one if other nodes know a later one: the clock has gone back
+	// since the last start.
+	incarnation atomic.Uint64
 
 	storeListed     atomic.Bool // the store's node records have been read since the start
 	joined          atomic.Bool // a node has answered that knows all nodes that may hold flows
@@ -140,6 +143,7 @@
 		storeDependency: dependency{name: "store", logger: o.Logger},
 		nodeLog:         logging.NewDecisionsWithLimit(o.Logger, nodeLinesPerSecond),
 	}
+	f.incarnation.Store(uint64(f.Self.Incarnation))
 	f.setSeeds(o.Settings.Seeds)
 	f.Roster = roster.New(f.Self.ID)
 	f.store = platform.NewStore(o.Settings.Store, f.observeStore)
@@ -200,6 +204,31 @@
 	return g.Wait()
 }
 
+// self returns this node with its present incarnation.
+func (f *Fleet) self() *roster.Node {
+	n := f.Self
+	n.Incarnation = ident.Incarnation(f.incarnation.Load())
+	return &n
+}
+
+// observeOwnIncarnation takes note of an incarnation of this node that others know. Its heartbeats have to
+// be of a later one to count there.
+func (f *Fleet) observeOwnIncarnation(known ident.Incarnation, from string) {
+	for {
+		before := f.incarnation.Load()
+		if uint64(known) <= before {
+			return
+		}
+		if f.incarnation.CompareAndSwap(before, uint64(known)+1) {
+			_ = level.Warn(f.options.Logger).Log(logging.KeyMessage, "a later incarnation of this node is known",
+				"incarnation", uint64(known), "before", before, "from", from)
+			f.Announce()
+			f.checkRecordNow()
+			return
+		}
+	}
+}
+
 // RosterComplete reports whether the roster contains all nodes that may hold flows. The store lists
 // those that have registered. Nodes that run introduce themselves. Of those that are away and will
 // return, only a node that has run for longer knows; the heartbeats of one round show whether there is
@@ -435,6 +464,9 @@
 		return
 	}
 	change := f.Roster.RecordHeartbeat(now, n, hb)
+	if change == roster.Stale {
+		f.answerStale(now, &n)
+	}
 	if change == roster.Joined || h.GetJoin() {
 		f.introduceSelf(now, &n)
 	}
@@ -444,6 +476,18 @@
 	f.handleNodeChange(&n, &hb, change)
 }
 
+// answerStale tells the sender of a stale heartbeat of its later incarnation that is known here, if there is
+// one. The sender is then either an earlier process, which has ended, or one whose clock has gone back.
+func (f *Fleet) answerStale(now time.Duration, sender *roster.Node) {
+	p, ok := f.Roster.Find(sender.ID)
+	if !ok || p.Incarnation <= sender.Incarnation {
+		return
+	}
+	f.sendMessage(sender.Address, &fleetv1.Message{Absent: []*fleetv1.News{
+		toNews(&digest.NodeUpdate{Node: p.Node, Heartbeat: p.Heartbeat, Age: now - p.LastSeen}),
+	}})
+}
+
 // handleNodeChange logs what a heartbeat or a digest has changed, queues a fetch of the routes if the
 // node has newer ones, and takes note of the store's era.
 func (f *Fleet) handleNodeChange(n *roster.Node, hb *roster.Heartbeat, change roster.Change) {
@@ -490,6 +534,10 @@
 		f.rejectMessage("absent node", err)
 		return
 	}
+	if n.Node.ID == f.Self.ID {
+		f.observeOwnIncarnation(n.Node.Incarnation, "node")
+		return
+	}
 	if f.Roster.RecordAbsent(now, n.Age, n.Node, n.Heartbeat) != roster.Stale && f.nodeLog.Allow() {
 		f.nodeLog.Log("absent node discovered", logging.KeyPeer, n.Node.Name, "incarnation", uint64(n.Node.Incarnation),
 			"leaving", n.Heartbeat.Leaving, logging.KeyAge, n.Age)
@@ -523,7 +571,7 @@
 		}
 		f.sendMessage(to.Address, m)
 	}
-	nodes := []*fleetv1.Node{toNode(&f.Self)}
+	nodes := []*fleetv1.Node{toNode(f.self())}
 	for _, p := range f.Roster.Peers() {
 		if p.Running(now) {
 			nodes = append(nodes, toNode(&p.Node))
--- a/node/fleet/heartbeats.go
+++ b/node/fleet/heartbeats.go
@@ -157,7 +157,7 @@
 func (f *Fleet) heartbeatMessage(now time.Duration, to heartbeat.Receiver, join bool) *fleetv1.Message {
 	hb := f.ownHeartbeat(now)
 	hb.Interval, hb.ViaDigest = to.Interval, to.ViaDigest
-	return &fleetv1.Message{Heartbeat: toHeartbeat(&f.Self, &hb, join)}
+	return &fleetv1.Message{Heartbeat: toHeartbeat(f.self(), &hb, join)}
 }
 
 // ownHeartbeat returns this node's next heartbeat, without the fields that depend on the receiver.
@@ -280,7 +280,7 @@
 func (f *Fleet) digestItems(now time.Duration, peers []roster.Peer) []digest.NodeUpdate {
 	var items []digest.NodeUpdate
 	if !f.reachesAll(now) {
-		items = append(items, digest.NodeUpdate{Node: f.Self, Heartbeat: f.ownHeartbeat(now)})
+		items = append(items, digest.NodeUpdate{Node: *f.self(), Heartbeat: f.ownHeartbeat(now)})
 	}
 	for i := range peers {
 		if p := &peers[i]; p.DataCentre == f.Self.DataCentre && p.HeartbeatSeen && !p.Direct {
--- a/node/fleet/membership_test.go
+++ b/node/fleet/membership_test.go
@@ -42,7 +42,9 @@
 	network int // third octet of their addresses, so that tests can run in parallel
 	count   int
 	running []*testMember
-	links   map[string]*storeLink // to the store, by node; those without one reach it directly
+	// clockBack is by how much the clocks of nodes that start have gone back.
+	clockBack time.Duration
+	links     map[string]*storeLink // to the store, by node; those without one reach it directly
 }
 
 // storeLink is a node's link to the store, which can be cut.
@@ -96,6 +98,8 @@
 	}
 	f, err := New(o)
 	assert.NilError(t, err)
+	f.Self.Incarnation -= ident.Incarnation(m.clockBack.Microseconds())
+	f.incarnation.Store(uint64(f.Self.Incarnation))
 	ctx, cancel := context.WithCancel(context.Background())
 	var parts sync.WaitGroup
 	parts.Go(func() { _ = f.receive(ctx) })
@@ -316,3 +320,29 @@
 		}
 	}
 }
+
+// Guards against a process that the other nodes ignore for a minute, and whose flows they reset, because
+// its clock has gone back since its last start.
+func TestRestartAfterTheClockHasGoneBack(t *testing.T) {
+	t.Parallel()
+	m := newTestMembers(t, 7)
+	for i := range 3 {
+		m.start(t, false, i%2)
+	}
+	m.awaitAcquainted(t)
+	m.kill(m.running[0])
+	m.clockBack = 10 * time.Second
+	restarted := m.startAt(t, false, 0, 1)
+	since := time.Now()
+	for _, n := range m.running {
+		for until := since.Add(time.Second); n != restarted; time.Sleep(checkInterval) {
+			p, ok := n.Roster.Find(restarted.Self.ID)
+			if ok && p.Incarnation == ident.Incarnation(restarted.incarnation.Load()) && p.Health(Now()) == roster.Live {
+				break
+			}
+			assert.Assert(t, time.Now().Before(until), "%s: %+v", n.Self.Name, p)
+		}
+	}
+	assert.Assert(t, restarted.incarnation.Load() > uint64(restarted.Self.Incarnation))
+	m.assertNone(t, roster.Suspect, 0, time.Second)
+}
--- a/node/fleet/store.go
+++ b/node/fleet/store.go
@@ -181,6 +181,9 @@
 		record.written, record.renewedAt = false, now
 		record.Renewals++
 	}
+	if incarnation := f.incarnation.Load(); incarnation != record.Incarnation {
+		record.written, record.Incarnation = false, incarnation
+	}
 	if draining := f.draining.Load(); draining != record.Draining {
 		record.written, record.Draining = false, draining
 	}
@@ -246,7 +249,10 @@
 	for i := range records {
 		r := &records[i]
 		if r.Name == f.Self.Name {
-			ownFound = r.Incarnation <= uint64(f.Self.Incarnation) && r.Address == f.Self.Address.String()
+			ownFound = r.Incarnation <= f.incarnation.Load() && r.Address == f.Self.Address.String()
+			if n, err := fromRecord(r); err == nil {
+				f.observeOwnIncarnation(n.Incarnation, "store")
+			}
 			continue
 		}
 		n, err := fromRecord(r)
