node/packetentry, node/packetagent: a search covers all services of a split route

Cause: the search looked among the agents of the service that the present weights give to a new flow; a flow stays where it opened.

Change: entries and agents search the agents of all services of the route, the likely one first. A packet that goes on to an agent of another service carries that service.

--- a/bench/flows/flows_test.go
+++ b/bench/flows/flows_test.go
@@ -312,6 +312,36 @@
 	f.assertServed(t, 9100, true)
 }
 
+// Guards against resets of open flows of a split route after its weights have changed, by entries without a
+// record of them.
+func TestFlowsOutliveAChangeOfWeights(t *testing.T) {
+	t.Parallel()
+	f := start(t, map[string]int{"a": 2, "b": 2})
+	to := netip.MustParseAddrPort("198.18.0.4:8443")
+	put := func(version int, a, b float64) {
+		f.Store.PutRoutes(version, []string{"a", "b"}, routesOf(platformtest.Route{Name: "split", Host: "198.18.0.4", Port: 8443,
+			Split: [2]platformtest.Share{{Service: "a", Weight: a}, {Service: "b", Weight: b}}}))
+		time.Sleep(time.Second)
+	}
+	put(2, 1, 0)
+	var open []*platformtest.Flow
+	for i := range 12 {
+		flow := f.caller.Open(to)
+		assert.Assert(t, flow != nil)
+		assertOutcome(t, flow, fmt.Sprint("before-", i), platformtest.Answered)
+		open = append(open, flow)
+	}
+	put(5, 0, 1)
+	for _, n := range f.Entries {
+		n.Kill()
+		assert.NilError(t, n.Launch())
+		f.waitUntilReady(t, n)
+	}
+	for i, flow := range open {
+		assertOutcome(t, flow, fmt.Sprint("after-", i), platformtest.Answered)
+	}
+}
+
 // Guards against a node that starts during a store outage and can't serve. It must get the nodes
 // and routes from its seeds.
 func TestEntryStartsWhileTheStoreIsAway(t *testing.T) {
--- a/node/fleet/packets.go
+++ b/node/fleet/packets.go
@@ -9,6 +9,9 @@
 	"lacewinglever.dev/node/timing"
 	"lacewinglever.dev/platform"
 	"lacewinglever.dev/policy/holding"
+	"lacewinglever.dev/policy/ident"
+	"lacewinglever.dev/policy/roster"
+	"lacewinglever.dev/policy/steering"
 )
 
 const (
@@ -77,3 +80,16 @@
 		handle(Now(), p)
 	}
 }
+
+// RankedAgents returns the agents of services, all if a service is empty, in the order in which they are
+// tried for a flow of a caller in the data centre origin: one service after the other. It reuses buffer.
+func RankedAgents(r *roster.Roster, buffer []roster.Peer, flow steering.Flow, origin ident.DataCentre,
+	services []string) []roster.Peer {
+	agents := buffer[:0]
+	for _, service := range services {
+		ranked := len(agents)
+		agents = r.Agents(agents, service)
+		steering.Rank(flow.Hash(), origin, agents[ranked:])
+	}
+	return agents
+}
--- a/node/packetagent/agent.go
+++ b/node/packetagent/agent.go
@@ -487,16 +487,34 @@
 	a.forwardToNextAgent(now, &pendingPacket{Arrived: now, Value: fp})
 }
 
-// withRankedAgents calls f with the agents of the packet's service, in the order in which they are
-// tried for the flow.
-func (a *Agent) withRankedAgents(flow steering.Flow, fp *fleet.ForwardedPacket, f func([]roster.Peer)) {
+// withRankedAgents calls f with the agents of services, in the order in which they are tried for the
+// flow, one service after the other.
+func (a *Agent) withRankedAgents(flow steering.Flow, fp *fleet.ForwardedPacket, services []string, f func([]roster.Peer)) {
 	agents := a.agentBuffers.Get().(*[]roster.Peer)
 	defer a.agentBuffers.Put(agents)
-	*agents = a.fleet.Roster.Agents((*agents)[:0], fp.Service)
-	steering.Rank(flow.Hash(), fp.Origin, *agents)
+	*agents = fleet.RankedAgents(a.fleet.Roster, *agents, flow, fp.Origin, services)
 	f(*agents)
 }
 
+// searchServices returns the services at which an open flow may be: the packet's, and the others of its
+// route.
+func (a *Agent) searchServices(flow steering.Flow, fp *fleet.ForwardedPacket) []string {
+	services := []string{fp.Service}
+	if fp.Service == "" { // all
+		return services
+	}
+	if t := a.fleet.Routes.Load(); t != nil {
+		if route, ok := t.Lookup(flow.Service()); ok {
+			for _, service := range route.SearchServices(flow.Hash()) {
+				if !slices.Contains(services, service) {
+					services = append(services, service)
+				}
+			}
+		}
+	}
+	return services
+}
+
 // forward sends a packet to another agent.
 func (a *Agent) forward(to netip.AddrPort, fp *fleet.ForwardedPacket) {
 	if !a.fleet.Send(to, fp) {
@@ -546,7 +564,7 @@
 	p := platform.Packet(fp.Packet)
 	flow := p.CallerFlow()
 	a.markTried(fp)
-	a.withRankedAgents(flow, fp, func(agents []roster.Peer) {
+	a.withRankedAgents(flow, fp, []string{fp.Service}, func(agents []roster.Peer) {
 		index := steering.Place(now, a.requirements(now, pending), agents)
 		to := ""
 		if index >= 0 {
@@ -582,13 +600,16 @@
 	p := platform.Packet(fp.Packet)
 	flow := p.CallerFlow()
 	a.markTried(fp)
-	a.withRankedAgents(flow, fp, func(agents []roster.Peer) {
+	a.withRankedAgents(flow, fp, a.searchServices(flow, fp), func(agents []roster.Peer) {
 		index, result := steering.NextCandidate(now, agents, fp.Tried, fp.Service != "" && a.fleet.RosterComplete(now))
 		outcome := ""
 		switch result {
 		case steering.Continue:
 			outcome = "forwarded to " + agents[index].Name
 			a.counters.forwarded.Inc()
+			if fp.Service != "" {
+				fp.Service = agents[index].Service
+			}
 			a.forward(agents[index].Address, fp)
 		case steering.Unknown:
 			outcome = "held, agents unknown"
--- a/node/packetentry/entry.go
+++ b/node/packetentry/entry.go
@@ -331,21 +331,25 @@
 // the flow.
 func (e *Entry) searchOwner(now time.Duration, pending *pendingPacket, flow steering.Flow, table *routes.Table) {
 	p := pending.Value
-	service := ""
+	services := []string{""} // all
 	if table != nil {
 		route, ok := table.Lookup(flow.Service())
 		if !ok {
 			e.resetFlow(flow, p, "route removed", table)
 			return
 		}
-		service = route.PickService(flow.Hash())
+		services = route.SearchServices(flow.Hash())
 	}
-	agents := e.rankedAgents(flow, service)
+	agents := e.rankedAgents(flow, services...)
 	index, result := steering.NextCandidate(now, agents, nil, table != nil && e.fleet.RosterComplete(now))
 	switch result {
 	case steering.Continue:
 		e.counters.searched.Inc()
 		at := table.PositionOrZero()
+		service := ""
+		if table != nil {
+			service = agents[index].Service
+		}
 		e.send(&agents[index], &fleet.ForwardedPacket{Service: service, Routes: at, WantsOwner: true, Packet: p})
 		if e.logs.Unusual.Allow() {
 			e.logs.Unusual.Log("flow searched", logging.KeyFlow, flow, "sequence", p.Sequence(),
@@ -359,11 +363,10 @@
 	}
 }
 
-// rankedAgents returns the agents of a service in the order in which they are tried for a flow. The
-// result is valid until the next call.
-func (e *Entry) rankedAgents(flow steering.Flow, service string) []roster.Peer {
-	e.agentBuffer = e.fleet.Roster.Agents(e.agentBuffer[:0], service)
-	steering.Rank(flow.Hash(), e.fleet.Self.DataCentre, e.agentBuffer)
+// rankedAgents returns the agents of services in the order in which they are tried for a flow, one
+// service after the other. The result is valid until the next call.
+func (e *Entry) rankedAgents(flow steering.Flow, services ...string) []roster.Peer {
+	e.agentBuffer = fleet.RankedAgents(e.fleet.Roster, e.agentBuffer, flow, e.fleet.Self.DataCentre, services)
 	return e.agentBuffer
 }
 
--- a/policy/routes/routes.go
+++ b/policy/routes/routes.go
@@ -4,6 +4,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -42,6 +43,18 @@
 	return r.Shares[len(r.Shares)-1].Service
 }
 
+// SearchServices returns the services at which an open flow with this hash may be, the most likely one
+// first. A flow stays where it opened when the weights change, also if its service has no weight left.
+func (r *Route) SearchServices(hash uint64) []string {
+	services := []string{r.PickService(hash)}
+	for _, s := range r.Shares {
+		if !slices.Contains(services, s.Service) {
+			services = append(services, s.Service)
+		}
+	}
+	return services
+}
+
 // HasService reports whether new flows may open at the service.
 func (r *Route) HasService(service string) bool {
 	for _, s := range r.Shares {
--- a/policy/routes/routes_test.go
+++ b/policy/routes/routes_test.go
@@ -1,6 +1,7 @@
 package routes_test
 
 import (
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -32,3 +33,20 @@
 	assert.Equal(t, count["c"], 0)
 	assert.Assert(t, r.HasService("b") && !r.HasService("c") && !r.HasService("d"))
 }
+
+// Guards against a search that leaves out a service at which a flow opened under other weights.
+func TestSearchServicesContainAllShares(t *testing.T) {
+	r := routes.Route{Shares: []routes.Share{{Service: "a", Weight: 1}, {Service: "b", Weight: 3}, {Service: "c"}, {Service: "a"}}}
+	first := map[string]int{}
+	for i := range uint64(1000) {
+		hash := i * 0x9e3779b97f4a7c15
+		services := r.SearchServices(hash)
+		assert.Equal(t, services[0], r.PickService(hash))
+		first[services[0]]++
+		slices.Sort(services)
+		assert.DeepEqual(t, services, []string{"a", "b", "c"})
+	}
+	assert.Equal(t, first["c"], 0)
+	single := routes.Route{Shares: []routes.Share{{Service: "a", Weight: 1}}}
+	assert.DeepEqual(t, single.SearchServices(7), []string{"a"})
+}
