--- a/policy/heartbeat/heartbeat.go
+++ b/policy/heartbeat/heartbeat.go
@@ -128,9 +128,10 @@
 	for _, address := range before.frequent.addresses {
 		wasFrequent[address] = struct{}{}
 	}
+	ownOnly := !p.Direct || !complete
 	for i := range peers {
 		peer := &peers[i]
-		if !(p.Direct && complete) && peer.DataCentre != self.DataCentre {
+		if ownOnly && peer.DataCentre != self.DataCentre {
 			if before.Promises(peer.Address) {
 				p.handover.addresses = append(p.handover.addresses, peer.Address)
 			}
