--- a/node/fleet/compatibility_test.go
+++ b/node/fleet/compatibility_test.go
@@ -89,3 +89,33 @@
 		assert.Equal(t, update.GetChanges()[0].GetRevision(), uint64(6))
 	}
 }
+
+// Guards against a program of the previous release that no relay reports, because it says nothing of
+// whether it reaches all data centres.
+func TestRelaysReportThePreviousRelease(t *testing.T) {
+	f := newStoreFleet(t, "n")
+	sender := &fleetv1.Node{Name: "previous", Incarnation: 1, DataCentre: "dc", Address: "127.0.0.1:7400"}
+	f.handleHeartbeat(Now(), &fleetv1.Heartbeat{Sender: sender, Sequence: 1})
+	assert.Assert(t, f.Roster.NeedsRelay("dc"))
+	items := f.digestItems(Now(), f.Roster.Peers())
+	assert.Equal(t, items[len(items)-1].Node.Name, "previous")
+	f.handleHeartbeat(Now(), &fleetv1.Heartbeat{Sender: sender, Sequence: 2, Direct: true})
+	assert.Assert(t, !f.Roster.NeedsRelay("dc"))
+}
+
+// Guards against a node that asks programs of the previous release for their nodes without end, because
+// they never say that they know all.
+func TestAnswersOfThePreviousReleaseEndTheJoin(t *testing.T) {
+	t.Parallel()
+	f := newStoreFleet(t, "n")
+	f.Roster.RecordHeartbeat(Now(), roster.Node{ID: 1, Name: "previous", Incarnation: f.Self.Incarnation - 60_000_000,
+		Address: netip.MustParseAddrPort("127.0.0.1:9")}, roster.Heartbeat{Sequence: 1})
+	f.recordAnswer(Now(), false)
+	ended := make(chan struct{})
+	go func() { f.join(context.Background()); close(ended) }()
+	select {
+	case <-ended:
+	case <-time.After(heartbeatWindow + 3*joinInterval):
+		t.Fatal("the node still requests nodes")
+	}
+}
