node/fleet: one reading of the clock for all nodes of a message

The checks of nodes and heartbeats read the time of day twice for each node of a digest, some 550 times a second and node on a large site (derived). Now once a message. No other change of behaviour.

--- a/node/fleet/compatibility_test.go
+++ b/node/fleet/compatibility_test.go
@@ -59,7 +59,7 @@
 			return connect.NewResponse(wrapperspb.Bytes(packed)), nil
 		}))
 	defer server.Close()
-	_, hb, err := fromHeartbeat(&fleetv1.Heartbeat{Revision: 7,
+	_, hb, err := fromHeartbeat(latestIncarnation(), &fleetv1.Heartbeat{Revision: 7,
 		Sender: &fleetv1.Node{Name: "peer", Incarnation: 1, Address: "127.0.0.1:7400"}})
 	assert.NilError(t, err)
 	assert.Assert(t, AreRoutesNewer(hb.Routes, f.Routes.Position()))
@@ -95,11 +95,11 @@
 func TestRelaysReportThePreviousRelease(t *testing.T) {
 	f := newStoreFleet(t, "n")
 	sender := &fleetv1.Node{Name: "previous", Incarnation: 1, DataCentre: "dc", Address: "127.0.0.1:7400"}
-	f.handleHeartbeat(Now(), &fleetv1.Heartbeat{Sender: sender, Sequence: 1})
+	f.handleHeartbeat(Now(), latestIncarnation(), &fleetv1.Heartbeat{Sender: sender, Sequence: 1})
 	assert.Assert(t, f.Roster.NeedsRelay("dc"))
 	items := f.digestItems(Now(), f.Roster.Peers())
 	assert.Equal(t, items[len(items)-1].Node.Name, "previous")
-	f.handleHeartbeat(Now(), &fleetv1.Heartbeat{Sender: sender, Sequence: 2, Direct: true})
+	f.handleHeartbeat(Now(), latestIncarnation(), &fleetv1.Heartbeat{Sender: sender, Sequence: 2, Direct: true})
 	assert.Assert(t, !f.Roster.NeedsRelay("dc"))
 }
 
--- a/node/fleet/convert.go
+++ b/node/fleet/convert.go
@@ -31,9 +31,15 @@
 	maxSlots = 1 << 20
 )
 
+// latestIncarnation returns the latest incarnation that a node may have by this node's clock. It is read
+// once a message, because a digest describes many nodes.
+func latestIncarnation() ident.Incarnation {
+	return ident.Incarnation(time.Now().Add(maxClockAhead).UnixMicro())
+}
+
 // checkNode checks a node as another node or a record in the store, which may be of another writer,
-// describes it. now is the time of day.
-func checkNode(now time.Time, n *roster.Node) error {
+// describes it.
+func checkNode(latest ident.Incarnation, n *roster.Node) error {
 	address := n.Address.Addr()
 	switch {
 	case n.Name == "" || len(n.Name) > maxNameBytes || !utf8.ValidString(n.Name):
@@ -42,16 +48,16 @@
 		return errors.Errorf("data centre of %d bytes", len(n.DataCentre))
 	case !address.Is4() || address.IsUnspecified() || address.IsMulticast() || n.Address.Port() == 0:
 		return errors.Errorf("node address %v", n.Address)
-	case n.Incarnation == 0 || n.Incarnation > ident.Incarnation(now.Add(maxClockAhead).UnixMicro()):
+	case n.Incarnation == 0 || n.Incarnation > latest:
 		return errors.Errorf("incarnation %d", n.Incarnation)
 	}
 	return nil
 }
 
 // checkHeartbeat checks a heartbeat of a node.
-func checkHeartbeat(now time.Time, n *roster.Node, hb *roster.Heartbeat) error {
+func checkHeartbeat(latest ident.Incarnation, n *roster.Node, hb *roster.Heartbeat) error {
 	// Even a node that sent a heartbeat in each microsecond since its start would not have sent more.
-	maxSequence := uint64(now.Add(maxClockAhead).UnixMicro()) - uint64(n.Incarnation)
+	maxSequence := uint64(latest - n.Incarnation)
 	t := &hb.Target
 	switch {
 	case hb.Sequence > maxSequence:
@@ -76,7 +82,7 @@
 	}
 }
 
-func fromNode(m *fleetv1.Node) (roster.Node, error) {
+func fromNode(latest ident.Incarnation, m *fleetv1.Node) (roster.Node, error) {
 	address, err := netip.ParseAddrPort(m.GetAddress())
 	if err != nil {
 		return roster.Node{}, errors.Wrap(err, "node address")
@@ -85,7 +91,7 @@
 		ID: ident.NewNodeID(m.GetName()), Name: m.GetName(), Incarnation: ident.Incarnation(m.GetIncarnation()),
 		Entry: m.GetEntry(), DataCentre: ident.DataCentre(m.GetDataCentre()), Address: address,
 	}
-	return n, checkNode(time.Now(), &n)
+	return n, checkNode(latest, &n)
 }
 
 func toHeartbeat(n *roster.Node, hb *roster.Heartbeat, join bool) *fleetv1.Heartbeat {
@@ -106,8 +112,8 @@
 	return h
 }
 
-func fromHeartbeat(h *fleetv1.Heartbeat) (roster.Node, roster.Heartbeat, error) {
-	n, err := fromNode(h.GetSender())
+func fromHeartbeat(latest ident.Incarnation, h *fleetv1.Heartbeat) (roster.Node, roster.Heartbeat, error) {
+	n, err := fromNode(latest, h.GetSender())
 	if err != nil {
 		return n, roster.Heartbeat{}, err
 	}
@@ -124,7 +130,7 @@
 			Busy: float64(t.GetBusyPerMille()) / perMille,
 		},
 	}
-	return n, hb, checkHeartbeat(time.Now(), &n, &hb)
+	return n, hb, checkHeartbeat(latest, &n, &hb)
 }
 
 // toDigest returns the message for digest items of nodes of the data centre dc. passOn requests
@@ -143,8 +149,8 @@
 	}
 }
 
-func fromNews(m *fleetv1.News) (digest.NodeUpdate, error) {
-	n, hb, err := fromHeartbeat(m.GetHeartbeat())
+func fromNews(latest ident.Incarnation, m *fleetv1.News) (digest.NodeUpdate, error) {
+	n, hb, err := fromHeartbeat(latest, m.GetHeartbeat())
 	return digest.NodeUpdate{Node: n, Heartbeat: hb, Age: time.Duration(m.GetAgeMs()) * time.Millisecond,
 		Silent: m.GetSilent()}, err
 }
--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -424,20 +424,21 @@
 		f.rejectMessage("message", err)
 		return
 	}
+	latest := latestIncarnation()
 	if m.GetRoutes() != nil {
 		f.handleRoutesChange(m.GetRoutes(), m.GetHeartbeat().GetSender().GetName())
 	}
 	if h := m.GetHeartbeat(); h != nil {
-		f.handleHeartbeat(now, h)
+		f.handleHeartbeat(now, latest, h)
 	}
 	if d := m.GetDigest(); d != nil {
-		f.handleDigest(now, d)
+		f.handleDigest(now, latest, d)
 	}
 	for _, n := range m.GetNodes() {
-		f.addReceivedNode(now, n, "node")
+		f.addReceivedNode(now, latest, n, "node")
 	}
 	for _, n := range m.GetAbsent() {
-		f.addAbsentNode(now, n)
+		f.addAbsentNode(now, latest, n)
 	}
 	if len(m.GetNodes()) > 0 {
 		f.recordAnswer(now, m.GetSettled())
@@ -454,8 +455,8 @@
 
 // handleHeartbeat applies a heartbeat. It answers with one of this node if the sender is new or
 // requests nodes, and with the list of nodes if requested.
-func (f *Fleet) handleHeartbeat(now time.Duration, h *fleetv1.Heartbeat) {
-	n, hb, err := fromHeartbeat(h)
+func (f *Fleet) handleHeartbeat(now time.Duration, latest ident.Incarnation, h *fleetv1.Heartbeat) {
+	n, hb, err := fromHeartbeat(latest, h)
 	if err != nil {
 		f.rejectMessage("heartbeat", err)
 		return
@@ -518,8 +519,8 @@
 var changeNames = map[roster.Change]string{roster.Returned: "returned", roster.Changed: "changed", roster.Joined: "joined"}
 
 // addReceivedNode adds a node from another node's answer to a join request.
-func (f *Fleet) addReceivedNode(now time.Duration, n *fleetv1.Node, source string) {
-	node, err := fromNode(n)
+func (f *Fleet) addReceivedNode(now time.Duration, latest ident.Incarnation, n *fleetv1.Node, source string) {
+	node, err := fromNode(latest, n)
 	if err != nil {
 		f.rejectMessage("node", err)
 		return
@@ -528,8 +529,8 @@
 }
 
 // addAbsentNode records what another node knows of a node that is away.
-func (f *Fleet) addAbsentNode(now time.Duration, m *fleetv1.News) {
-	n, err := fromNews(m)
+func (f *Fleet) addAbsentNode(now time.Duration, latest ident.Incarnation, m *fleetv1.News) {
+	n, err := fromNews(latest, m)
 	if err != nil {
 		f.rejectMessage("absent node", err)
 		return
--- a/node/fleet/heartbeats.go
+++ b/node/fleet/heartbeats.go
@@ -293,14 +293,14 @@
 
 // handleDigest applies a digest of another data centre, and forwards it to the running nodes of
 // this one if the digest requests it.
-func (f *Fleet) handleDigest(now time.Duration, d *fleetv1.Digest) {
+func (f *Fleet) handleDigest(now time.Duration, latest ident.Incarnation, d *fleetv1.Digest) {
 	dc := ident.DataCentre(d.GetDataCentre())
 	if dc == f.Self.DataCentre {
 		return
 	}
 	f.Roster.RecordDigest(now, dc)
 	for _, m := range d.GetNews() {
-		n, err := fromNews(m)
+		n, err := fromNews(latest, m)
 		if err != nil {
 			f.rejectMessage("digest", err)
 			continue
--- a/node/fleet/store.go
+++ b/node/fleet/store.go
@@ -245,17 +245,17 @@
 		return true, err
 	}
 	ownFound, relisted := false, f.storeListed.Load()
-	now := Now()
+	now, latest := Now(), latestIncarnation()
 	for i := range records {
 		r := &records[i]
 		if r.Name == f.Self.Name {
 			ownFound = r.Incarnation <= f.incarnation.Load() && r.Address == f.Self.Address.String()
-			if n, err := fromRecord(r); err == nil {
+			if n, err := fromRecord(latest, r); err == nil {
 				f.observeOwnIncarnation(n.Incarnation, "store")
 			}
 			continue
 		}
-		n, err := fromRecord(r)
+		n, err := fromRecord(latest, r)
 		if err != nil {
 			_ = level.Warn(f.options.Logger).Log(logging.KeyMessage, "node record rejected", logging.KeyPeer, r.Name,
 				logging.KeyReason, err)
@@ -271,7 +271,7 @@
 }
 
 // fromRecord returns the node that a record describes.
-func fromRecord(r *platform.NodeRecord) (roster.Node, error) {
+func fromRecord(latest ident.Incarnation, r *platform.NodeRecord) (roster.Node, error) {
 	address, err := netip.ParseAddrPort(r.Address)
 	if err != nil {
 		return roster.Node{}, errors.Wrap(err, "address")
@@ -280,7 +280,7 @@
 		ID: ident.NewNodeID(r.Name), Name: r.Name, Incarnation: ident.Incarnation(r.Incarnation), Entry: r.Entry,
 		DataCentre: ident.DataCentre(r.DataCentre), Address: address,
 	}
-	return n, checkNode(time.Now(), &n)
+	return n, checkNode(latest, &n)
 }
 
 // removeStaleRecords deletes records of nodes that are gone for good, also those of agents that a
