--- a/bench/flows/flows_test.go
+++ b/bench/flows/flows_test.go
@@ -153,9 +153,7 @@
 	assert.Assert(t, time.Since(begun) < 2*time.Second, "reset after %v", time.Since(begun))
 }
 
-// Guards against resets of open flows when a fleet grows past the size at which its nodes send their
-// heartbeats to all others, and a data centre loses its only entry, which would relay them, at that
-// moment.
+// Guards against resets of open flows when a fleet outgrows direct heartbeats while its relay is away.
 func TestFlowsOutliveGrowthWithoutARelay(t *testing.T) {
 	t.Parallel()
 	f := start(t, map[string]int{"a": 2, "b": 29})
@@ -175,8 +173,7 @@
 	}
 }
 
-// Guards against resets of open flows while the agents of their service are rolled: an agent that
-// starts while that of the flow's target is away must know that it returns, also if the target drains.
+// Guards against resets of open flows by agents that start while that of the flows' target is away.
 func TestFlowsOutliveARollOfTheirAgents(t *testing.T) {
 	for _, c := range []struct {
 		name              string
@@ -287,8 +284,7 @@
 	}
 }
 
-// Guards against routes that are not followed anywhere because the only reader of each data centre is cut
-// off from the store.
+// Guards against routes that nobody follows because the reader of each data centre is cut off.
 func TestRoutesReachAllNodesWhileTheirReadersAreCutOff(t *testing.T) {
 	t.Parallel()
 	f := start(t, map[string]int{"a": 4, "b": 2})
@@ -312,8 +308,7 @@
 	f.assertServed(t, 9100, true)
 }
 
-// Guards against resets of open flows of a split route after its weights have changed, by entries without a
-// record of them.
+// Guards against resets of open flows of a split route by entries that start after its weights have changed.
 func TestFlowsOutliveAChangeOfWeights(t *testing.T) {
 	t.Parallel()
 	f := start(t, map[string]int{"a": 2, "b": 2})
--- a/node/fleet/compatibility_test.go
+++ b/node/fleet/compatibility_test.go
@@ -90,8 +90,7 @@
 	}
 }
 
-// Guards against a program of the previous release that no relay reports, because it says nothing of
-// whether it reaches all data centres.
+// Guards against programs of the previous release that no relay reports to other data centres.
 func TestRelaysReportThePreviousRelease(t *testing.T) {
 	f := newStoreFleet(t, "n")
 	sender := &fleetv1.Node{Name: "previous", Incarnation: 1, DataCentre: "dc", Address: "127.0.0.1:7400"}
@@ -103,8 +102,7 @@
 	assert.Assert(t, !f.Roster.NeedsRelay("dc"))
 }
 
-// Guards against a node that asks programs of the previous release for their nodes without end, because
-// they never say that they know all.
+// Guards against requests for nodes without end to programs that never say that they know all.
 func TestAnswersOfThePreviousReleaseEndTheJoin(t *testing.T) {
 	t.Parallel()
 	f := newStoreFleet(t, "n")
--- a/node/fleet/membership_test.go
+++ b/node/fleet/membership_test.go
@@ -176,8 +176,7 @@
 // reorderBound is how long packets of a flow may reach other targets than its own.
 const reorderBound = 2 * time.Second
 
-// Guards against flows that are reset because nodes stop their heartbeats to other data centres when
-// the fleet grows, while no relay runs that would report them.
+// Guards against running nodes that count as gone when a fleet outgrows direct heartbeats without a relay.
 func TestGrowthWithoutARelayLosesNoNode(t *testing.T) {
 	t.Parallel()
 	m := newTestMembers(t, 1)
@@ -196,8 +195,7 @@
 	m.assertNone(t, roster.Gone, 0, 4*time.Second)
 }
 
-// Guards against nodes that nobody reports to other data centres, because they know more nodes than
-// their relay, which has just started.
+// Guards against nodes that nobody reports because they know more nodes than their relay.
 func TestRelaysReportNodesWithLargerRosters(t *testing.T) {
 	t.Parallel()
 	m := newTestMembers(t, 2)
@@ -220,8 +218,7 @@
 	m.assertNone(t, roster.Suspect, reorderBound, 7*time.Second)
 }
 
-// Guards against a search that leaves out a node which is being restarted, because the searching node
-// has started meanwhile and knows it from the store only, or not at all.
+// Guards against searches by a node that has just started which leave out nodes that are being restarted.
 func TestStartingNodesWaitForThoseThatAreAway(t *testing.T) {
 	t.Parallel()
 	for i, registered := range []bool{true, false} {
@@ -284,8 +281,7 @@
 	assert.Assert(t, len(received) >= 3, "%d announcements", len(received))
 }
 
-// Guards against a data centre in which no node learns of changes of the routes because its reader can't
-// reach the store, while its other nodes can.
+// Guards against a data centre that misses changes of the routes because its reader can't reach the store.
 func TestAnotherNodeReadsWhileTheReaderCannot(t *testing.T) {
 	t.Parallel()
 	m := newTestMembers(t, 6)
@@ -321,8 +317,7 @@
 	}
 }
 
-// Guards against a process that the other nodes ignore for a minute, and whose flows they reset, because
-// its clock has gone back since its last start.
+// Guards against a process that others ignore because its clock has gone back since its last start.
 func TestRestartAfterTheClockHasGoneBack(t *testing.T) {
 	t.Parallel()
 	m := newTestMembers(t, 7)
--- a/node/fleet/odd_entries_test.go
+++ b/node/fleet/odd_entries_test.go
@@ -36,8 +36,7 @@
 	assert.Equal(t, change, roster.Unchanged, name)
 }
 
-// Guards against an odd node record of another writer that replaces a running node, or that ends the
-// processes which list it.
+// Guards against an odd record that replaces a running node, or hides the records beside it.
 func TestOddRecordsReplaceNoNode(t *testing.T) {
 	for _, odd := range []string{
 		`{"name":"n","incarnation":18446744073709551615,"address":"10.1.0.1:7100"}`,
@@ -100,8 +99,7 @@
 	return odd
 }
 
-// Guards against an odd message that replaces a running node, makes its heartbeats count as stale, or
-// keeps it running for ever, and against one that hides the entries beside it.
+// Guards against an odd message that replaces a running node, or hides the entries beside it.
 func TestOddMessagesReplaceNoNode(t *testing.T) {
 	f := newStoreFleet(t, "self")
 	n := knownNode(f, "n")
--- a/node/packetagent/agent_test.go
+++ b/node/packetagent/agent_test.go
@@ -31,8 +31,7 @@
 	return a
 }
 
-// Guards against the loss of a live target's record, by which nodes that start find it, when its agent
-// is restarted while the target drains; and against records that stay after targets have left.
+// Guards against the loss of the record of an agent that is restarted while its target drains.
 func TestStopKeepsTheRecordOfADrainingTarget(t *testing.T) {
 	for _, left := range []bool{false, true} {
 		store, err := platformtest.NewStore("127.0.0.1:0")
--- a/policy/heartbeat/heartbeat_test.go
+++ b/policy/heartbeat/heartbeat_test.go
@@ -171,8 +171,7 @@
 	}
 }
 
-// Guards against a node that its peers take for gone because it no longer sends the heartbeats that
-// it has promised them, when the number of nodes that it knows goes up and down.
+// Guards against heartbeats that a node has promised and no longer sends when its roster grows or shrinks.
 func TestPromisesAreKept(t *testing.T) {
 	for seed := range uint64(60) {
 		p := &promiseTest{random: rand.New(rand.NewPCG(seed, 1)), all: fleet(60, 3),
@@ -214,8 +213,7 @@
 	}
 }
 
-// Guards against nodes of other data centres that wait for direct heartbeats of a node which has left
-// them to the relays, and against a node that is reported by no relay before all have its heartbeats.
+// Guards against a gap between the heartbeats of a node and what relays report of it.
 func TestModesOverlap(t *testing.T) {
 	small := heartbeat.NewPlan(0, self(), "s", fleet(32, 3), true, nil)
 	large := heartbeat.NewPlan(time.Second, self(), "s", fleet(33, 3), true, small)
--- a/policy/roster/roster_test.go
+++ b/policy/roster/roster_test.go
@@ -210,8 +210,7 @@
 	assert.Equal(t, p.Health(13*time.Second), roster.Gone)
 }
 
-// Guards against a lost node that counts as live by digests which report only other nodes, because it
-// had sent its heartbeats itself.
+// Guards against a lost node that counts as live by digests which report only other nodes.
 func TestDigestsAreNoEvidenceOfNodesThatRelaysLeaveOut(t *testing.T) {
 	const dc = "far"
 	r := roster.New(1)
--- a/policy/steering/steering_test.go
+++ b/policy/steering/steering_test.go
@@ -106,8 +106,7 @@
 	assert.Equal(t, result, steering.Unknown, "the stopping agent may return")
 }
 
-// Guards against packets of an open flow that reach other targets and never their own, because digests
-// of its data centre stay away for a while and the search doesn't try it.
+// Guards against packets that never reach their own target because digests of its data centre stay away.
 func TestSearchTriesAgentsWithoutDigestsLast(t *testing.T) {
 	agents := pool(3)
 	agents[0].ViaDigest = true
@@ -126,8 +125,7 @@
 	assert.Equal(t, result, steering.Unknown, "it has announced its stop")
 }
 
-// Guards against resets that are held back after an outage because of loads which digests have reported
-// seconds ago.
+// Guards against resets that are held back by loads which digests reported seconds ago.
 func TestMeanLoadIsThatOfRecentHeartbeats(t *testing.T) {
 	agents := pool(3)
 	agents[0].Target.Busy, agents[1].Target.Busy, agents[2].Target.Busy = 3, 9, 9
--- a/policy/storereader/storereader_test.go
+++ b/policy/storereader/storereader_test.go
@@ -23,8 +23,7 @@
 	assert.Assert(t, storereader.IsReader(11, nil))
 }
 
-// Guards against a data centre in which no node reads the store because its reader can't reach it, and
-// against all of its nodes trying to reach a store that is away.
+// Guards against a data centre without a reader that reaches the store, and against all nodes trying.
 func TestReadersThatCannotReachTheStoreAreReplaced(t *testing.T) {
 	var nodes []ident.NodeID
 	for i := range 40 {
