--- a/node/fleet/membership_test.go
+++ b/node/fleet/membership_test.go
@@ -276,7 +276,7 @@
 	f := newStoreFleet(t, "leaving")
 	peer, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
 	assert.NilError(t, err)
-	defer peer.Close()
+	t.Cleanup(func() { _ = peer.Close() })
 	f.Roster.Add(Now(), roster.Node{ID: 1, Name: "peer", Incarnation: 1, Entry: true, DataCentre: "dc",
 		Address: peer.LocalAddr().(*net.UDPAddr).AddrPort()}, "", false)
 	runUntilEnd(t, f.sendHeartbeats)
