node/fleet: an implausible era of the store in a heartbeat is rejected

Each node keeps the highest era that it hears of and passes it on, so that one odd heartbeat reached all: they read their records again without end, and readers never removed stale ones. TestOddMessagesReplaceNoNode with such a heartbeat failed before.

--- a/node/fleet/convert.go
+++ b/node/fleet/convert.go
@@ -29,6 +29,9 @@
 	maxInterval = 2 * time.Minute
 	// maxSlots is more than any target has.
 	maxSlots = 1 << 20
+	// maxStoreEra is more than the number of times that a store is restored. Nodes keep the highest era that
+	// they hear of, and pass it on.
+	maxStoreEra = 1 << 32
 )
 
 // latestIncarnation returns the latest incarnation that a node may have by this node's clock. It is read
@@ -64,6 +67,8 @@
 		return errors.Errorf("sequence %d", hb.Sequence)
 	case hb.Interval > maxInterval:
 		return errors.Errorf("interval of %v", hb.Interval)
+	case hb.StoreEra > maxStoreEra:
+		return errors.Errorf("store era %d", hb.StoreEra)
 	case t.Slots > maxSlots:
 		return errors.Errorf("%d slots", t.Slots)
 	case !isAmount(t.Rate) || !isAmount(t.Failing) || t.Failing > 1:
--- a/node/fleet/odd_entries_test.go
+++ b/node/fleet/odd_entries_test.go
@@ -114,6 +114,7 @@
 		"sequence":  next(func(h *fleetv1.Heartbeat) { h.Sequence = math.MaxUint64 }),
 		"interval":  next(func(h *fleetv1.Heartbeat) { h.IntervalMs = math.MaxUint32 }),
 		"slots":     next(func(h *fleetv1.Heartbeat) { h.Target.Slots = math.MaxUint32 }),
+		"store era": next(func(h *fleetv1.Heartbeat) { h.StoreEra = math.MaxUint64 }),
 		"rate":      next(func(h *fleetv1.Heartbeat) { h.Target.Rate = float32(math.NaN()) }),
 		"infinite":  next(func(h *fleetv1.Heartbeat) { h.Target.Rate = float32(math.Inf(1)) }),
 		"failing":   next(func(h *fleetv1.Heartbeat) { h.Target.Failing = -1 }),
@@ -135,6 +136,7 @@
 		f.handleControl(Now(), encodeMessage(t, &fleetv1.Message{Absent: []*fleetv1.News{{Heartbeat: h, AgeMs: math.MaxUint32}}}))
 		assert.Equal(t, f.malformed.Get(), before+3, name)
 		assertHeard(t, f, n, name)
+		assert.Equal(t, f.storeEra.Load(), uint64(0), name)
 		_, ok := f.Roster.Find(ident.NewNodeID(other.Name))
 		assert.Assert(t, ok, "%s hides the entry beside it", name)
 	}
