node/packetentry, node/packetagent, node/fleet: log what a search knows of each candidate

An entry logs why it searches (reason), how often the same flow was searched before without a result (repeat), and its view of each candidate (agents). Agents log that they ask their target or skip it. A starting node logs by what answer it takes its roster for complete. New metrics: lacewing_searches_total, lacewing_searches_repeated_total, lacewing_search_seconds. No decision changes.

--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -241,8 +241,12 @@
 // roster also if no node is known that may know more.
 func (f *Fleet) recordAnswer(now time.Duration, settled bool) {
 	f.answered.Store(true)
-	if settled || !f.Roster.HasEarlier(now, f.Self.Incarnation, settlingTime) {
-		f.joined.Store(true)
+	if !settled && f.Roster.HasEarlier(now, f.Self.Incarnation, settlingTime) {
+		return
+	}
+	if !f.joined.Swap(true) {
+		_ = level.Info(f.options.Logger).Log(logging.KeyMessage, "roster complete", "settled", settled,
+			"nodes", len(f.Roster.Peers()), "store_listed", f.storeListed.Load(), logging.KeyAge, now-f.started)
 	}
 }
 
@@ -351,7 +355,12 @@
 func (f *Fleet) join(ctx context.Context) {
 	for timing.Sleep(ctx, joinInterval) {
 		now := Now()
-		if f.joined.Load() || f.answered.Load() && now-f.started > heartbeatWindow {
+		if f.joined.Load() {
+			return
+		}
+		if f.answered.Load() && now-f.started > heartbeatWindow {
+			_ = level.Info(f.options.Logger).Log(logging.KeyMessage, "roster complete", "settled", false,
+				"nodes", len(f.Roster.Peers()), "store_listed", f.storeListed.Load(), logging.KeyAge, now-f.started)
 			return
 		}
 		// The seeds are of any data centre, and may never be in the heartbeat plan.
--- a/node/packetagent/agent.go
+++ b/node/packetagent/agent.go
@@ -409,13 +409,31 @@
 				"busy", float32(load.Busy), "failing", float32(load.Failing),
 				logging.KeyAge, s.Age)
 		}
-	} else if s.Ended || fp.Service != "" && fp.Service != a.service(&s) {
+	} else if reason := a.skipReason(&s, fp); reason != "" {
+		if a.logs.Unusual.Allow() {
+			a.logs.Unusual.Log("search skips the target", logging.KeyFlow, p.CallerFlow(), "sequence", p.Sequence(),
+				logging.KeyReason, reason, logging.KeyService, fp.Service, logging.KeyTarget, s.ID, logging.KeyAge, s.Age)
+		}
 		a.forwardToNextAgent(now, pending)
 		return
+	} else if fp.WantsOwner && a.logs.Unusual.Allow() {
+		a.logs.Unusual.Log("search asks the target", logging.KeyFlow, p.CallerFlow(), "sequence", p.Sequence(),
+			logging.KeyTarget, s.ID, "doubtful", s.MayHaveEnded, "tried", len(fp.Tried), logging.KeyAge, s.Age)
 	}
 	a.deliver(now, fp, p)
 }
 
+// skipReason returns why a packet of an open flow isn't passed to the target, empty if it is.
+func (a *Agent) skipReason(s *targetstate.Status, fp *fleet.ForwardedPacket) string {
+	switch {
+	case s.Ended:
+		return "ended"
+	case fp.Service != "" && fp.Service != a.service(s):
+		return "target of another service"
+	}
+	return ""
+}
+
 // waitForCapacity handles a new flow for which the target has no capacity. It offers the flow to
 // another agent, unless the flow has waited here before or has been offered to maxOffersWhenFull
 // agents; the flow then waits here.
@@ -625,7 +643,8 @@
 		if (!strings.HasPrefix(outcome, "held") || arrived == now) && a.logs.Unusual.Allow() {
 			a.logs.Unusual.Log("flow not held by the target", logging.KeyFlow, flow, "sequence", p.Sequence(),
 				logging.KeyService, fp.Service, logging.KeyRevision, fp.Routes.Revision,
-				logging.KeyVersion, fp.Routes.Version, "outcome", outcome, "tried", len(fp.Tried), "candidates", len(agents))
+				logging.KeyVersion, fp.Routes.Version, "outcome", outcome, "tried", len(fp.Tried), "candidates", len(agents),
+				"agents", steering.DescribeCandidates(now, agents, fp.Tried))
 		}
 	})
 }
--- a/node/packetentry/entry.go
+++ b/node/packetentry/entry.go
@@ -70,6 +70,8 @@
 	flowsOpened    *metrics.Counter
 	sentToOwner    *metrics.Counter
 	searched       *metrics.Counter
+	searchedAgain  *metrics.Counter   // searches of flows whose last search has had no result
+	searchSeconds  *metrics.Histogram // from the first search of a flow until its owner is known
 	forwardSeconds *metrics.Histogram
 }
 
@@ -79,6 +81,8 @@
 		flowsOpened:    set.NewCounter("lacewing_flows_opened_total"),
 		sentToOwner:    set.NewCounter("lacewing_packets_carried_total"),
 		searched:       set.NewCounter("lacewing_packets_searched_total"),
+		searchedAgain:  set.NewCounter("lacewing_searches_repeated_total"),
+		searchSeconds:  set.NewHistogram("lacewing_search_seconds"),
 		forwardSeconds: set.NewHistogram("lacewing_forward_seconds"),
 	}
 }
@@ -129,7 +133,11 @@
 
 // RecordOwner records which agent's target holds a flow.
 func (e *Entry) RecordOwner(flow steering.Flow, owner ident.NodeID) {
-	e.flows.put(fleet.Now(), flow, owner)
+	now := fleet.Now()
+	if since, ok := e.flows.endSearch(flow); ok {
+		e.counters.searchSeconds.Update((now - since).Seconds())
+	}
+	e.flows.put(now, flow, owner)
 }
 
 // FillHeartbeat adds nothing: an entry's heartbeat has no fields of the data path.
@@ -317,19 +325,44 @@
 	p := pending.Value
 	flow := p.CallerFlow()
 	table := e.fleet.Routes.Load()
+	cause := searchNoRecord
 	if owner, ok := e.flows.get(now, flow); ok {
-		if a, ok := e.fleet.Roster.Find(owner); ok && a.Health(now) != roster.Gone && !a.Target.Ended {
+		a, known := e.fleet.Roster.Find(owner)
+		if cause = searchCause(now, &a, known); cause == "" {
 			e.counters.sentToOwner.Inc()
 			e.send(&a, &fleet.ForwardedPacket{Service: a.Service, Routes: table.PositionOrZero(), Packet: p})
 			return
 		}
 	}
-	e.searchOwner(now, pending, flow, table)
+	e.searchOwner(now, pending, flow, table, cause)
+}
+
+// Causes of a search.
+const (
+	searchNoRecord     = "no record of the owner"
+	searchUnknownOwner = "owner not in the roster"
+	searchOwnerGone    = "owner gone"
+	searchOwnerEnded   = "owner's target has ended"
+)
+
+// searchCause returns why the packets of a flow can't be sent to the agent that the entry has on
+// record, empty if they can. known is whether the roster contains that agent.
+func searchCause(now time.Duration, owner *roster.Peer, known bool) string {
+	switch {
+	case !known:
+		return searchUnknownOwner
+	case owner.Health(now) == roster.Gone:
+		return searchOwnerGone
+	case owner.Target.Ended:
+		return searchOwnerEnded
+	}
+	return ""
 }
 
 // searchOwner forwards a packet of a flow without a known owner to the first agent that may hold
 // the flow.
-func (e *Entry) searchOwner(now time.Duration, pending *pendingPacket, flow steering.Flow, table *routes.Table) {
+func (e *Entry) searchOwner(
+	now time.Duration, pending *pendingPacket, flow steering.Flow, table *routes.Table, cause string) {
 	p := pending.Value
 	services := []string{""} // all
 	if table != nil {
@@ -345,6 +378,11 @@
 	switch result {
 	case steering.Continue:
 		e.counters.searched.Inc()
+		repeat := e.flows.recordSearch(now, flow)
+		if repeat > 0 {
+			e.counters.searchedAgain.Inc()
+		}
+		e.counters.Set.GetOrCreateCounter(`lacewing_searches_total{cause="` + cause + `"}`).Inc()
 		at := table.PositionOrZero()
 		service := ""
 		if table != nil {
@@ -354,9 +392,14 @@
 		if e.logs.Unusual.Allow() {
 			e.logs.Unusual.Log("flow searched", logging.KeyFlow, flow, "sequence", p.Sequence(),
 				logging.KeyService, service, logging.KeyRevision, at.Revision, logging.KeyVersion, at.Version,
-				logging.KeyPeer, agents[index].Name, "candidates", len(agents))
+				logging.KeyPeer, agents[index].Name, "candidates", len(agents), logging.KeyReason, cause, "repeat", repeat,
+				"agents", steering.DescribeCandidates(now, agents, nil))
 		}
 	case steering.NotFound:
+		if e.logs.Unusual.Allow() {
+			e.logs.Unusual.Log("search ended", logging.KeyFlow, flow, logging.KeyReason, cause,
+				"agents", steering.DescribeCandidates(now, agents, nil))
+		}
 		e.resetFlow(flow, p, "no target holds the flow", table)
 	case steering.Unknown:
 		e.hold(now, pending, "agents unknown", table.PositionOrZero())
