--- a/bench/flows/flows_test.go
+++ b/bench/flows/flows_test.go
@@ -337,6 +337,41 @@
 	}
 }
 
+// Guards against resets of open flows by entries that start after their route has got another service.
+func TestFlowsOutliveAReplacedService(t *testing.T) {
+	t.Parallel()
+	f := start(t, map[string]int{"a": 2, "b": 2})
+	to := netip.MustParseAddrPort("198.18.0.4:8443")
+	put := func(version int, service string) {
+		f.Store.PutRoutes(version, []string{"a", "b"},
+			routesOf(platformtest.Route{Name: "moved", Host: "198.18.0.4", Port: 8443, Service: service}))
+		time.Sleep(time.Second)
+	}
+	open := func(id string) *platformtest.Flow {
+		flow := f.caller.Open(to)
+		assert.Assert(t, flow != nil)
+		assertOutcome(t, flow, id, platformtest.Answered)
+		return flow
+	}
+	put(2, "a")
+	var flows []*platformtest.Flow
+	for i := range 12 {
+		flows = append(flows, open(fmt.Sprint("before-", i)))
+	}
+	put(5, "b")
+	for i := range 12 {
+		flows = append(flows, open(fmt.Sprint("changed-", i)))
+	}
+	for _, n := range f.Entries {
+		n.Kill()
+		assert.NilError(t, n.Launch())
+		f.waitUntilReady(t, n)
+	}
+	for i, flow := range flows {
+		assertOutcome(t, flow, fmt.Sprint("restarted-", i), platformtest.Answered)
+	}
+}
+
 // Guards against a node that starts during a store outage and can't serve. It must get the nodes
 // and routes from its seeds.
 func TestEntryStartsWhileTheStoreIsAway(t *testing.T) {
