policy/roster, node/fleet: agents of unknown service are candidates of a search

A starting node that learns of an agent from another node's list (after a restart also of one that it knows already) doesn't know its service until a heartbeat of it arrives. Searches looked only at agents of the flow's service, so that they ended without it, and the last agent of the search reset flows of a living target.

Roster.Agents contains agents of unknown service, which are suspect, so that a search waits for them; a later incarnation keeps the service of the one before, until it says otherwise; lists of nodes say it (Node.service), so that the rank of a starting node isn't of the whole fleet. TestAgentsOfUnknownServiceAreCandidates fails before.

--- a/node/fleet/convert.go
+++ b/node/fleet/convert.go
@@ -87,6 +87,15 @@
 	}
 }
 
+// toListedNode returns a node for a list of nodes, with the service of its target.
+func toListedNode(n *roster.Node, service string) *fleetv1.Node {
+	m := toNode(n)
+	if len(service) <= maxNameBytes { // otherwise the list might exceed a datagram
+		m.Service = service
+	}
+	return m
+}
+
 func fromNode(latest ident.Incarnation, m *fleetv1.Node) (roster.Node, error) {
 	address, err := netip.ParseAddrPort(m.GetAddress())
 	if err != nil {
--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -534,7 +534,12 @@
 		f.rejectMessage("node", err)
 		return
 	}
-	f.addNode(now, node, "", false, source)
+	service := n.GetService()
+	if len(service) > maxNameBytes {
+		f.rejectMessage("node", errors.Errorf("service of %d bytes", len(service)))
+		return
+	}
+	f.addNode(now, node, service, false, source)
 }
 
 // addAbsentNode records what another node knows of a node that is away.
@@ -581,10 +586,10 @@
 		}
 		f.sendMessage(to.Address, m)
 	}
-	nodes := []*fleetv1.Node{toNode(f.self())}
+	nodes := []*fleetv1.Node{toListedNode(f.self(), f.service())}
 	for _, p := range f.Roster.Peers() {
 		if p.Running(now) {
-			nodes = append(nodes, toNode(&p.Node))
+			nodes = append(nodes, toListedNode(&p.Node, p.Service))
 		}
 	}
 	for part := range slices.Chunk(nodes, nodesPerMessage) {
@@ -592,6 +597,16 @@
 	}
 }
 
+// service returns the service of this node's target, empty if it is an entry.
+func (f *Fleet) service() string {
+	f.outgoing.mu.Lock()
+	defer f.outgoing.mu.Unlock()
+	if f.outgoing.service != "" {
+		return f.outgoing.service
+	}
+	return f.options.Service
+}
+
 // setSeeds replaces the seeds. Invalid ones are skipped. Each gets the port of this node, because
 // all nodes use one port.
 func (f *Fleet) setSeeds(seeds []string) {
--- a/node/fleet/membership_test.go
+++ b/node/fleet/membership_test.go
@@ -10,6 +10,7 @@
 	"net/http/httputil"
 	"net/netip"
 	"net/url"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -176,6 +177,16 @@
 // reorderBound is how long packets of a flow may reach other targets than its own.
 const reorderBound = 2 * time.Second
 
+// Guards against starting nodes that don't search agents of which no heartbeat has arrived yet.
+func TestListedNodesTellTheirService(t *testing.T) {
+	f := newStoreFleet(t, "n-1")
+	node := knownNode(f, "n-2")
+	node.ID, node.Name = ident.NewNodeID("n-3"), "n-3"
+	f.handleControl(Now(), encodeMessage(t, &fleetv1.Message{Nodes: []*fleetv1.Node{toListedNode(&node, "s")}}))
+	agents := f.Roster.Agents(nil, "s")
+	assert.Assert(t, slices.ContainsFunc(agents, func(p roster.Peer) bool { return p.Name == "n-3" && p.Service == "s" }))
+}
+
 // Guards against running nodes that count as gone when a fleet outgrows direct heartbeats without a relay.
 func TestGrowthWithoutARelayLosesNoNode(t *testing.T) {
 	t.Parallel()
--- a/policy/roster/roster.go
+++ b/policy/roster/roster.go
@@ -271,18 +271,25 @@
 	return v
 }
 
-// Add adds a node that a record or another node lists. drained is whether its target has announced
-// its end, according to the record. Add reports whether the node, or this incarnation of it, was
-// unknown.
+// Add adds a node that a record or another node lists. service is that of its target, empty if the
+// list doesn't say. drained is whether its target has announced its end, according to the record. Add
+// reports whether the node, or this incarnation of it, was unknown.
 func (r *Roster) Add(now time.Duration, n Node, service string, drained bool) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if n.ID == r.self {
 		return false
 	}
-	if p, ok := r.peers[n.ID]; ok && p.Incarnation >= n.Incarnation {
+	p, ok := r.peers[n.ID]
+	if ok && p.Service == "" {
+		p.Service = service
+	}
+	if ok && p.Incarnation >= n.Incarnation {
 		return false
 	}
+	if ok && service == "" {
+		service = p.Service
+	}
 	r.peers[n.ID] = &Peer{Node: n, Service: service, LastSeen: now, Drained: drained}
 	return true
 }
@@ -453,12 +460,13 @@
 	return false
 }
 
-// Agents appends the agents of a service, or of all services if service is empty, to agents.
+// Agents appends the agents of a service, or of all services if service is empty, to agents. Agents
+// whose service isn't known yet may be of any.
 func (r *Roster) Agents(agents []Peer, service string) []Peer {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	for _, p := range r.peers {
-		if !p.Entry && (service == "" || p.Service == service) {
+		if !p.Entry && (service == "" || p.Service == service || p.Service == "") {
 			agents = append(agents, r.view(p))
 		}
 	}
--- a/policy/roster/roster_test.go
+++ b/policy/roster/roster_test.go
@@ -1,6 +1,7 @@
 package roster_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -251,3 +252,22 @@
 	r.RecordDigest(900*time.Millisecond, dc)
 	assert.Equal(t, health(1800*time.Millisecond), roster.Live)
 }
+
+// Guards against searches that leave out agents whose service is not known yet.
+func TestAgentsOfUnknownServiceAreCandidates(t *testing.T) {
+	r := roster.New(1)
+	names := func() (names []string) {
+		for _, p := range r.Agents(nil, "s") {
+			names = append(names, p.Name)
+		}
+		slices.Sort(names)
+		return names
+	}
+	r.Add(0, node("listed", 1), "s", false)
+	r.Add(0, node("listed", 2), "", false) // restarted; its record is older
+	r.Add(0, node("named", 1), "", false)
+	r.Add(0, node("other", 1), "t", false)
+	assert.DeepEqual(t, names(), []string{"listed", "named"})
+	r.Add(0, node("named", 1), "t", false)
+	assert.DeepEqual(t, names(), []string{"listed"})
+}
