policy/routes, node/packetagent, node/fleet: agents tell of flows whose route has got another service

What callers saw: a route gets another service, and open flows of the former one are reset by entries that start after the change, although their targets live (rule FLOW, planned work).

Cause: a search covers the services of the route in force. Where a flow may be follows from the routes at the time at which it opened, and a node that starts later doesn't know them.

Change: an agent compares the addresses of its flows with the routes in force and says in its heartbeats which don't lead to its service any more (at most 8, kept for the idle timeout). Searches ask such agents too. Of each service the four agents at which flows open come first, so that the second service isn't behind the whole first one. Without such flows nothing is sent.

--- a/node/fleet/convert.go
+++ b/node/fleet/convert.go
@@ -123,6 +123,9 @@
 		Cold: t.WarmingUp, Flows: uint32(t.Flows), Slots: uint32(t.Slots), BusyPerMille: uint32(t.Busy * perMille),
 		Doubtful: t.MayHaveEnded, Rate: float32(t.Rate), Failing: float32(t.Failing),
 	}
+	for _, a := range t.FormerRoutes {
+		h.Target.FormerRoutes = append(h.Target.FormerRoutes, toAddress(a))
+	}
 	return h
 }
 
@@ -144,6 +147,16 @@
 			Busy: float64(t.GetBusyPerMille()) / perMille,
 		},
 	}
+	if len(t.GetFormerRoutes()) > routes.MaxFormer {
+		return n, hb, errors.Errorf("%d former routes", len(t.GetFormerRoutes()))
+	}
+	for _, b := range t.GetFormerRoutes() {
+		address, err := fromAddress(b)
+		if err != nil {
+			return n, hb, errors.Wrap(err, "former route")
+		}
+		hb.Target.FormerRoutes = append(hb.Target.FormerRoutes, address)
+	}
 	return n, hb, checkHeartbeat(latest, &n, &hb)
 }
 
--- a/node/fleet/membership_test.go
+++ b/node/fleet/membership_test.go
@@ -25,6 +25,7 @@
 	"lacewinglever.dev/platform/platformtest"
 	"lacewinglever.dev/policy/ident"
 	"lacewinglever.dev/policy/roster"
+	"lacewinglever.dev/policy/routes"
 )
 
 // targetHandler fills in the heartbeats of an agent whose target serves one service.
@@ -177,6 +178,22 @@
 // reorderBound is how long packets of a flow may reach other targets than its own.
 const reorderBound = 2 * time.Second
 
+func TestHeartbeatsCarryFormerRoutes(t *testing.T) {
+	f := newStoreFleet(t, "n-1")
+	n := knownNode(f, "n-2")
+	sent := roster.Heartbeat{Sequence: 2, Target: roster.Target{Service: "s",
+		FormerRoutes: []netip.AddrPort{netip.MustParseAddrPort("198.18.0.1:443")}}}
+	_, received, err := fromHeartbeat(latestIncarnation(), toHeartbeat(&n, &sent, false))
+	assert.NilError(t, err)
+	assert.Assert(t, slices.Equal(received.Target.FormerRoutes, sent.Target.FormerRoutes))
+	sent.Target.FormerRoutes = make([]netip.AddrPort, routes.MaxFormer+1)
+	for i := range sent.Target.FormerRoutes {
+		sent.Target.FormerRoutes[i] = received.Target.FormerRoutes[0]
+	}
+	_, _, err = fromHeartbeat(latestIncarnation(), toHeartbeat(&n, &sent, false))
+	assert.ErrorContains(t, err, "former routes")
+}
+
 // Guards against starting nodes that don't search agents of which no heartbeat has arrived yet.
 func TestListedNodesTellTheirService(t *testing.T) {
 	f := newStoreFleet(t, "n-1")
--- a/node/fleet/packets.go
+++ b/node/fleet/packets.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"time"
 
 	"lacewinglever.dev/node/logging"
@@ -81,15 +82,33 @@
 	}
 }
 
-// RankedAgents returns the agents of services, all if a service is empty, in the order in which they are
-// tried for a flow of a caller in the data centre origin: one service after the other. It reuses buffer.
+// RankedAgents returns the agents of a service, of all if it is empty, in the order in which they are tried
+// for a new flow of a caller in the data centre origin. It reuses buffer.
 func RankedAgents(r *roster.Roster, buffer []roster.Peer, flow steering.Flow, origin ident.DataCentre,
+	service string) []roster.Peer {
+	agents := r.Agents(buffer[:0], service)
+	steering.Rank(flow.Hash(), origin, agents)
+	return agents
+}
+
+// SearchCandidates returns the agents that may hold an open flow of a caller in the data centre origin, in
+// the order in which they are asked: those of services, all if a service is empty, and those to whose
+// service the flow's route has led before. It reuses buffer.
+func SearchCandidates(r *roster.Roster, buffer []roster.Peer, flow steering.Flow, origin ident.DataCentre,
 	services []string) []roster.Peer {
 	agents := buffer[:0]
+	var ends []int
 	for _, service := range services {
 		ranked := len(agents)
 		agents = r.Agents(agents, service)
 		steering.Rank(flow.Hash(), origin, agents[ranked:])
+		ends = append(ends, len(agents))
+	}
+	if ranked := len(agents); !slices.Contains(services, "") {
+		agents = r.FormerAgents(agents, flow.Service(), services)
+		steering.Rank(flow.Hash(), origin, agents[ranked:])
+		ends = append(ends, len(agents))
 	}
+	steering.MergeRanked(agents, ends)
 	return agents
 }
--- a/node/packetagent/agent.go
+++ b/node/packetagent/agent.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"math"
 	"net"
@@ -27,6 +28,7 @@
 	"lacewinglever.dev/policy/inflight"
 	"lacewinglever.dev/policy/resetpacing"
 	"lacewinglever.dev/policy/roster"
+	"lacewinglever.dev/policy/routes"
 	"lacewinglever.dev/policy/steering"
 	"lacewinglever.dev/policy/targetstate"
 )
@@ -70,6 +72,8 @@
 	offers        offers
 	lastStatus    atomic.Pointer[targetstate.Status] // at the last check
 	announcedLoad atomic.Uint64                      // load in the last heartbeat, the bits of a float64
+	former        routes.Former                      // only used by the goroutine of watchTarget
+	formerRoutes  atomic.Pointer[[]netip.AddrPort]   // at the last check
 	logs          fleet.DecisionLogs
 	counters      counters
 	agentBuffers  sync.Pool // *[]roster.Peer
@@ -156,8 +160,13 @@
 	s := a.targetState.Status(now)
 	load := a.flows.Load(now)
 	a.announcedLoad.Store(math.Float64bits(load.Busy))
+	var former []netip.AddrPort
+	if p := a.formerRoutes.Load(); p != nil {
+		former = *p
+	}
 	hb.Target = roster.Target{
-		Service: a.service(&s), ID: s.ID, StartUnixMs: s.StartUnixMs, Accepting: s.Accepting, Ended: s.Ended,
+		FormerRoutes: former,
+		Service:      a.service(&s), ID: s.ID, StartUnixMs: s.StartUnixMs, Accepting: s.Accepting, Ended: s.Ended,
 		MayHaveEnded: s.MayHaveEnded, WarmingUp: s.WarmingUp, Slots: s.Slots,
 		Flows: load.Flows, Busy: load.Busy, Rate: load.Rate, Failing: load.Failing,
 	}
@@ -229,15 +238,35 @@
 // watchTarget checks the state of the target periodically, until the context ends.
 func (a *Agent) watchTarget(ctx context.Context) error {
 	round := 0
+	var checked routes.Position // of the table in force at the last check of the former routes
 	return timing.Every(ctx, checkInterval, func(time.Time) {
 		now := fleet.Now()
-		if round++; round%checksPerExpiry == 0 {
+		round++
+		expires := round%checksPerExpiry == 0
+		if table := a.fleet.Routes.Load(); expires || table.PositionOrZero() != checked {
+			checked = table.PositionOrZero()
+			a.checkFormerRoutes(now, table)
+		}
+		if expires {
 			a.flows.Expire(now, flowIdleTimeout)
 		}
 		a.checkTarget(now)
 	})
 }
 
+// checkFormerRoutes announces a change of the addresses of open flows whose route doesn't lead to the service
+// of the target any more. Nodes that start later find these flows only by them.
+func (a *Agent) checkFormerRoutes(now time.Duration, table *routes.Table) {
+	s := a.targetState.Status(now)
+	former := a.former.Update(now, table, a.service(&s), a.flows.ServiceAddresses())
+	if before := a.formerRoutes.Swap(&former); before == nil && len(former) == 0 || before != nil && slices.Equal(*before, former) {
+		return
+	}
+	_ = level.Info(a.logger).Log(logging.KeyMessage, "flows of former routes", logging.KeyService, a.service(&s),
+		"addresses", fmt.Sprint(former))
+	a.fleet.Announce()
+}
+
 // checkTarget sends heartbeats if the load or the state of the target has changed.
 func (a *Agent) checkTarget(now time.Duration) {
 	s := a.targetState.Status(now)
@@ -505,12 +534,21 @@
 	a.forwardToNextAgent(now, &pendingPacket{Arrived: now, Value: fp})
 }
 
-// withRankedAgents calls f with the agents of services, in the order in which they are tried for the
-// flow, one service after the other.
-func (a *Agent) withRankedAgents(flow steering.Flow, fp *fleet.ForwardedPacket, services []string, f func([]roster.Peer)) {
+// withRankedAgents calls f with the agents of the packet's service, in the order in which they are tried for
+// the new flow.
+func (a *Agent) withRankedAgents(flow steering.Flow, fp *fleet.ForwardedPacket, f func([]roster.Peer)) {
+	agents := a.agentBuffers.Get().(*[]roster.Peer)
+	defer a.agentBuffers.Put(agents)
+	*agents = fleet.RankedAgents(a.fleet.Roster, *agents, flow, fp.Origin, fp.Service)
+	f(*agents)
+}
+
+// withSearchCandidates calls f with the agents that may hold the open flow, in the order in which they are
+// asked.
+func (a *Agent) withSearchCandidates(flow steering.Flow, fp *fleet.ForwardedPacket, f func([]roster.Peer)) {
 	agents := a.agentBuffers.Get().(*[]roster.Peer)
 	defer a.agentBuffers.Put(agents)
-	*agents = fleet.RankedAgents(a.fleet.Roster, *agents, flow, fp.Origin, services)
+	*agents = fleet.SearchCandidates(a.fleet.Roster, *agents, flow, fp.Origin, a.searchServices(flow, fp))
 	f(*agents)
 }
 
@@ -582,7 +620,7 @@
 	p := platform.Packet(fp.Packet)
 	flow := p.CallerFlow()
 	a.markTried(fp)
-	a.withRankedAgents(flow, fp, []string{fp.Service}, func(agents []roster.Peer) {
+	a.withRankedAgents(flow, fp, func(agents []roster.Peer) {
 		index := steering.Place(now, a.requirements(now, pending), agents)
 		to := ""
 		if index >= 0 {
@@ -618,14 +656,14 @@
 	p := platform.Packet(fp.Packet)
 	flow := p.CallerFlow()
 	a.markTried(fp)
-	a.withRankedAgents(flow, fp, a.searchServices(flow, fp), func(agents []roster.Peer) {
+	a.withSearchCandidates(flow, fp, func(agents []roster.Peer) {
 		index, result := steering.NextCandidate(now, agents, fp.Tried, fp.Service != "" && a.fleet.RosterComplete(now))
 		outcome := ""
 		switch result {
 		case steering.Continue:
 			outcome = "forwarded to " + agents[index].Name
 			a.counters.forwarded.Inc()
-			if fp.Service != "" {
+			if fp.Service != "" && agents[index].Service != "" {
 				fp.Service = agents[index].Service
 			}
 			a.forward(agents[index].Address, fp)
--- a/node/packetentry/entry.go
+++ b/node/packetentry/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -62,7 +63,7 @@
 	held       *holding.Queue[platform.Packet]
 
 	mu          sync.Mutex    // serialises the decisions about packets
-	agentBuffer []roster.Peer // used by rankedAgents
+	agentBuffer []roster.Peer // used by rankedAgents and searchCandidates
 }
 
 type counters struct {
@@ -373,7 +374,7 @@
 		}
 		services = route.SearchServices(flow.Hash())
 	}
-	agents := e.rankedAgents(flow, services...)
+	agents := e.searchCandidates(flow, services)
 	index, result := steering.NextCandidate(now, agents, nil, table != nil && e.fleet.RosterComplete(now))
 	switch result {
 	case steering.Continue:
@@ -386,7 +387,7 @@
 		at := table.PositionOrZero()
 		service := ""
 		if table != nil {
-			service = agents[index].Service
+			service = cmp.Or(agents[index].Service, services[0])
 		}
 		e.send(&agents[index], &fleet.ForwardedPacket{Service: service, Routes: at, WantsOwner: true, Packet: p})
 		if e.logs.Unusual.Allow() {
@@ -406,10 +407,17 @@
 	}
 }
 
-// rankedAgents returns the agents of services in the order in which they are tried for a flow, one
-// service after the other. The result is valid until the next call.
-func (e *Entry) rankedAgents(flow steering.Flow, services ...string) []roster.Peer {
-	e.agentBuffer = fleet.RankedAgents(e.fleet.Roster, e.agentBuffer, flow, e.fleet.Self.DataCentre, services)
+// rankedAgents returns the agents of a service in the order in which they are tried for a new flow. The
+// result is valid until the next call of it or of searchCandidates.
+func (e *Entry) rankedAgents(flow steering.Flow, service string) []roster.Peer {
+	e.agentBuffer = fleet.RankedAgents(e.fleet.Roster, e.agentBuffer, flow, e.fleet.Self.DataCentre, service)
+	return e.agentBuffer
+}
+
+// searchCandidates returns the agents that may hold an open flow in the order in which they are asked. The
+// result is valid until the next call of it or of rankedAgents.
+func (e *Entry) searchCandidates(flow steering.Flow, services []string) []roster.Peer {
+	e.agentBuffer = fleet.SearchCandidates(e.fleet.Roster, e.agentBuffer, flow, e.fleet.Self.DataCentre, services)
 	return e.agentBuffer
 }
 
--- a/policy/digest/digest.go
+++ b/policy/digest/digest.go
@@ -9,11 +9,13 @@
 package digest
 
 import (
+	"net/netip"
 	"time"
 
 	"lacewinglever.dev/policy/ident"
 	"lacewinglever.dev/policy/rendezvous"
 	"lacewinglever.dev/policy/roster"
+	"lacewinglever.dev/policy/routes"
 )
 
 const (
@@ -114,14 +116,17 @@
 	accepting    bool
 	ended        bool
 	mayHaveEnded bool
+	former       [routes.MaxFormer]netip.AddrPort
 }
 
 func (n *NodeUpdate) reportedState() reportedState {
 	t := &n.Heartbeat.Target
-	return reportedState{
-		n.Node.Incarnation, n.Silent, n.Heartbeat.Leaving, t.Service, t.ID, t.StartUnixMs,
-		t.Accepting, t.Ended, t.MayHaveEnded,
+	s := reportedState{
+		incarnation: n.Node.Incarnation, silent: n.Silent, leaving: n.Heartbeat.Leaving, service: t.Service, target: t.ID,
+		startUnixMs: t.StartUnixMs, accepting: t.Accepting, ended: t.Ended, mayHaveEnded: t.MayHaveEnded,
 	}
+	copy(s.former[:], t.FormerRoutes)
+	return s
 }
 
 // sentState is what the digests of a relay last contained for one node.
--- a/policy/inflight/inflight.go
+++ b/policy/inflight/inflight.go
@@ -4,7 +4,10 @@
 package inflight
 
 import (
+	"maps"
 	"math"
+	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -240,6 +243,17 @@
 	}
 }
 
+// ServiceAddresses returns the addresses to which callers have opened the flows, in no particular order.
+func (t *Table) ServiceAddresses() []netip.AddrPort {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	seen := map[netip.AddrPort]struct{}{}
+	for id := range t.flows {
+		seen[id.Service()] = struct{}{}
+	}
+	return slices.Collect(maps.Keys(seen))
+}
+
 // Clear removes all flows, for when the target has ended.
 func (t *Table) Clear() {
 	t.mu.Lock()
--- a/policy/roster/roster.go
+++ b/policy/roster/roster.go
@@ -94,6 +94,8 @@
 	Busy         float64 // requests in progress, as a moving average
 	Rate         float64 // requests per second
 	Failing      float64 // share of the requests that the target broke off, 0 to 1
+	// FormerRoutes are the addresses of open flows whose route doesn't lead to the service any more.
+	FormerRoutes []netip.AddrPort
 }
 
 // Heartbeat is the content of one heartbeat.
@@ -401,7 +403,8 @@
 func stateDiffers(a, b *Heartbeat) bool {
 	x, y := a.Target, b.Target
 	return a.Leaving != b.Leaving || x.Service != y.Service || x.StartUnixMs != y.StartUnixMs || x.ID != y.ID ||
-		x.Accepting != y.Accepting || x.Ended != y.Ended || x.MayHaveEnded != y.MayHaveEnded
+		x.Accepting != y.Accepting || x.Ended != y.Ended || x.MayHaveEnded != y.MayHaveEnded ||
+		!slices.Equal(x.FormerRoutes, y.FormerRoutes)
 }
 
 // RecordPlacement counts a flow that was placed on a node, until the node's next heartbeat.
@@ -473,6 +476,19 @@
 	return agents
 }
 
+// FormerAgents appends the agents of other services than the given ones that hold flows to an address whose
+// route has led to their service.
+func (r *Roster) FormerAgents(agents []Peer, address netip.AddrPort, services []string) []Peer {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	for _, p := range r.peers {
+		if slices.Contains(p.Target.FormerRoutes, address) && p.Service != "" && !slices.Contains(services, p.Service) {
+			agents = append(agents, r.view(p))
+		}
+	}
+	return agents
+}
+
 // HasLeavingEntry reports whether another entry of a data centre has announced its stop and is not
 // back. While half of the entries of a data centre are out, the fabric sends packets to all of
 // them, stopped ones included.
--- a/policy/roster/roster_test.go
+++ b/policy/roster/roster_test.go
@@ -1,6 +1,7 @@
 package roster_test
 
 import (
+	"net/netip"
 	"slices"
 	"testing"
 	"time"
@@ -271,3 +272,18 @@
 	r.Add(0, node("named", 1), "t", false)
 	assert.DeepEqual(t, names(), []string{"listed"})
 }
+
+func TestFormerAgentsHoldFlowsOfTheAddress(t *testing.T) {
+	r := roster.New(1)
+	address := netip.MustParseAddrPort("198.18.0.1:443")
+	for name, target := range map[string]roster.Target{
+		"former":  {Service: "s", FormerRoutes: []netip.AddrPort{address}},
+		"listed":  {Service: "t", FormerRoutes: []netip.AddrPort{address}},
+		"without": {Service: "s"},
+	} {
+		r.RecordHeartbeat(0, node(name, 1), roster.Heartbeat{Sequence: 1, Target: target})
+	}
+	agents := r.FormerAgents(nil, address, []string{"t"})
+	assert.Equal(t, len(agents), 1)
+	assert.Equal(t, agents[0].Name, "former")
+}
--- /dev/null
+++ b/policy/routes/former_test.go
@@ -0,0 +1,52 @@
+package routes_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lacewinglever.dev/policy/routes"
+)
+
+func addressOf(n int) netip.AddrPort {
+	return netip.MustParseAddrPort(fmt.Sprintf("198.18.0.%d:443", n))
+}
+
+func tableTo(services map[int]string) *routes.Table {
+	t := &routes.Table{IdleTimeout: 15 * time.Second, Routes: map[netip.AddrPort]routes.Route{}}
+	for n, service := range services {
+		t.Routes[addressOf(n)] = routes.Route{Shares: []routes.Share{{Service: service}}}
+	}
+	return t
+}
+
+// Guards against flows that searches don't find because their route has got another service.
+func TestFormerRoutesAreThoseOfOpenFlows(t *testing.T) {
+	var f routes.Former
+	all := []netip.AddrPort{addressOf(1), addressOf(2), addressOf(3)}
+	assert.Equal(t, len(f.Update(0, nil, "a", all)), 0)
+	assert.Equal(t, len(f.Update(0, tableTo(map[int]string{1: "a", 2: "a", 3: "a"}), "a", all)), 0)
+	moved := tableTo(map[int]string{1: "b", 2: "a"}) // the third was removed
+	assert.DeepEqual(t, f.Update(time.Second, moved, "a", all), []netip.AddrPort{addressOf(1)}, equalAddresses)
+	assert.DeepEqual(t, f.Update(16*time.Second, moved, "a", nil), []netip.AddrPort{addressOf(1)}, equalAddresses)
+	assert.Equal(t, len(f.Update(17*time.Second, moved, "a", nil)), 0)
+	f.Update(20*time.Second, moved, "a", all)
+	assert.Equal(t, len(f.Update(20*time.Second, tableTo(map[int]string{1: "a", 2: "a"}), "a", all)), 0)
+}
+
+func TestFormerRoutesAreBounded(t *testing.T) {
+	var f routes.Former
+	services := map[int]string{}
+	var flows []netip.AddrPort
+	for n := range 3 * routes.MaxFormer {
+		services[n+1] = "b"
+		flows = append(flows, addressOf(n+1))
+	}
+	table := tableTo(services)
+	f.Update(0, table, "a", flows)
+	latest := flows[routes.MaxFormer : 2*routes.MaxFormer]
+	assert.DeepEqual(t, f.Update(time.Second, table, "a", latest), latest, equalAddresses)
+}
--- a/policy/steering/rank.go
+++ b/policy/steering/rank.go
@@ -53,6 +53,25 @@
 
 var scratchPool = sync.Pool{New: func() any { return &scratch{seen: map[ident.DataCentre]*group{}} }}
 
+// MergeRanked orders the agents of several services for a search: first those of each service at which new
+// flows open, then all others. Each element of ends is the end of the ranked agents of one service, which
+// begin at the end of the service before.
+func MergeRanked(agents []roster.Peer, ends []int) {
+	if len(ends) < 2 {
+		return
+	}
+	merged := make([]roster.Peer, 0, len(agents))
+	rest := make([]roster.Peer, 0, len(agents))
+	begin := 0
+	for _, end := range ends {
+		top := min(begin+localCandidates+remoteCandidates, end)
+		merged = append(merged, agents[begin:top]...)
+		rest = append(rest, agents[top:end]...)
+		begin = end
+	}
+	copy(agents, append(merged, rest...))
+}
+
 // Rank sorts the agents of a service into the order in which a flow is offered to them and searched
 // for. Nodes with the same agents compute the same order. Within a data centre it doesn't depend on
 // the caller's, so that a flow whose caller moves is found among the first agents of its former
