--- a/bench/flows/flows_test.go
+++ b/bench/flows/flows_test.go
@@ -372,6 +372,44 @@
 	}
 }
 
+// Guards against resets of open flows by a process that was stalled, and finds all others silent.
+func TestFlowsOutliveAStall(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		stall func(*fixture) []*flows.Node
+	}{
+		{"entries", func(f *fixture) []*flows.Node { return f.Entries }},
+		{"all", func(f *fixture) []*flows.Node { return f.Nodes() }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			f := start(t, map[string]int{"a": 4})
+			var open []*platformtest.Flow
+			for i := range 40 {
+				flow := f.openFlow(t)
+				assertOutcome(t, flow, fmt.Sprint("before-", i), platformtest.Answered)
+				open = append(open, flow)
+			}
+			time.Sleep(2 * time.Second) // all nodes have heartbeats of each other
+			for _, n := range c.stall(f) {
+				n.Signal(syscall.SIGSTOP)
+			}
+			var requests sync.WaitGroup
+			for i, flow := range open {
+				requests.Go(func() {
+					got, _, _ := flow.Request(fmt.Sprint("after-", i), 6*time.Second)
+					assert.Check(t, got == platformtest.Answered, "after-%d on %s: %v", i, flow.ID, got)
+				})
+			}
+			time.Sleep(2500 * time.Millisecond)
+			for _, n := range c.stall(f) {
+				n.Signal(syscall.SIGCONT)
+			}
+			requests.Wait()
+		})
+	}
+}
+
 // Guards against a node that starts during a store outage and can't serve. It must get the nodes
 // and routes from its seeds.
 func TestEntryStartsWhileTheStoreIsAway(t *testing.T) {
