policy/roster, policy/steering, node/fleet: nodes are given up only once they have not answered

Cause: silence is judged by the time since the last heartbeat that was read. After a stall all heartbeats are overdue by the clock, while they wait in the socket; the entry finds no agent that may hold the flow, and an agent takes its target for ended. The class: absence of a message taken for absence of its sender. Lost heartbeats lead to the same.

Change: a search doesn't leave out a silent agent before it was asked for a heartbeat and had 200 ms to answer; the packet is held meanwhile. Agents for which a search waits are asked already while they are suspect, so that mostly nothing is added to the time of a reset. A process that has not run for 500 ms voids earlier requests, and its agent counts the silence of the target anew. Older programs don't answer, and are given up 200 ms later than before.

--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -73,9 +73,11 @@
 	Entry     bool
 	Service   string // service that an agent's target is expected to have
 	OnDrained func() // called if the target announced its end to an earlier incarnation of the agent
-	Handler   Handler
-	Logger    log.Logger
-	Metrics   *metrics.Set
+	// OnStall is called if this process was stalled until now. It may be nil.
+	OnStall func(now time.Duration)
+	Handler Handler
+	Logger  log.Logger
+	Metrics *metrics.Set
 }
 
 // Fleet is a node's membership of the fleet, and its client of the store.
@@ -108,6 +110,9 @@
 	heartbeatsSent  *metrics.Counter
 	digestsSent     *metrics.Counter
 	sendFailures    *metrics.Counter
+	probesSent      *metrics.Counter
+	stallCount      *metrics.Counter
+	stalls          stallDetector
 	storeDependency dependency
 	storeLost       atomic.Bool   // the last read of the routes has failed
 	storeEra        atomic.Uint64 // highest era of the store that this node knows, 0 if none
@@ -144,6 +149,7 @@
 		nodeLog:         logging.NewDecisionsWithLimit(o.Logger, nodeLinesPerSecond),
 	}
 	f.incarnation.Store(uint64(f.Self.Incarnation))
+	f.stalls.lastRound.Store(int64(f.started))
 	f.setSeeds(o.Settings.Seeds)
 	f.Roster = roster.New(f.Self.ID)
 	f.store = platform.NewStore(o.Settings.Store, f.observeStore)
@@ -175,6 +181,8 @@
 	f.heartbeatsSent = m.NewCounter("lacewing_fleet_heartbeats_sent_total")
 	f.digestsSent = m.NewCounter("lacewing_fleet_digests_sent_total")
 	f.sendFailures = m.NewCounter("lacewing_fleet_send_failures_total")
+	f.probesSent = m.NewCounter("lacewing_fleet_probes_sent_total")
+	f.stallCount = m.NewCounter("lacewing_stalls_total")
 	m.NewGauge("lacewing_routes_revision", func() float64 { return float64(f.Routes.Position().Revision) })
 	m.NewGauge("lacewing_routes_version", func() float64 { return float64(f.Routes.Position().Version) })
 	m.NewGauge("lacewing_store_era", func() float64 { return float64(f.storeEra.Load()) })
@@ -404,6 +412,7 @@
 			continue
 		}
 		now := Now()
+		f.CheckStall(now)
 		switch buffer[0] {
 		case kindPacket:
 			if err := packet.decode(buffer[1:n], interned); err != nil {
@@ -462,8 +471,8 @@
 	}
 }
 
-// handleHeartbeat applies a heartbeat. It answers with one of this node if the sender is new or
-// requests nodes, and with the list of nodes if requested.
+// handleHeartbeat applies a heartbeat. It answers with one of this node if the sender is new, or
+// requests a heartbeat or nodes, and with the list of nodes if requested.
 func (f *Fleet) handleHeartbeat(now time.Duration, latest ident.Incarnation, h *fleetv1.Heartbeat) {
 	n, hb, err := fromHeartbeat(latest, h)
 	if err != nil {
@@ -477,7 +486,7 @@
 	if change == roster.Stale {
 		f.answerStale(now, &n)
 	}
-	if change == roster.Joined || h.GetJoin() {
+	if change == roster.Joined || h.GetJoin() || h.GetProbe() {
 		f.introduceSelf(now, &n)
 	}
 	if h.GetJoin() {
--- a/node/fleet/heartbeats.go
+++ b/node/fleet/heartbeats.go
@@ -57,6 +57,7 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			f.recordRound(Now())
 			plan := f.outgoing.plan.Load()
 			if round%roundsPerPlan == 0 || !plan.Complete && f.knowsNodes(Now()) {
 				plan = f.replan()
--- /dev/null
+++ b/node/fleet/stall_test.go
@@ -0,0 +1,53 @@
+package fleet
+
+import (
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	fleetv1 "lacewinglever.dev/node/gen/lacewing/fleet/v1"
+	"lacewinglever.dev/policy/roster"
+)
+
+// Guards against running nodes that are given up because their heartbeats were lost.
+func TestProbesAreAnswered(t *testing.T) {
+	f := newStoreFleet(t, "n-1")
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	n := knownNode(f, "n-2")
+	n.Address = netip.MustParseAddrPort(conn.LocalAddr().String())
+	receive := func(probe bool, sequence uint64) *fleetv1.Heartbeat {
+		h := toHeartbeat(&n, &roster.Heartbeat{Sequence: sequence}, false)
+		h.Probe = probe
+		f.handleControl(Now(), encodeMessage(t, &fleetv1.Message{Heartbeat: h}))
+		assert.NilError(t, conn.SetReadDeadline(time.Now().Add(200*time.Millisecond)))
+		b := make([]byte, maxDatagramBytes)
+		size, err := conn.Read(b)
+		if err != nil {
+			return nil
+		}
+		var m fleetv1.Message
+		assert.NilError(t, proto.Unmarshal(b[1:size], &m))
+		return m.GetHeartbeat()
+	}
+	assert.Assert(t, receive(false, 2) == nil, "a heartbeat was answered")
+	answer := receive(true, 3)
+	assert.Equal(t, answer.GetSender().GetName(), "n-1")
+	assert.Assert(t, !answer.GetProbe(), "probes answer each other without end")
+}
+
+func TestStallsAreRecordedOnce(t *testing.T) {
+	var d stallDetector
+	recorded := 0
+	observe := func(now time.Duration) time.Duration { return d.observe(now, func() { recorded++ }) }
+	d.lastRound.Store(int64(time.Second))
+	assert.Equal(t, observe(1400*time.Millisecond), time.Duration(0))
+	assert.Equal(t, observe(4*time.Second), 3*time.Second)
+	assert.Equal(t, observe(4*time.Second), time.Duration(0))
+	assert.Equal(t, recorded, 1)
+}
--- a/node/packetagent/agent.go
+++ b/node/packetagent/agent.go
@@ -144,7 +144,7 @@
 		return nil, err
 	}
 	a.fleet, err = fleet.New(fleet.Options{
-		Settings: &s.Settings, Service: s.Service, OnDrained: a.onDrained, Handler: a, Logger: p.Logger,
+		Settings: &s.Settings, Service: s.Service, OnDrained: a.onDrained, OnStall: a.targetState.RecordStall, Handler: a, Logger: p.Logger,
 		Metrics: p.Metrics,
 	})
 	return a, err
@@ -241,6 +241,7 @@
 	var checked routes.Position // of the table in force at the last check of the former routes
 	return timing.Every(ctx, checkInterval, func(time.Time) {
 		now := fleet.Now()
+		a.fleet.CheckStall(now)
 		round++
 		expires := round%checksPerExpiry == 0
 		if table := a.fleet.Routes.Load(); expires || table.PositionOrZero() != checked {
@@ -326,6 +327,7 @@
 // receive handles packets of the target until the context ends.
 func (a *Agent) receive(ctx context.Context) error {
 	return fleet.ReadPackets(ctx, a.conn, a.counters.DropCounters, func(now time.Duration, p platform.Packet) {
+		a.fleet.CheckStall(now)
 		if p.Accepts() || p.HasData() && !p.Bounced() {
 			a.targetState.RecordSent(now)
 		} else {
@@ -372,7 +374,11 @@
 
 // retry decides again about held packets until the context ends.
 func (a *Agent) retry(ctx context.Context) error {
-	return fleet.Retry(ctx, a.held, func(item *pendingPacket) { a.retryPacket(fleet.Now(), item) })
+	return fleet.Retry(ctx, a.held, func(item *pendingPacket) {
+		now := fleet.Now()
+		a.fleet.CheckStall(now)
+		a.retryPacket(now, item)
+	})
 }
 
 // retryPacket decides again about a held packet. A new flow may be accepted by any target by now,
@@ -668,6 +674,7 @@
 			}
 			a.forward(agents[index].Address, fp)
 		case steering.Unknown:
+			a.fleet.ProbeSilent(now, agents, fp.Tried)
 			outcome = "held, agents unknown"
 			if index >= 0 {
 				outcome = "held for " + agents[index].Name
--- a/node/packetentry/entry.go
+++ b/node/packetentry/entry.go
@@ -200,6 +200,7 @@
 // receive forwards callers' packets until the context ends.
 func (e *Entry) receive(ctx context.Context) error {
 	return fleet.ReadPackets(ctx, e.conn, e.counters.DropCounters, func(now time.Duration, p platform.Packet) {
+		e.fleet.CheckStall(now)
 		if p.Bounced() || p.Accepts() {
 			e.counters.CountDrop("malformed")
 			return
@@ -211,7 +212,11 @@
 
 // retry decides again about held packets until the context ends.
 func (e *Entry) retry(ctx context.Context) error {
-	return fleet.Retry(ctx, e.held, func(item *pendingPacket) { e.forward(fleet.Now(), item) })
+	return fleet.Retry(ctx, e.held, func(item *pendingPacket) {
+		now := fleet.Now()
+		e.fleet.CheckStall(now)
+		e.forward(now, item)
+	})
 }
 
 // pendingPacket is a packet that waits for a decision.
@@ -334,6 +339,11 @@
 			e.send(&a, &fleet.ForwardedPacket{Service: a.Service, Routes: table.PositionOrZero(), Packet: p})
 			return
 		}
+		if known && a.IsUnconfirmed(now) {
+			e.fleet.Probe(now, &a)
+			e.hold(now, pending, "owner silent", table.PositionOrZero())
+			return
+		}
 	}
 	e.searchOwner(now, pending, flow, table, cause)
 }
@@ -403,6 +413,7 @@
 		}
 		e.resetFlow(flow, p, "no target holds the flow", table)
 	case steering.Unknown:
+		e.fleet.ProbeSilent(now, agents, nil)
 		e.hold(now, pending, "agents unknown", table.PositionOrZero())
 	}
 }
--- a/policy/roster/roster.go
+++ b/policy/roster/roster.go
@@ -58,6 +58,11 @@
 	// restartTimeout is how long a node that announced its stop may take to return. Its target may
 	// keep running and hold its flows.
 	restartTimeout = 8 * time.Second
+	// probeTimeout is the time within which a running node answers the first of up to maxProbes requests for a
+	// heartbeat, which are sent probeInterval apart.
+	probeTimeout  = 200 * time.Millisecond
+	probeInterval = 50 * time.Millisecond
+	maxProbes     = 3
 	// expireAfter is the silence after which a node is removed.
 	expireAfter = time.Minute
 	// minRunningSilence is the least silence, before notRunningSlack, after which a node counts as
@@ -143,6 +148,9 @@
 	unansweredSince time.Duration // time of the first flow placed there that no heartbeat has followed yet
 	silentSince     time.Duration // time from which it was reported as Silent
 	lastDigest      time.Duration // time of the last digest of its data centre if it is ViaDigest and not Silent, else 0
+	probes          int           // requests for a heartbeat since its last heartbeat
+	firstProbe      time.Duration // time of the first of them
+	lastProbe       time.Duration // time of the last one
 }
 
 // PlacedLoad returns the decayed number of flows that were placed on the peer since its last
@@ -220,6 +228,12 @@
 	return Live
 }
 
+// IsUnconfirmed reports whether the peer is gone by its silence alone: it was not asked for a heartbeat since,
+// or still has the time to answer. Its heartbeats may have been lost, or this node may not have run.
+func (p *Peer) IsUnconfirmed(now time.Duration) bool {
+	return p.Health(now) == Gone && (p.probes == 0 || now-p.firstProbe <= probeTimeout)
+}
+
 // Running reports whether the peer was last seen as recently as any node can expect. It decides,
 // for example, which nodes act as relays and store readers; for placing flows on the agents of a
 // service, use Health.
@@ -416,6 +430,36 @@
 	}
 }
 
+// RecordProbe records that a peer is asked for a heartbeat, and reports whether it is to be asked now: it is
+// silent, and not too many requests were sent since its last heartbeat.
+func (r *Roster) RecordProbe(now time.Duration, id ident.NodeID) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p, ok := r.peers[id]
+	if !ok || p.probes >= maxProbes || p.probes > 0 && now-p.lastProbe < probeInterval {
+		return false
+	}
+	if v := r.view(p); v.Health(now) == Live {
+		return false
+	}
+	if p.probes == 0 {
+		p.firstProbe = now
+	}
+	p.probes++
+	p.lastProbe = now
+	return true
+}
+
+// RecordStall records that this node has not run for a while. Answers to earlier requests for a heartbeat may
+// be unread.
+func (r *Roster) RecordStall() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, p := range r.peers {
+		p.probes = 0
+	}
+}
+
 // Find returns the peer with the given id.
 func (r *Roster) Find(id ident.NodeID) (Peer, bool) {
 	r.mu.RLock()
--- a/policy/roster/roster_test.go
+++ b/policy/roster/roster_test.go
@@ -287,3 +287,29 @@
 	assert.Equal(t, len(agents), 1)
 	assert.Equal(t, agents[0].Name, "former")
 }
+
+// Guards against unbounded requests for heartbeats, and against a node that is given up before it could answer.
+func TestSilentPeersAreProbedAFewTimes(t *testing.T) {
+	r := roster.New(1)
+	id := ident.NewNodeID("a")
+	r.RecordHeartbeat(0, node("a", 1), roster.Heartbeat{Sequence: 1})
+	assert.Assert(t, !r.RecordProbe(100*time.Millisecond, id), "a live peer was probed")
+	probes := 0
+	for at := time.Second; at < 10*time.Second; at += 10 * time.Millisecond {
+		if r.RecordProbe(at, id) {
+			probes++
+		}
+	}
+	assert.Equal(t, probes, 3)
+	unconfirmed := func() bool {
+		p, _ := r.Find(id)
+		return p.IsUnconfirmed(10 * time.Second)
+	}
+	assert.Assert(t, !unconfirmed())
+	r.RecordStall()
+	assert.Assert(t, unconfirmed())
+	r.RecordProbe(5*time.Second, id)
+	assert.Assert(t, !unconfirmed())
+	r.RecordHeartbeat(6*time.Second, node("a", 1), roster.Heartbeat{Sequence: 2})
+	assert.Assert(t, unconfirmed())
+}
--- a/policy/steering/verdict.go
+++ b/policy/steering/verdict.go
@@ -17,14 +17,15 @@
 const (
 	verdictTried        = "tried"          // its target has bounced the packet
 	verdictEnded        = "ended"          // its target holds no flow
-	verdictGone         = "gone"           // silent for too long
+	verdictGone         = "gone"           // silent for too long, and didn't answer
+	verdictUnconfirmed  = "unconfirmed"    // silent for too long, may still answer
 	verdictSuspect      = "suspect"        // silent, may return
 	verdictUnreported   = "unreported"     // digests of its data centre stay away
 	verdictMayHaveEnded = "may have ended" // the packet may get lost at its target
 	verdictLive         = "live"
 )
 
-var verdicts = []string{verdictTried, verdictEnded, verdictGone, verdictSuspect, verdictUnreported, verdictMayHaveEnded,
+var verdicts = []string{verdictTried, verdictEnded, verdictGone, verdictUnconfirmed, verdictSuspect, verdictUnreported, verdictMayHaveEnded,
 	verdictLive}
 
 // DescribeCandidates returns, for logs, what NextCandidate knows of each agent: the verdicts, each with
@@ -55,6 +56,8 @@
 		return verdictTried
 	case p.Target.Ended:
 		return verdictEnded
+	case p.IsUnconfirmed(now):
+		return verdictUnconfirmed
 	case health == roster.Gone:
 		return verdictGone
 	case p.AwaitsDigests(now):
--- a/policy/targetstate/target.go
+++ b/policy/targetstate/target.go
@@ -81,6 +81,7 @@
 
 	mu                 sync.Mutex
 	started            time.Duration // when the agent began to listen
+	resumed            time.Duration // when the agent last went on after a stall
 	report             Report
 	hasReported        bool
 	left               bool // has announced its end and takes no new flows
@@ -103,6 +104,14 @@
 	return t
 }
 
+// RecordStall records that the agent was stalled until now. Reports and packets of the target may be unread, so
+// that its silence doesn't show its end.
+func (t *Target) RecordStall(now time.Duration) {
+	t.mu.Lock()
+	t.resumed = now
+	t.mu.Unlock()
+}
+
 // RecordReport records a report unless it is stale.
 func (t *Target) RecordReport(now time.Duration, r Report) ReportResult {
 	t.mu.Lock()
@@ -261,12 +270,12 @@
 		return true
 	}
 	if t.left {
-		return now-t.lastPacket > t.endedAfter-endedSlack
+		return now-max(t.lastPacket, t.resumed) > t.endedAfter-endedSlack
 	}
 	if t.drainedBeforeStart {
-		return now-max(t.lastPacket, t.started) > t.silentAfter
+		return now-max(t.lastPacket, t.started, t.resumed) > t.silentAfter
 	}
-	return now-max(t.lastReport, t.lastPacket, t.started) > t.endedAfter
+	return now-max(t.lastReport, t.lastPacket, t.started, t.resumed) > t.endedAfter
 }
 
 // Draining reports whether the target has announced its end, or has ended.
--- a/policy/targetstate/target_test.go
+++ b/policy/targetstate/target_test.go
@@ -192,3 +192,15 @@
 	assert.Assert(t, drained.AwaitsFirstReport(second), "it may have announced its end only")
 	assert.Assert(t, !drained.AwaitsFirstReport(2*second))
 }
+
+// Guards against an agent that was stalled and takes its target's unread reports for silence.
+func TestStallOfTheAgentEndsNoTarget(t *testing.T) {
+	target := newTarget()
+	target.RecordReport(second, report(10, 1))
+	assert.Assert(t, target.Status(6*second).Ended)
+	target.RecordStall(6 * second)
+	s := target.Status(6 * second)
+	assert.Assert(t, !s.Ended && s.MayHaveEnded && !s.Accepting, "%+v", s)
+	assert.Assert(t, !target.Status(9*second).Ended)
+	assert.Assert(t, target.Status(10*second).Ended)
+}
