--- a/bench/flows/flows_test.go
+++ b/bench/flows/flows_test.go
@@ -372,7 +372,8 @@
 	}
 }
 
-// Guards against resets of open flows by a process that was stalled, and finds all others silent.
+// Guards against resets of open flows by a process that was stalled and finds all others silent, or because
+// the agent of their target is stalled.
 func TestFlowsOutliveAStall(t *testing.T) {
 	for _, c := range []struct {
 		name     string
@@ -381,6 +382,7 @@
 	}{
 		{"entries", func(f *fixture) []*flows.Node { return f.Entries }, 2500 * time.Millisecond},
 		{"all", func(f *fixture) []*flows.Node { return f.Nodes() }, 2500 * time.Millisecond},
+		{"one agent", func(f *fixture) []*flows.Node { return f.Agents[:1] }, 5 * time.Second},
 		{"all longer", func(f *fixture) []*flows.Node { return f.Nodes() }, 4 * time.Second},
 	} {
 		t.Run(c.name, func(t *testing.T) {
