node/fleet, policy/roster: a silent node whose instance answers is awaited like one that restarts

Cause: after 1.5 s of silence without a notice an agent counted as lost together with its target. A process that is stalled, or killed and started again, is as silent as an instance that is lost, but its target keeps its flows.

Change: with the first request for a heartbeat a node opens a connection to the silent one's port. If that is accepted or refused, a network stack runs there, and the node is awaited for 8 s, as after an announced stop. An instance that is lost answers nothing, and its flows are reset as soon as before, 200 ms later at most.

--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -113,6 +113,7 @@
 	probesSent      *metrics.Counter
 	stallCount      *metrics.Counter
 	stalls          stallDetector
+	instanceProbes  chan struct{} // holds an element for each connection that is being tried
 	storeDependency dependency
 	storeLost       atomic.Bool   // the last read of the routes has failed
 	storeEra        atomic.Uint64 // highest era of the store that this node knows, 0 if none
@@ -145,6 +146,7 @@
 		conn: conn, started: Now(),
 		announceDue: make(chan struct{}, 1), announceLoadDue: make(chan struct{}, 1),
 		fetch: make(chan roster.Peer, 16), recordDue: make(chan struct{}, 1),
+		instanceProbes:  make(chan struct{}, maxProbesAtOnce),
 		storeDependency: dependency{name: "store", logger: o.Logger},
 		nodeLog:         logging.NewDecisionsWithLimit(o.Logger, nodeLinesPerSecond),
 	}
--- a/node/fleet/stall.go
+++ b/node/fleet/stall.go
@@ -1,10 +1,14 @@
 package fleet
 
 import (
+	"net"
+	"net/netip"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/go-kit/log/level"
 
 	"lacewinglever.dev/node/logging"
@@ -78,8 +82,30 @@
 	if !f.Roster.RecordProbe(now, p.ID) {
 		return
 	}
+	go f.probeInstance(p.ID, p.Name, p.Address)
 	message := f.heartbeatMessage(now, f.receiverOutsidePlan(now, p.DataCentre, p.Address), false)
 	message.Heartbeat.Probe = true
 	f.sendMessage(p.Address, message)
 	f.probesSent.Inc()
 }
+
+// probeInstance finds out whether the instance of a silent node runs. Its network stack answers for a process
+// that is stalled, by accepting the connection, and for one that is being restarted, by refusing it.
+func (f *Fleet) probeInstance(id ident.NodeID, name string, address netip.AddrPort) {
+	select {
+	case f.instanceProbes <- struct{}{}:
+		defer func() { <-f.instanceProbes }()
+	default:
+		return // the next probe tries again
+	}
+	conn, err := net.DialTimeout("tcp4", address.String(), roster.ProbeTimeout)
+	if err == nil {
+		_ = conn.Close() // nothing was sent
+	} else if !errors.Is(err, syscall.ECONNREFUSED) {
+		return
+	}
+	f.Roster.RecordInstanceRuns(id)
+	if f.nodeLog.Allow() {
+		f.nodeLog.Log("silent node's instance runs", logging.KeyPeer, name, "process", err == nil)
+	}
+}
--- a/node/fleet/stall_test.go
+++ b/node/fleet/stall_test.go
@@ -51,3 +51,21 @@
 	assert.Equal(t, observe(4*time.Second), time.Duration(0))
 	assert.Equal(t, recorded, 1)
 }
+
+// Guards against flows that are given up while their agent's process is stalled or being restarted.
+func TestInstancesAnswerForSilentNodes(t *testing.T) {
+	f := newStoreFleet(t, "n-1")
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := netip.MustParseAddrPort(listener.Addr().String())
+	for _, name := range []string{"stalled", "restarting"} {
+		n := knownNode(f, name)
+		at := Now() + 3*time.Second
+		p, _ := f.Roster.Find(n.ID)
+		assert.Equal(t, p.Health(at), roster.Gone, name)
+		f.probeInstance(n.ID, name, address)
+		p, _ = f.Roster.Find(n.ID)
+		assert.Equal(t, p.Health(at), roster.Suspect, name)
+		_ = listener.Close() // nothing listens there for the second node
+	}
+}
--- a/policy/roster/roster.go
+++ b/policy/roster/roster.go
@@ -55,12 +55,12 @@
 	// has most likely ended, and its record remained because the store was unavailable at that
 	// time.
 	drainedGoneAfter = 400 * time.Millisecond
-	// restartTimeout is how long a node that announced its stop may take to return. Its target may
-	// keep running and hold its flows.
+	// restartTimeout is how long a node that announced its stop, or whose instance runs without it, may take to
+	// return. Its target may keep running and hold its flows.
 	restartTimeout = 8 * time.Second
-	// probeTimeout is the time within which a running node answers the first of up to maxProbes requests for a
-	// heartbeat, which are sent probeInterval apart.
-	probeTimeout  = 200 * time.Millisecond
+	// ProbeTimeout is the time within which a running node answers the first of up to maxProbes requests for a
+	// heartbeat, which are sent probeInterval apart, and an instance a connection.
+	ProbeTimeout  = 200 * time.Millisecond
 	probeInterval = 50 * time.Millisecond
 	maxProbes     = 3
 	// expireAfter is the silence after which a node is removed.
@@ -151,6 +151,7 @@
 	probes          int           // requests for a heartbeat since its last heartbeat
 	firstProbe      time.Duration // time of the first of them
 	lastProbe       time.Duration // time of the last one
+	instanceRuns    bool          // since its last heartbeat, the instance was seen to run without the process
 }
 
 // PlacedLoad returns the decayed number of flows that were placed on the peer since its last
@@ -204,6 +205,14 @@
 
 // goneAfter returns the silence after which the peer is taken to hold no flow.
 func (p *Peer) goneAfter() time.Duration {
+	if p.instanceRuns {
+		return max(restartTimeout, p.goneAfterByHeartbeat())
+	}
+	return p.goneAfterByHeartbeat()
+}
+
+// goneAfterByHeartbeat returns that silence by the peer's last heartbeat, or by its record.
+func (p *Peer) goneAfterByHeartbeat() time.Duration {
 	switch {
 	case p.Leaving:
 		return restartTimeout
@@ -231,7 +240,7 @@
 // IsUnconfirmed reports whether the peer is gone by its silence alone: it was not asked for a heartbeat since,
 // or still has the time to answer. Its heartbeats may have been lost, or this node may not have run.
 func (p *Peer) IsUnconfirmed(now time.Duration) bool {
-	return p.Health(now) == Gone && (p.probes == 0 || now-p.firstProbe <= probeTimeout)
+	return p.Health(now) == Gone && (p.probes == 0 || now-p.firstProbe <= ProbeTimeout)
 }
 
 // Running reports whether the peer was last seen as recently as any node can expect. It decides,
@@ -450,6 +459,16 @@
 	return true
 }
 
+// RecordInstanceRuns records that the network stack of a peer's instance answers. The process is then stalled or
+// being restarted rather than lost with its instance.
+func (r *Roster) RecordInstanceRuns(id ident.NodeID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if p, ok := r.peers[id]; ok {
+		p.instanceRuns = true
+	}
+}
+
 // RecordStall records that this node has not run for a while. Answers to earlier requests for a heartbeat may
 // be unread.
 func (r *Roster) RecordStall() {
--- a/policy/roster/roster_test.go
+++ b/policy/roster/roster_test.go
@@ -313,3 +313,23 @@
 	r.RecordHeartbeat(6*time.Second, node("a", 1), roster.Heartbeat{Sequence: 2})
 	assert.Assert(t, unconfirmed())
 }
+
+// Guards against giving up the flows of a target while its agent is stalled or restarted without a notice.
+func TestNodesOfRunningInstancesAreAwaitedLonger(t *testing.T) {
+	r := roster.New(1)
+	id := ident.NewNodeID("a")
+	health := func(at time.Duration) roster.Health {
+		p, _ := r.Find(id)
+		return p.Health(at)
+	}
+	r.RecordHeartbeat(0, node("a", 1), roster.Heartbeat{Sequence: 1})
+	assert.Equal(t, health(3*time.Second), roster.Gone)
+	r.RecordInstanceRuns(id)
+	assert.Equal(t, health(3*time.Second), roster.Suspect)
+	assert.Equal(t, health(9*time.Second), roster.Gone)
+	r.RecordHeartbeat(9*time.Second, node("a", 1), roster.Heartbeat{Sequence: 2})
+	assert.Equal(t, health(12*time.Second), roster.Gone)
+	r.RecordHeartbeat(12*time.Second, node("a", 1), roster.Heartbeat{Sequence: 3, ViaDigest: true})
+	r.RecordInstanceRuns(id)
+	assert.Equal(t, health(23*time.Second), roster.Suspect) // no sooner than without
+}
