policy/targetstate, bench/flows: tests of a target whose clock has gone back

A target crashes, and the next one at its address has a lower start time because the clock of the machine has gone back meanwhile. Its flows are reset while it holds them.

TestRestartAfterTheClockHasGoneBack (policy/targetstate) fails with `late`. TestDelayedReportsOfAnEarlierProcess passes; it guards what a fix must not give up.

--- a/bench/flows/cluster.go
+++ b/bench/flows/cluster.go
@@ -156,6 +156,11 @@
 
 // StartTarget starts a target beside an agent. The previous target there must have ended.
 func (c *Cluster) StartTarget(n *Node, service string) error {
+	return c.StartTargetWithClock(n, service, 0)
+}
+
+// StartTargetWithClock is StartTarget on a machine whose time of day is off by clockOffset.
+func (c *Cluster) StartTargetWithClock(n *Node, service string, clockOffset time.Duration) error {
 	c.mu.Lock()
 	c.targetsStarted++
 	id := fmt.Sprintf("t-%d", c.targetsStarted)
@@ -164,7 +169,7 @@
 		ID: id, Service: service, Zone: fmt.Sprint("dc-", n.Zone),
 		Address: addressPort(n.host, portTarget), FromTarget: addressPort(n.host, portFromTarget),
 		Reports: address(n.host, portReports), Heartbeat: heartbeat, Slots: targetSlots, RequestTime: targetRequestTime,
-		OnRun: c.onRun, OnAltered: c.onAltered,
+		ClockOffset: clockOffset, OnRun: c.onRun, OnAltered: c.onAltered,
 	})
 	if err != nil {
 		return err
--- a/bench/flows/flows_test.go
+++ b/bench/flows/flows_test.go
@@ -405,3 +405,36 @@
 		})
 	}
 }
+
+// Guards against resets of open flows of a target that seems to have started before the one that it replaces.
+func TestFlowsOutliveAClockThatHasGoneBack(t *testing.T) {
+	t.Parallel()
+	f := start(t, map[string]int{"a": 3})
+	n := f.Agents[0]
+	for _, clockOffset := range []time.Duration{5 * time.Second, 0} {
+		target, service := f.Target(n)
+		target.Crash()
+		assert.NilError(t, f.StartTargetWithClock(n, service, clockOffset))
+		time.Sleep(100 * time.Millisecond) // until its first report
+	}
+	target, _ := f.Target(n)
+	var open []*platformtest.Flow
+	for i := 0; len(open) < 6; i++ {
+		assert.Assert(t, i < 400, "the target gets no flows")
+		flow := f.openFlow(t)
+		assertOutcome(t, flow, fmt.Sprint("before-", i), platformtest.Answered)
+		if target.Holds(flow.ID) {
+			open = append(open, flow)
+		}
+	}
+	time.Sleep(5 * time.Second) // idle flows give no sign that the target is running
+	for i, flow := range open {
+		assertOutcome(t, flow, fmt.Sprint("after-", i), platformtest.Answered)
+	}
+	assertOutcome(t, f.openFlow(t), "new", platformtest.Answered)
+	before := target.OpenFlows()
+	for i := 0; target.OpenFlows() == before; i++ {
+		assert.Assert(t, i < 50, "the target gets no new flows")
+		f.openFlow(t)
+	}
+}
--- a/policy/targetstate/target_test.go
+++ b/policy/targetstate/target_test.go
@@ -46,6 +46,41 @@
 	assert.Equal(t, target.Status(second).StartUnixMs, int64(20))
 }
 
+// Guards against ignoring a target that seems to have started before the one that it replaces, because the
+// clock of its machine has gone back.
+func TestRestartAfterTheClockHasGoneBack(t *testing.T) {
+	for _, id := range []string{"i-1", "i-2"} {
+		target := newTarget()
+		target.RecordReport(second, report(5000, 7))
+		restarted := report(10, 1)
+		restarted.ID = id
+		target.RecordReport(2*second, restarted)
+		restarted.Sequence++
+		assert.Equal(t, target.RecordReport(3200*time.Millisecond, restarted), targetstate.Changed)
+		assert.Equal(t, target.RecordReport(3300*time.Millisecond, report(5000, 8)), targetstate.Stale, "delayed")
+		for now := 4400 * time.Millisecond; now < 9*second; now += 1200 * time.Millisecond {
+			restarted.Sequence++
+			assert.Equal(t, target.RecordReport(now, restarted), targetstate.Accepted)
+			s := target.Status(now + second)
+			assert.Assert(t, s.Accepting && !s.Ended && s.ID == id && s.StartUnixMs == 10, "%+v", s)
+		}
+	}
+}
+
+// Guards against delayed reports of an earlier process that replace the running one.
+func TestDelayedReportsOfAnEarlierProcess(t *testing.T) {
+	target := newTarget()
+	target.RecordReport(second, report(5000, 1))
+	assert.Equal(t, target.RecordReport(2*second, report(10, 7)), targetstate.Stale, "a single one")
+	assert.Equal(t, target.RecordReport(2*second+10*time.Millisecond, report(10, 8)), targetstate.Stale, "delayed together")
+	assert.Equal(t, target.RecordReport(2200*time.Millisecond, report(5000, 2)), targetstate.Accepted)
+	assert.Equal(t, target.RecordReport(3300*time.Millisecond, report(10, 9)), targetstate.Stale, "the later process has reported")
+	assert.Equal(t, target.RecordReport(3400*time.Millisecond, report(5000, 3)), targetstate.Accepted)
+	target.RecordLeave("i-1")
+	assert.Equal(t, target.RecordReport(5*second, report(10, 10)), targetstate.Stale, "a single one after the end")
+	assert.Equal(t, target.Status(5*second).Reason, "left")
+}
+
 // Guards against new flows to an address that another service has taken over: missing reports end
 // new flows before the address can be reused.
 func TestSilenceEndsNewFlowsBeforeReuse(t *testing.T) {
