policy/targetstate: a target whose clock has gone back replaces the one before it

What callers saw: flows opened at a target that had crashed and been started again, and were reset after a pause of some seconds although the target held them. The target also got no new flows from 1.2 s after the last report of the process before it, until it ended.

Cause: reports with a lower start time than the last recorded one counted as late for ever. If the clock of the machine has gone back between two starts, all reports of the running target have one. Its agent says that the target has ended once no packet of it has passed for two heartbeats and a second; entries and other agents then leave it out of searches and reset.

Change: only a start that is later than all recorded ones is taken at its first report. Any other one is taken once its reports continue, with rising sequence and at least half a heartbeat apart, without a report of the recorded process between them. Then only one process is running. Reports of an earlier process that were delayed arrive singly or together, and replace nothing; those of a process that was replaced in this way don't replace the running one again. The price is one heartbeat until such a target counts.

--- a/policy/targetstate/target.go
+++ b/policy/targetstate/target.go
@@ -26,7 +26,7 @@
 const (
 	Accepted   ReportResult = "accepted"
 	Changed    ReportResult = "accepted, target changed" // another target, a restarted one, or another state
-	Stale      ReportResult = "late"                     // older than the last report, or from an earlier process
+	Stale      ReportResult = "late"                     // older than the last report, or seemingly of an earlier process
 	NotCurrent ReportResult = "not the current target"
 )
 
@@ -51,6 +51,9 @@
 	// reuseMargin is the least time between the end of new flows to a silent target and the
 	// earliest reuse of its address.
 	reuseMargin = 100 * time.Millisecond
+	// minConfirmation is the least time between the reports that confirm a start, as a part of their
+	// interval. Reports that were delayed together arrive together.
+	minConfirmation = 0.5
 )
 
 // Options are the timing guarantees of the platform.
@@ -78,14 +81,18 @@
 type Target struct {
 	silentAfter time.Duration // time without a report until new flows end
 	endedAfter  time.Duration // time without a report or packet until the target counts as ended
+	// confirmAfter is the least time between the reports that confirm a start.
+	confirmAfter time.Duration
 
 	mu                 sync.Mutex
 	started            time.Duration // when the agent began to listen
 	report             Report
 	hasReported        bool
-	left               bool // has announced its end and takes no new flows
-	endedAtStop        bool // had ended when its instance was being stopped
-	drainedBeforeStart bool // had announced its end before the agent started
+	latestStart        int64          // latest StartUnixMs of any recorded report
+	unconfirmed        *reportedStart // nil if the last report was recorded
+	left               bool           // has announced its end and takes no new flows
+	endedAtStop        bool           // had ended when its instance was being stopped
+	drainedBeforeStart bool           // had announced its end before the agent started
 	lastReport         time.Duration
 	lastPacket         time.Duration // time of the last packet that only a running target sends
 	unansweredOpenings int           // opening packets since any packet or report of the target
@@ -96,7 +103,8 @@
 // New returns a target without a report, for an agent that starts at the time now.
 func New(now time.Duration, o Options) *Target {
 	t := &Target{started: now, silentAfter: time.Duration(maxMissedBeforeSilent * float64(o.Heartbeat)),
-		endedAfter: maxMissedBeforeEnded*o.Heartbeat + endedSlack}
+		endedAfter:   maxMissedBeforeEnded*o.Heartbeat + endedSlack,
+		confirmAfter: time.Duration(minConfirmation * float64(o.Heartbeat))}
 	if o.AddressReuse > reuseMargin {
 		t.silentAfter = min(t.silentAfter, o.AddressReuse-reuseMargin)
 	}
@@ -107,7 +115,7 @@
 func (t *Target) RecordReport(now time.Duration, r Report) ReportResult {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.hasReported && !t.isNewer(now, &r) {
+	if t.hasReported && !t.isNewer(now, &r) && !t.confirms(now, &r) {
 		return Stale
 	}
 	changed := !t.hasReported || t.left || r.ID != t.report.ID || r.StartUnixMs != t.report.StartUnixMs ||
@@ -116,6 +124,7 @@
 		t.left, t.endedAtStop, t.drainedBeforeStart = false, false, false
 	}
 	t.report, t.hasReported, t.lastReport = r, true, now
+	t.latestStart, t.unconfirmed = max(t.latestStart, r.StartUnixMs), nil
 	t.unansweredOpenings = 0
 	if changed {
 		return Changed
@@ -123,16 +132,44 @@
 	return Accepted
 }
 
-// isNewer reports whether r comes from a later process of the target than the last report, or later
-// from the same one.
+// reportedStart is a start of the target whose reports are not recorded.
+type reportedStart struct {
+	last  Report
+	since time.Duration // time of its first report
+}
+
+// isSameProcess reports whether two reports come from the same process.
+func isSameProcess(a, b *Report) bool { return a.ID == b.ID && a.StartUnixMs == b.StartUnixMs }
+
+// isNewer reports whether r certainly comes from a later process of the target than the last report, or
+// later from the same one.
 func (t *Target) isNewer(now time.Duration, r *Report) bool {
 	switch {
-	case r.StartUnixMs != t.report.StartUnixMs:
-		return r.StartUnixMs > t.report.StartUnixMs
-	case r.ID != t.report.ID:
+	case isSameProcess(r, &t.report):
+		return r.Sequence > t.report.Sequence
+	case r.StartUnixMs == t.report.StartUnixMs:
 		return t.left || now-t.lastReport > t.silentAfter
 	}
-	return r.Sequence > t.report.Sequence
+	return r.StartUnixMs > t.latestStart
+}
+
+// confirms reports whether r shows that another process than the recorded one is running, although it
+// seems to have started earlier: its reports continue, and none of the recorded process came between
+// them. The clock of the machine has then gone back. A single such report may be a delayed one of an
+// earlier process.
+func (t *Target) confirms(now time.Duration, r *Report) bool {
+	u := t.unconfirmed
+	switch {
+	case isSameProcess(r, &t.report):
+		return false
+	case u == nil || !isSameProcess(r, &u.last):
+		t.unconfirmed = &reportedStart{last: *r, since: now}
+		return false
+	case r.Sequence <= u.last.Sequence:
+		return false
+	}
+	u.last = *r
+	return now-u.since >= t.confirmAfter
 }
 
 // RecordLeave records that the target has announced its end.
