--- a/bench/flows/flows_test.go
+++ b/bench/flows/flows_test.go
@@ -438,3 +438,19 @@
 		f.openFlow(t)
 	}
 }
+
+// Guards against resets of open flows of a target whose machine's clock has gone back by an hour since its start.
+func TestFlowsOutliveAClockThatHasGoneFarBack(t *testing.T) {
+	t.Parallel()
+	f := start(t, map[string]int{"a": 2})
+	for _, n := range f.Agents {
+		target, service := f.Target(n)
+		target.Crash()
+		assert.NilError(t, f.StartTargetWithClock(n, service, time.Hour))
+	}
+	flow := f.openFlow(t)
+	assertOutcome(t, flow, "before", platformtest.Answered)
+	time.Sleep(5 * time.Second) // an idle flow gives no sign that its target is running
+	assertOutcome(t, flow, "after", platformtest.Answered)
+	assertOutcome(t, f.openFlow(t), "new", platformtest.Answered)
+}
