platform, policy/targetstate: a start ahead of the clock has to be confirmed, not rejected

What callers saw: idle flows reset although their target held them, and no new flows there, after the clock of a machine had gone back by more than a minute while its target was running.

The clock may have gone back since the start; then all reports of the running target are rejected, and the agent takes it for ended. The class: a value that a faulty clock can produce is treated as one that nobody sends, and the sign of life is thrown away with it.

An odd report in between replaces nothing, as before.

--- a/policy/targetstate/target.go
+++ b/policy/targetstate/target.go
@@ -13,6 +13,7 @@
 	Service     string
 	Version     string // of the target's software
 	StartUnixMs int64  // start of the target, Unix milliseconds
+	StartsAhead bool   // the start is further in the future than clocks usually differ
 	Sequence    uint64 // increases with each report of a target process
 	Draining    bool
 	WarmUpLeft  time.Duration // how much longer the target is slow after its start
@@ -115,7 +116,7 @@
 func (t *Target) RecordReport(now time.Duration, r Report) ReportResult {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.hasReported && !t.isNewer(now, &r) && !t.confirms(now, &r) {
+	if !t.isNewer(now, &r) && !t.confirms(now, &r) {
 		return Stale
 	}
 	changed := !t.hasReported || t.left || r.ID != t.report.ID || r.StartUnixMs != t.report.StartUnixMs ||
@@ -145,18 +146,20 @@
 // later from the same one.
 func (t *Target) isNewer(now time.Duration, r *Report) bool {
 	switch {
+	case !t.hasReported:
+		return !r.StartsAhead
 	case isSameProcess(r, &t.report):
 		return r.Sequence > t.report.Sequence
 	case r.StartUnixMs == t.report.StartUnixMs:
 		return t.left || now-t.lastReport > t.silentAfter
 	}
-	return r.StartUnixMs > t.latestStart
+	return r.StartUnixMs > t.latestStart && !r.StartsAhead
 }
 
 // confirms reports whether r shows that another process than the recorded one is running, although it
-// seems to have started earlier: its reports continue, and none of the recorded process came between
-// them. The clock of the machine has then gone back. A single such report may be a delayed one of an
-// earlier process.
+// seems to have started earlier, or in the future: its reports continue, and none of the recorded process
+// came between them. The clock of the machine has then gone back. A single such report may be a delayed
+// one of an earlier process, or of another writer.
 func (t *Target) confirms(now time.Duration, r *Report) bool {
 	u := t.unconfirmed
 	switch {
--- a/policy/targetstate/target_test.go
+++ b/policy/targetstate/target_test.go
@@ -67,6 +67,26 @@
 	}
 }
 
+// Guards against ignoring a running target because the clock of its machine has gone back far since its
+// start, and against an odd report that replaces one.
+func TestStartAheadOfTheClock(t *testing.T) {
+	ahead := report(5000, 1)
+	ahead.StartsAhead = true
+	target := newTarget()
+	target.RecordReport(second, report(10, 1))
+	assert.Equal(t, target.RecordReport(1500*time.Millisecond, ahead), targetstate.Stale)
+	assert.Equal(t, target.RecordReport(2200*time.Millisecond, report(10, 2)), targetstate.Accepted)
+	assert.Equal(t, target.Status(3*second).StartUnixMs, int64(10))
+	agentRestarted := newTarget()
+	for now := second; now < 9*second; now += 1200 * time.Millisecond {
+		ahead.Sequence++
+		agentRestarted.RecordReport(now, ahead)
+		s := agentRestarted.Status(now + 100*time.Millisecond)
+		assert.Equal(t, s.Accepting, now > second, "%+v", s)
+		assert.Assert(t, !s.Ended)
+	}
+}
+
 // Guards against delayed reports of an earlier process that replace the running one.
 func TestDelayedReportsOfAnEarlierProcess(t *testing.T) {
 	target := newTarget()
