node/fleet, policy/roster: nodes whose clocks are far apart hear each other

What could be seen: a node that starts while its clock is ahead of the others' by more than a minute is ignored by all of them until it ends or the time has passed; after a restart, its agent counts as gone and its target's flows are reset. A node whose own clock has gone back by more than a minute ignores all nodes that started within that time, also those in the store. The answer that tells a process of its later incarnation was rejected as well then.

Cause: rejects incarnations that are more than a minute ahead of this node's clock, so that an odd record or message replaces no running node. Which of the two clocks is wrong isn't known.

Change: such an incarnation is rejected only while the heartbeats of a known one that isn't in the future continue, that is, until the first of them is missing. Unknown nodes, and what relays say of nodes that this one doesn't hear itself, are taken. Incarnations and sequences above 2^53 are rejected in any case.

Not run with real processes, whose clocks can't be set apart here.

--- a/node/fleet/convert.go
+++ b/node/fleet/convert.go
@@ -21,9 +21,11 @@
 	perMille = 1000
 	// maxNameBytes bounds the names of nodes and data centres.
 	maxNameBytes = 253
-	// maxClockAhead is more than the clock of another node can be ahead of this one. A node that seems to
-	// have started later than that would replace the real one, whose heartbeats then count as stale.
+	// maxClockAhead is more than clocks usually differ.
 	maxClockAhead = time.Minute
+	// maxIncarnation is later than any clock shows, and maxSequence more than any node counts up to.
+	maxIncarnation = 1 << 53
+	maxSequence    = 1 << 53
 	// maxInterval is more than any interval of heartbeats. A node that promised none for longer would be
 	// taken for running after its end.
 	maxInterval = 2 * time.Minute
@@ -34,7 +36,8 @@
 	maxStoreEra = 1 << 32
 )
 
-// latestIncarnation returns the latest incarnation that a node may have by this node's clock. It is read
+// latestIncarnation returns the latest incarnation that a node has by this node's clock if no clock is
+// wrong. It is read
 // once a message, because a digest describes many nodes.
 func latestIncarnation() ident.Incarnation {
 	return ident.Incarnation(time.Now().Add(maxClockAhead).UnixMicro())
@@ -42,7 +45,7 @@
 
 // checkNode checks a node as another node or a record in the store, which may be of another writer,
 // describes it.
-func checkNode(latest ident.Incarnation, n *roster.Node) error {
+func checkNode(n *roster.Node) error {
 	address := n.Address.Addr()
 	switch {
 	case n.Name == "" || len(n.Name) > maxNameBytes || !utf8.ValidString(n.Name):
@@ -51,7 +54,7 @@
 		return errors.Errorf("data centre of %d bytes", len(n.DataCentre))
 	case !address.Is4() || address.IsUnspecified() || address.IsMulticast() || n.Address.Port() == 0:
 		return errors.Errorf("node address %v", n.Address)
-	case n.Incarnation == 0 || n.Incarnation > latest:
+	case n.Incarnation == 0 || n.Incarnation > maxIncarnation:
 		return errors.Errorf("incarnation %d", n.Incarnation)
 	}
 	return nil
@@ -59,11 +62,14 @@
 
 // checkHeartbeat checks a heartbeat of a node.
 func checkHeartbeat(latest ident.Incarnation, n *roster.Node, hb *roster.Heartbeat) error {
-	// Even a node that sent a heartbeat in each microsecond since its start would not have sent more.
-	maxSequence := uint64(latest - n.Incarnation)
+	limit := uint64(maxSequence)
+	if n.Incarnation <= latest {
+		// Even a node that sent a heartbeat in each microsecond since its start would not have sent more.
+		limit = uint64(latest - n.Incarnation)
+	}
 	t := &hb.Target
 	switch {
-	case hb.Sequence > maxSequence:
+	case hb.Sequence > limit:
 		return errors.Errorf("sequence %d", hb.Sequence)
 	case hb.Interval > maxInterval:
 		return errors.Errorf("interval of %v", hb.Interval)
@@ -87,7 +93,7 @@
 	}
 }
 
-func fromNode(latest ident.Incarnation, m *fleetv1.Node) (roster.Node, error) {
+func fromNode(m *fleetv1.Node) (roster.Node, error) {
 	address, err := netip.ParseAddrPort(m.GetAddress())
 	if err != nil {
 		return roster.Node{}, errors.Wrap(err, "node address")
@@ -96,7 +102,7 @@
 		ID: ident.NewNodeID(m.GetName()), Name: m.GetName(), Incarnation: ident.Incarnation(m.GetIncarnation()),
 		Entry: m.GetEntry(), DataCentre: ident.DataCentre(m.GetDataCentre()), Address: address,
 	}
-	return n, checkNode(latest, &n)
+	return n, checkNode(&n)
 }
 
 func toHeartbeat(n *roster.Node, hb *roster.Heartbeat, join bool) *fleetv1.Heartbeat {
@@ -118,7 +124,7 @@
 }
 
 func fromHeartbeat(latest ident.Incarnation, h *fleetv1.Heartbeat) (roster.Node, roster.Heartbeat, error) {
-	n, err := fromNode(latest, h.GetSender())
+	n, err := fromNode(h.GetSender())
 	if err != nil {
 		return n, roster.Heartbeat{}, err
 	}
--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -462,10 +462,22 @@
 	}
 }
 
+// checkStart returns an error if another node, or a record, describes a node with a start in the future
+// and the node's heartbeats show that it is of another writer.
+func (f *Fleet) checkStart(now time.Duration, latest ident.Incarnation, n *roster.Node, relayed bool) error {
+	if f.Roster.IsCredible(now, latest, *n, relayed) {
+		return nil
+	}
+	return errors.Errorf("incarnation %d of %s is in the future", n.Incarnation, n.Name)
+}
+
 // handleHeartbeat applies a heartbeat. It answers with one of this node if the sender is new or
 // requests nodes, and with the list of nodes if requested.
 func (f *Fleet) handleHeartbeat(now time.Duration, latest ident.Incarnation, h *fleetv1.Heartbeat) {
 	n, hb, err := fromHeartbeat(latest, h)
+	if err == nil {
+		err = f.checkStart(now, latest, &n, false)
+	}
 	if err != nil {
 		f.rejectMessage("heartbeat", err)
 		return
@@ -529,7 +541,10 @@
 
 // addReceivedNode adds a node from another node's answer to a join request.
 func (f *Fleet) addReceivedNode(now time.Duration, latest ident.Incarnation, n *fleetv1.Node, source string) {
-	node, err := fromNode(latest, n)
+	node, err := fromNode(n)
+	if err == nil {
+		err = f.checkStart(now, latest, &node, false)
+	}
 	if err != nil {
 		f.rejectMessage("node", err)
 		return
@@ -540,6 +555,9 @@
 // addAbsentNode records what another node knows of a node that is away.
 func (f *Fleet) addAbsentNode(now time.Duration, latest ident.Incarnation, m *fleetv1.News) {
 	n, err := fromNews(latest, m)
+	if err == nil {
+		err = f.checkStart(now, latest, &n.Node, false)
+	}
 	if err != nil {
 		f.rejectMessage("absent node", err)
 		return
--- a/node/fleet/heartbeats.go
+++ b/node/fleet/heartbeats.go
@@ -301,6 +301,9 @@
 	f.Roster.RecordDigest(now, dc)
 	for _, m := range d.GetNews() {
 		n, err := fromNews(latest, m)
+		if err == nil {
+			err = f.checkStart(now, latest, &n.Node, true)
+		}
 		if err != nil {
 			f.rejectMessage("digest", err)
 			continue
--- a/node/fleet/membership_test.go
+++ b/node/fleet/membership_test.go
@@ -355,3 +355,34 @@
 	assert.Assert(t, restarted.incarnation.Load() > uint64(restarted.Self.Incarnation))
 	m.assertNone(t, roster.Gone, 0, time.Second)
 }
+
+// Guards against nodes that ignore each other because their clocks differ by more than clocks usually do.
+func TestClocksAnHourApart(t *testing.T) {
+	t.Parallel()
+	m := newTestMembers(t, 9)
+	for i := range 3 {
+		m.start(t, false, i%2)
+	}
+	m.awaitAcquainted(t)
+	for _, clockBack := range []time.Duration{-time.Hour, 0, time.Hour, -time.Hour} {
+		m.kill(m.running[0])
+		m.clockBack = clockBack
+		restarted := m.startAt(t, false, 0, 1)
+		m.running = append([]*testMember{restarted}, m.running[:len(m.running)-1]...)
+		for _, n := range m.running[1:] {
+			for until := time.Now().Add(reorderBound); ; time.Sleep(checkInterval) {
+				p, ok := n.Roster.Find(restarted.Self.ID)
+				assert.Assert(t, ok && p.Health(Now()) != roster.Gone, "clock back by %v: %s: %+v", clockBack, n.Self.Name, p)
+				if uint64(p.Incarnation) == restarted.incarnation.Load() && p.Health(Now()) == roster.Live {
+					break
+				}
+				assert.Assert(t, time.Now().Before(until), "clock back by %v: %s: %+v", clockBack, n.Self.Name, p)
+			}
+		}
+		m.awaitAcquainted(t)
+		m.assertNone(t, roster.Suspect, 200*time.Millisecond, 2*time.Second)
+	}
+	m.clockBack = -time.Hour
+	m.start(t, true, 1) // knows nobody
+	m.awaitAcquainted(t)
+}
--- a/node/fleet/store.go
+++ b/node/fleet/store.go
@@ -250,12 +250,15 @@
 		r := &records[i]
 		if r.Name == f.Self.Name {
 			ownFound = r.Incarnation <= f.incarnation.Load() && r.Address == f.Self.Address.String()
-			if n, err := fromRecord(latest, r); err == nil {
+			if n, err := fromRecord(r); err == nil {
 				f.observeOwnIncarnation(n.Incarnation, "store")
 			}
 			continue
 		}
-		n, err := fromRecord(latest, r)
+		n, err := fromRecord(r)
+		if err == nil {
+			err = f.checkStart(now, latest, &n, false)
+		}
 		if err != nil {
 			_ = level.Warn(f.options.Logger).Log(logging.KeyMessage, "node record rejected", logging.KeyPeer, r.Name,
 				logging.KeyReason, err)
@@ -271,7 +274,7 @@
 }
 
 // fromRecord returns the node that a record describes.
-func fromRecord(latest ident.Incarnation, r *platform.NodeRecord) (roster.Node, error) {
+func fromRecord(r *platform.NodeRecord) (roster.Node, error) {
 	address, err := netip.ParseAddrPort(r.Address)
 	if err != nil {
 		return roster.Node{}, errors.Wrap(err, "address")
@@ -280,7 +283,7 @@
 		ID: ident.NewNodeID(r.Name), Name: r.Name, Incarnation: ident.Incarnation(r.Incarnation), Entry: r.Entry,
 		DataCentre: ident.DataCentre(r.DataCentre), Address: address,
 	}
-	return n, checkNode(latest, &n)
+	return n, checkNode(&n)
 }
 
 // removeStaleRecords deletes records of nodes that are gone for good, also those of agents that a
--- a/policy/roster/roster.go
+++ b/policy/roster/roster.go
@@ -236,6 +236,11 @@
 // flows.
 func (p *Peer) Overdue(now time.Duration) bool { return p.silence(now) > p.suspectAfter() }
 
+// hasMissedOne reports whether a heartbeat or digest of the peer is late by more than intervalSlack.
+func (p *Peer) hasMissedOne(now time.Duration) bool {
+	return p.silence(now) > p.expectedInterval()+intervalSlack
+}
+
 // Change is what a heartbeat changed.
 type Change uint8
 
@@ -358,6 +363,18 @@
 	return false
 }
 
+// IsCredible reports whether a node may have the incarnation that it is described with. One after latest,
+// the latest by this node's clock, may be that of a process that started while a clock was wrong; but it
+// replaces no incarnation up to latest whose heartbeats continue. relayed is whether a relay of the node's
+// data centre, which hears those heartbeats, describes it.
+func (r *Roster) IsCredible(now time.Duration, latest ident.Incarnation, n Node, relayed bool) bool {
+	if n.Incarnation <= latest || n.ID == r.self {
+		return true
+	}
+	p, ok := r.Find(n.ID)
+	return !ok || p.Incarnation > latest || !p.HeartbeatSeen || p.Leaving || relayed && p.ViaDigest || p.hasMissedOne(now)
+}
+
 // recordHeartbeat records a heartbeat that was sent at the time at.
 func (r *Roster) recordHeartbeat(now, at time.Duration, n Node, heartbeat Heartbeat) Change {
 	if n.ID == r.self {
