node/packetagent: an unconfirmed report says nothing of the target's drain

After a first report that has to be confirmed wrote "not draining" for a target that had announced its end to the agent before this one, until its next report. Only recorded reports count now. Found by reading; nothing was seen.

--- a/node/packetagent/agent.go
+++ b/node/packetagent/agent.go
@@ -188,10 +188,12 @@
 	if result == targetstate.Accepted {
 		return nil
 	}
-	if before.StartUnixMs != r.StartUnixMs && result == targetstate.Changed {
-		a.flows.Clear()
+	if result == targetstate.Changed {
+		if before.StartUnixMs != r.StartUnixMs {
+			a.flows.Clear()
+		}
+		a.fleet.RecordTargetReport(a.targetState.Draining())
 	}
-	a.fleet.RecordTargetReport(a.targetState.Draining())
 	a.announceCall("report "+string(result), &r)
 	return nil
 }
