bench/flows: test of open flows whose entries, or all nodes, are frozen

TestFlowsOutliveAFreeze (real processes; SIGSTOP for 2.5 s, 24 open flows with a request on the way): flows whose targets run are reset when the frozen processes continue.

--- a/bench/flows/flows_test.go
+++ b/bench/flows/flows_test.go
@@ -454,3 +454,46 @@
 	assertOutcome(t, flow, "after", platformtest.Answered)
 	assertOutcome(t, f.openFlow(t), "new", platformtest.Answered)
 }
+
+// Guards against resets by nodes that were frozen and take the silence that they have not listened to for that of
+// the others.
+func TestFlowsOutliveAFreeze(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		agents bool // are frozen as well
+	}{
+		{"entries", false},
+		{"all nodes", true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			f := start(t, map[string]int{"a": 3})
+			var open []*platformtest.Flow
+			for i := range 24 {
+				flow := f.openFlow(t)
+				assertOutcome(t, flow, fmt.Sprint("before-", i), platformtest.Answered)
+				open = append(open, flow)
+			}
+			time.Sleep(2 * time.Second) // all nodes have heartbeats of each other
+			frozen := f.Entries
+			if c.agents {
+				frozen = f.Nodes()
+			}
+			for _, n := range frozen {
+				n.Signal(syscall.SIGSTOP)
+			}
+			var requests sync.WaitGroup
+			for i, flow := range open {
+				requests.Go(func() {
+					got, _, _ := flow.Request(fmt.Sprint("after-", i), 6*time.Second)
+					assert.Check(t, got == platformtest.Answered, "after-%d on %s: %v", i, flow.ID, got)
+				})
+			}
+			time.Sleep(2500 * time.Millisecond)
+			for _, n := range frozen {
+				n.Signal(syscall.SIGCONT)
+			}
+			requests.Wait()
+		})
+	}
+}
