--- a/bench/flows/flows_test.go
+++ b/bench/flows/flows_test.go
@@ -482,3 +482,95 @@
 		})
 	}
 }
+
+// Guards against resets of open flows of a target that seems to have started before the one that it replaces.
+func TestFlowsOutliveAClockThatHasGoneBack(t *testing.T) {
+	t.Parallel()
+	f := start(t, map[string]int{"a": 3})
+	n := f.Agents[0]
+	for _, clockOffset := range []time.Duration{5 * time.Second, 0} {
+		target, service := f.Target(n)
+		target.Crash()
+		assert.NilError(t, f.StartTargetWithClock(n, service, clockOffset))
+		time.Sleep(100 * time.Millisecond) // until its first report
+	}
+	target, _ := f.Target(n)
+	var open []*platformtest.Flow
+	for i := 0; len(open) < 6; i++ {
+		assert.Assert(t, i < 400, "the target gets no flows")
+		flow := f.openFlow(t)
+		assertOutcome(t, flow, fmt.Sprint("before-", i), platformtest.Answered)
+		if target.Holds(flow.ID) {
+			open = append(open, flow)
+		}
+	}
+	time.Sleep(5 * time.Second) // idle flows give no sign that the target is running
+	for i, flow := range open {
+		assertOutcome(t, flow, fmt.Sprint("after-", i), platformtest.Answered)
+	}
+	assertOutcome(t, f.openFlow(t), "new", platformtest.Answered)
+	before := target.OpenFlows()
+	for i := 0; target.OpenFlows() == before; i++ {
+		assert.Assert(t, i < 50, "the target gets no new flows")
+		f.openFlow(t)
+	}
+}
+
+// Guards against resets of open flows of a target whose machine's clock has gone back by an hour since its start.
+func TestFlowsOutliveAClockThatHasGoneFarBack(t *testing.T) {
+	t.Parallel()
+	f := start(t, map[string]int{"a": 2})
+	for _, n := range f.Agents {
+		target, service := f.Target(n)
+		target.Crash()
+		assert.NilError(t, f.StartTargetWithClock(n, service, time.Hour))
+	}
+	flow := f.openFlow(t)
+	assertOutcome(t, flow, "before", platformtest.Answered)
+	time.Sleep(5 * time.Second) // an idle flow gives no sign that its target is running
+	assertOutcome(t, flow, "after", platformtest.Answered)
+	assertOutcome(t, f.openFlow(t), "new", platformtest.Answered)
+}
+
+// Guards against resets by nodes that were frozen and take the silence that they have not listened to for that of
+// the others.
+func TestFlowsOutliveAFreeze(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		agents bool // are frozen as well
+	}{
+		{"entries", false},
+		{"all nodes", true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			f := start(t, map[string]int{"a": 3})
+			var open []*platformtest.Flow
+			for i := range 24 {
+				flow := f.openFlow(t)
+				assertOutcome(t, flow, fmt.Sprint("before-", i), platformtest.Answered)
+				open = append(open, flow)
+			}
+			time.Sleep(2 * time.Second) // all nodes have heartbeats of each other
+			frozen := f.Entries
+			if c.agents {
+				frozen = f.Nodes()
+			}
+			for _, n := range frozen {
+				n.Signal(syscall.SIGSTOP)
+			}
+			var requests sync.WaitGroup
+			for i, flow := range open {
+				requests.Go(func() {
+					got, _, _ := flow.Request(fmt.Sprint("after-", i), 6*time.Second)
+					assert.Check(t, got == platformtest.Answered, "after-%d on %s: %v", i, flow.ID, got)
+				})
+			}
+			time.Sleep(2500 * time.Millisecond)
+			for _, n := range frozen {
+				n.Signal(syscall.SIGCONT)
+			}
+			requests.Wait()
+		})
+	}
+}
