bench/flows: test of open flows at entries that start with the older routes of a restored store (red)

The entries list the store first, then fetch the newer routes from an agent some 10 ms later; in between they answer with reason="route removed".

LACEWING_BIN=$PWD/bin go test -count=1 -run TestFlowsOutliveEntriesThatStartWithOlderRoutes ./bench/flows/

--- /dev/null
+++ b/bench/flows/routes_test.go
@@ -0,0 +1,59 @@
+package flows_test
+
+import (
+	"fmt"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lacewinglever.dev/platform/platformtest"
+)
+
+// openFlows opens n flows to an address.
+func (f *fixture) openFlows(t *testing.T, to netip.AddrPort, n int) []*platformtest.Flow {
+	t.Helper()
+	var open []*platformtest.Flow
+	for i := range n {
+		flow := f.caller.Open(to)
+		assert.Assert(t, flow != nil, "flow %d", i)
+		open = append(open, flow)
+	}
+	return open
+}
+
+// assertAnswered sends a request on each flow, one every interval, and waits for the answers.
+func assertAnswered(t *testing.T, open []*platformtest.Flow, interval, timeout time.Duration) {
+	t.Helper()
+	var requests sync.WaitGroup
+	for i, flow := range open {
+		requests.Go(func() {
+			got, _, _ := flow.Request(fmt.Sprint("after-", i), timeout)
+			assert.Check(t, got == platformtest.Answered, "after-%d on %s: %v", i, flow.ID, got)
+		})
+		time.Sleep(interval)
+	}
+	requests.Wait()
+}
+
+// Guards against resets of open flows by entries that start with the older routes of a restored store.
+func TestFlowsOutliveEntriesThatStartWithOlderRoutes(t *testing.T) {
+	t.Parallel()
+	f := start(t, map[string]int{"a": 3, "b": 2})
+	saved := f.Store.Copy()
+	f.Store.PutRoutes(4, []string{"a", "b"}, routesOf(idleRoute(9100)))
+	time.Sleep(routesBound)
+	open := f.openFlows(t, netip.MustParseAddrPort("198.18.0.3:9100"), 300)
+	f.Store.Restore(saved)
+	var restarts sync.WaitGroup
+	for _, n := range f.Entries {
+		restarts.Go(func() {
+			n.Stop()
+			assert.Check(t, n.Launch())
+		})
+	}
+	restarts.Wait()
+	assertAnswered(t, open, time.Millisecond, 8*time.Second)
+}
