node/packetentry, policy/steering: an entry resets flows of an unknown route only once its routes can't be older

Callers saw open flows of living targets reset with reason="route removed" by an entry whose table was older than that of the entry at which the flow had opened. Cause: searchOwner took a route that its table lacks for removed. A flow that is open had its route where it opened, so the table here may be older: an entry that starts from an older copy of the store, from a peer that lags, or that a change reaches a little later.

Now the packets of such a flow are held (package holding), then dropped, and the flow is reset once 3 s, in which every change must be in force, have passed since its first packet here without a route. The time is kept for each flow, not for each address, because a route may be added at any time; a removal that this entry has seen is no evidence either, because the route may have been added again. At most 8192 flows are kept; further ones wait. Openings on unknown routes are reset at once, as before.

--- a/bench/flows/routes_test.go
+++ b/bench/flows/routes_test.go
@@ -57,3 +57,26 @@
 	restarts.Wait()
 	assertAnswered(t, open, time.Millisecond, 8*time.Second)
 }
+
+// Guards against callers that wait for their deadline on flows of a removed route.
+func TestFlowsOfARemovedRouteAreReset(t *testing.T) {
+	t.Parallel()
+	f := start(t, map[string]int{"a": 2, "b": 2})
+	f.Store.PutRoutes(4, []string{"a", "b"}, routesOf(idleRoute(9100)))
+	time.Sleep(routesBound)
+	open := f.openFlows(t, netip.MustParseAddrPort("198.18.0.3:9100"), 8)
+	f.Store.PutRoutes(7, []string{"a", "b"}, routesOf())
+	for _, n := range f.Entries {
+		n.Kill()
+		assert.NilError(t, n.Launch())
+		f.waitUntilReady(t, n)
+	}
+	var requests sync.WaitGroup
+	for i, flow := range open {
+		requests.Go(func() {
+			got, _, _ := flow.Request(fmt.Sprint("after-", i), 2*routesBound)
+			assert.Check(t, got == platformtest.WasReset, "%s: %v", flow.ID, got)
+		})
+	}
+	requests.Wait()
+}
--- a/node/packetentry/entry.go
+++ b/node/packetentry/entry.go
@@ -55,6 +55,7 @@
 	conn       *net.UDPConn
 	callerPort uint16 // port of the address to which resets are sent
 	flows      *flowTable
+	unrouted   steering.UnroutedFlows
 	stopping   atomic.Bool
 	wasReady   atomic.Bool // ready has returned true
 	logs       fleet.DecisionLogs
@@ -192,7 +193,9 @@
 		if t := e.fleet.Routes.Load(); t != nil && t.IdleTimeout > 0 {
 			idle = t.IdleTimeout
 		}
-		e.flows.expire(fleet.Now(), idle+idleSlack)
+		now := fleet.Now()
+		e.flows.expire(now, idle+idleSlack)
+		e.unrouted.Expire(now)
 	})
 }
 
@@ -368,6 +371,10 @@
 	if table != nil {
 		route, ok := table.Lookup(flow.Service())
 		if !ok {
+			if e.unrouted.Judge(now, flow) == steering.Unknown {
+				e.hold(now, pending, "route unknown", table.Position)
+				return
+			}
 			e.resetFlow(flow, p, "route removed", table)
 			return
 		}
