--- a/node/packetagent/agent_test.go
+++ b/node/packetagent/agent_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync"
 	"testing"
 	"time"
 
@@ -11,6 +12,7 @@
 	"lacewinglever.dev/node/fleet"
 	"lacewinglever.dev/platform"
 	"lacewinglever.dev/platform/platformtest"
+	"lacewinglever.dev/policy/routes"
 	"lacewinglever.dev/policy/targetstate"
 )
 
@@ -31,6 +33,47 @@
 	return a
 }
 
+// startFleet runs the membership of an agent until its routes and roster are known.
+func startFleet(t *testing.T, a *Agent) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	var running sync.WaitGroup
+	running.Go(func() { assert.Check(t, a.fleet.Run(ctx)) })
+	t.Cleanup(func() { cancel(); running.Wait() })
+	for until := time.Now().Add(5 * time.Second); a.fleet.Routes.Load() == nil || !a.fleet.RosterComplete(fleet.Now()); {
+		assert.Assert(t, time.Now().Before(until), "the roster stays incomplete")
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// openFlowPacket returns a caller's packet of an open flow, without data.
+func openFlowPacket() platform.Packet {
+	p := make(platform.Packet, platform.HeaderSize)
+	p[0] = 1 // acknowledges
+	return p
+}
+
+// Guards against resets of open flows by an agent with older routes than the entry, which may lack services of
+// the flow's route.
+func TestSearchEndsOnlyWithTheRoutesOfTheEntry(t *testing.T) {
+	store, err := platformtest.NewStore("127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(store.Close)
+	store.PutRoutes(4, []string{"a"}, nil)
+	a := newTestAgent(t, store)
+	startFleet(t, a)
+	resets := a.counters.Set.GetOrCreateCounter(`lacewing_flows_reset_total{reason="no target holds the flow"}`)
+	newer := a.fleet.Routes.Position()
+	newer.Version++
+	for i, at := range []routes.Position{newer, a.fleet.Routes.Position()} {
+		now := fleet.Now()
+		a.forwardToNextAgent(now, &pendingPacket{Arrived: now,
+			Value: fleet.ForwardedPacket{Service: "a", Origin: "dc", Routes: at, Packet: openFlowPacket()}})
+		assert.Equal(t, int(resets.Get()), i, "packet of routes %v", at)
+		assert.Equal(t, a.held.Len(), 1)
+	}
+}
+
 // Guards against the loss of the record of an agent that is restarted while its target drains.
 func TestStopKeepsTheRecordOfADrainingTarget(t *testing.T) {
 	for _, left := range []bool{false, true} {
