node/packetagent: a search doesn't end at an agent whose routes are older than the entry's

An agent searches at the services that its own table names for the flow's route, and at that of the packet. With older routes it may lack services: a route that was added and whose weights then changed, before the agent has the first of the changes. It then found that no target holds the flow, and reset it. Now such a packet is held, as with an incomplete roster, until the routes are at least those in the packet, or dropped.

Shown by a test of one agent (TestSearchEndsOnlyWithTheRoutesOfTheEntry, red before). Not seen with real processes: the table has to be two changes behind. Resets of lost flows are as fast as before (TestLostFlowsAreReset) unless the routes have just changed.

--- a/node/packetagent/agent.go
+++ b/node/packetagent/agent.go
@@ -533,6 +533,12 @@
 	return services
 }
 
+// knowsCandidates reports whether this node knows all agents that may hold the flow of a packet. Routes older
+// than the entry's may lack services of the flow's route.
+func (a *Agent) knowsCandidates(now time.Duration, fp *fleet.ForwardedPacket) bool {
+	return fp.Service != "" && a.fleet.RosterComplete(now) && !fleet.AreRoutesNewer(fp.Routes, a.fleet.Routes.Position())
+}
+
 // forward sends a packet to another agent.
 func (a *Agent) forward(to netip.AddrPort, fp *fleet.ForwardedPacket) {
 	if !a.fleet.Send(to, fp) {
@@ -619,7 +625,7 @@
 	flow := p.CallerFlow()
 	a.markTried(fp)
 	a.withRankedAgents(flow, fp, a.searchServices(flow, fp), func(agents []roster.Peer) {
-		index, result := steering.NextCandidate(now, agents, fp.Tried, fp.Service != "" && a.fleet.RosterComplete(now))
+		index, result := steering.NextCandidate(now, agents, fp.Tried, a.knowsCandidates(now, fp))
 		outcome := ""
 		switch result {
 		case steering.Continue:
