--- a/node/fleet/membership_test.go
+++ b/node/fleet/membership_test.go
@@ -253,6 +253,50 @@
 	}
 }
 
+// Guards against nodes that start together with clocks behind, take each other's rosters for complete and leave
+// out nodes that are being restarted.
+func TestNodesThatStartTogetherWithClocksBehindWaitForThoseThatAreAway(t *testing.T) {
+	t.Parallel()
+	m := newTestMembers(t, 8)
+	for range 2 {
+		m.start(t, false, 0)
+	}
+	m.awaitAcquainted(t)
+	time.Sleep(settlingTime)
+	away := m.running[0]
+	away.Leave()
+	for until := time.Now().Add(2 * time.Second); ; time.Sleep(checkInterval) {
+		if p, _ := m.running[1].Roster.Find(away.Self.ID); p.Leaving {
+			break
+		}
+		assert.Assert(t, time.Now().Before(until), "the stop is not announced")
+	}
+	m.kill(away)
+	m.clockBack = 2400 * time.Millisecond
+	var started []*testMember
+	for range 8 {
+		started = append(started, m.start(t, false, 0))
+	}
+	for until := time.Now().Add(4 * time.Second); time.Now().Before(until); time.Sleep(checkInterval) {
+		for _, n := range started {
+			p, ok := n.Roster.Find(away.Self.ID)
+			assert.Assert(t, !n.RosterComplete(Now()) || ok && p.Health(Now()) != roster.Gone, "%s: known %v, %+v", n.Self.Name, ok, p)
+		}
+	}
+}
+
+// Guards against a roster that counts as complete by the answer of a node that has just started too, before a
+// node that has run for longer is heard.
+func TestAnswersBeforeHeartbeatsOfNodesThatRun(t *testing.T) {
+	f := newStoreFleet(t, "n")
+	f.storeListed.Store(true)
+	f.Roster.Add(f.started, roster.Node{ID: 1, Name: "registered", Incarnation: 1}, "s", false)
+	f.Roster.RecordHeartbeat(f.started, roster.Node{ID: 2, Name: "fresh", Incarnation: f.Self.Incarnation}, roster.Heartbeat{Sequence: 1})
+	f.recordAnswer(f.started+joinInterval, false)
+	assert.Assert(t, !f.RosterComplete(f.started+joinInterval))
+	assert.Assert(t, f.RosterComplete(f.started+heartbeatWindow+1))
+}
+
 // Guards against a roster that counts as complete by the answer of a node that has just started too.
 func TestAnswersOfNodesThatHaveJustStarted(t *testing.T) {
 	f := newStoreFleet(t, "n")
