node/fleet, policy/roster: a starting node tells nodes that run for longer by their uptime, and waits for those it hasn't heard

Nodes that had just started took their rosters for complete by the answer of another fresh node, stopped asking, and never heard of a node that was being restarted: it counted as gone 1.5 s after their start, instead of 8 s after its stop, and its flows were reset ("no target holds the flow").

Causes: (1) who has run for longer was judged by the time of day of both starts, so clocks that differ by 2.4 s hide a node that started up to 4.4 s earlier; (2) a node that is registered but hasn't been heard yet was taken to know nothing. Heartbeats now tell the uptime of their sender (new optional field, 10 s at most, so 3 bytes; monotonic clock). A node without it, of an older release, is judged by the time of day as before. An answer of a fresh node completes the roster only if every known node has been heard and none has run for longer; else the node waits for a settled answer or for the heartbeat window of 1.2 s, as before in the other cases. Until then it only asks nodes that have run for longer, so that a common start makes no more requests than before.

--- a/node/fleet/convert.go
+++ b/node/fleet/convert.go
@@ -104,6 +104,7 @@
 		Sender: toNode(n), Sequence: hb.Sequence, Leaving: hb.Leaving, Join: join,
 		Revision: hb.Routes.Revision, Era: hb.Routes.Era, Version: hb.Routes.Version, StoreEra: hb.StoreEra,
 		IntervalMs: uint32(hb.Interval.Milliseconds()), Digested: hb.ViaDigest, Direct: hb.Direct, StoreLost: hb.StoreLost,
+		UptimeMs: uint32(min(hb.Uptime, roster.MaxUptime).Milliseconds()),
 	}
 	if n.Entry {
 		return h
@@ -127,7 +128,7 @@
 		Sequence: h.GetSequence(), Leaving: h.GetLeaving(), StoreEra: h.GetStoreEra(),
 		Routes:   routes.Position{Version: h.GetVersion(), Era: h.GetEra(), Revision: h.GetRevision()},
 		Interval: time.Duration(h.GetIntervalMs()) * time.Millisecond, ViaDigest: h.GetDigested(),
-		Direct: h.GetDirect(), StoreLost: h.GetStoreLost(),
+		Direct: h.GetDirect(), StoreLost: h.GetStoreLost(), Uptime: time.Duration(h.GetUptimeMs()) * time.Millisecond,
 		Target: roster.Target{
 			Service: t.GetService(), ID: t.GetId(), StartUnixMs: t.GetBornUnixMs(), Accepting: t.GetAccepting(),
 			Ended: t.GetAbsent(), MayHaveEnded: t.GetDoubtful(), Rate: float64(t.GetRate()), Failing: float64(t.GetFailing()),
--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -238,10 +238,10 @@
 }
 
 // recordAnswer records that a node has answered a join request, settled or not. Its answer completes the
-// roster also if no node is known that may know more.
+// roster also if all known nodes have started together.
 func (f *Fleet) recordAnswer(now time.Duration, settled bool) {
 	f.answered.Store(true)
-	if !settled && f.Roster.HasEarlier(now, f.Self.Incarnation, settlingTime) {
+	if !settled && f.Roster.MayHaveEarlier(now, now-f.started, f.Self.Incarnation, settlingTime) {
 		return
 	}
 	if !f.joined.Swap(true) {
@@ -373,8 +373,13 @@
 			}
 		}
 		peers := f.Roster.Peers()
-		settled := func(p *roster.Peer) bool { return p.Running(now) && p.StartedBefore(f.Self.Incarnation, settlingTime) }
+		settled := func(p *roster.Peer) bool {
+			return p.Running(now) && p.RanBefore(now, now-f.started, f.Self.Incarnation, settlingTime)
+		}
 		if !slices.ContainsFunc(peers, func(p roster.Peer) bool { return settled(&p) }) {
+			if f.answered.Load() {
+				continue // the others know no more; one that has run for longer may still be heard
+			}
 			settled = func(p *roster.Peer) bool { return p.Running(now) }
 		}
 		for _, p := range heartbeat.Sample(joinPeers, peers, settled, rand.IntN) {
--- a/node/fleet/heartbeats.go
+++ b/node/fleet/heartbeats.go
@@ -163,7 +163,7 @@
 // ownHeartbeat returns this node's next heartbeat, without the fields that depend on the receiver.
 func (f *Fleet) ownHeartbeat(now time.Duration) roster.Heartbeat {
 	hb := roster.Heartbeat{Routes: f.Routes.Position(), StoreEra: f.storeEra.Load(), Leaving: f.leaving.Load(),
-		Direct: f.reachesAll(now), StoreLost: f.storeLost.Load()}
+		Direct: f.reachesAll(now), StoreLost: f.storeLost.Load(), Uptime: now - f.started}
 	f.options.Handler.FillHeartbeat(now, &hb)
 	hb.Sequence = f.sequence.Add(1)
 	f.outgoing.mu.Lock()
--- a/policy/roster/roster.go
+++ b/policy/roster/roster.go
@@ -60,6 +60,9 @@
 	restartTimeout = 8 * time.Second
 	// expireAfter is the silence after which a node is removed.
 	expireAfter = time.Minute
+	// MaxUptime bounds the uptime in heartbeats, to keep them small. It exceeds the time in which a node
+	// joins its fleet.
+	MaxUptime = 10 * time.Second
 	// minRunningSilence is the least silence, before notRunningSlack, after which a node counts as
 	// not running: nodes without flows here send a heartbeat every second.
 	minRunningSilence = 2300 * time.Millisecond
@@ -75,11 +78,6 @@
 	Address     netip.AddrPort // for datagrams and RPCs between nodes
 }
 
-// StartedBefore reports whether the node was started longer than d before the time of day start.
-func (n *Node) StartedBefore(start ident.Incarnation, d time.Duration) bool {
-	return n.Incarnation+ident.Incarnation(d.Microseconds()) < start
-}
-
 // Target is the state of an agent's target, as its heartbeats report it.
 type Target struct {
 	Service      string // empty until a target has reported
@@ -102,6 +100,8 @@
 	Routes   routes.Position // of the routes in force at the sender
 	StoreEra uint64          // highest era of the store that the sender knows, 0 if none
 	Leaving  bool            // the process is stopping
+	// Uptime is how long the sender has run, at most MaxUptime; 0 if it doesn't tell.
+	Uptime time.Duration
 	// StoreLost is set if the sender has tried to read the store and can't reach it.
 	StoreLost bool
 	Target    Target // agents only
@@ -143,6 +143,15 @@
 	lastDigest      time.Duration // time of the last digest of its data centre if it is ViaDigest and not Silent, else 0
 }
 
+// RanBefore reports whether the peer has run for longer than d when a node of this uptime and incarnation
+// started. Only a peer that doesn't tell its uptime is judged by the time of day.
+func (p *Peer) RanBefore(now, uptime time.Duration, start ident.Incarnation, d time.Duration) bool {
+	if p.Uptime > 0 {
+		return p.Uptime+now-p.LastSeen > uptime+d
+	}
+	return p.Incarnation+ident.Incarnation(d.Microseconds()) < start
+}
+
 // PlacedLoad returns the decayed number of flows that were placed on the peer since its last
 // heartbeat.
 func (p *Peer) PlacedLoad(now time.Duration) float64 {
@@ -346,12 +355,13 @@
 	return absent
 }
 
-// HasEarlier reports whether a running peer was started longer than d before the time of day start.
-func (r *Roster) HasEarlier(now time.Duration, start ident.Incarnation, d time.Duration) bool {
+// MayHaveEarlier reports whether a running peer has run for longer than d when a node of this uptime and
+// incarnation started, or may have: no heartbeat of it has arrived.
+func (r *Roster) MayHaveEarlier(now, uptime time.Duration, start ident.Incarnation, d time.Duration) bool {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	for _, p := range r.peers {
-		if p.StartedBefore(start, d) && r.isRunning(now, p) {
+		if !p.HeartbeatSeen || p.RanBefore(now, uptime, start, d) && r.isRunning(now, p) {
 			return true
 		}
 	}
