--- a/bench/flows/routes_test.go
+++ b/bench/flows/routes_test.go
@@ -12,7 +12,7 @@
 	"lacewinglever.dev/platform/platformtest"
 )
 
-// openFlows opens n flows to an address.
+// openFlows opens n flows to an address and sends a request on each.
 func (f *fixture) openFlows(t *testing.T, to netip.AddrPort, n int) []*platformtest.Flow {
 	t.Helper()
 	var open []*platformtest.Flow
@@ -21,17 +21,18 @@
 		assert.Assert(t, flow != nil, "flow %d", i)
 		open = append(open, flow)
 	}
+	assertAnswered(t, open, "before", time.Millisecond, 8*time.Second)
 	return open
 }
 
 // assertAnswered sends a request on each flow, one every interval, and waits for the answers.
-func assertAnswered(t *testing.T, open []*platformtest.Flow, interval, timeout time.Duration) {
+func assertAnswered(t *testing.T, open []*platformtest.Flow, name string, interval, timeout time.Duration) {
 	t.Helper()
 	var requests sync.WaitGroup
 	for i, flow := range open {
 		requests.Go(func() {
-			got, _, _ := flow.Request(fmt.Sprint("after-", i), timeout)
-			assert.Check(t, got == platformtest.Answered, "after-%d on %s: %v", i, flow.ID, got)
+			got, _, _ := flow.Request(fmt.Sprintf("%s-%d", name, i), timeout)
+			assert.Check(t, got == platformtest.Answered, "%s-%d on %s: %v", name, i, flow.ID, got)
 		})
 		time.Sleep(interval)
 	}
@@ -55,7 +56,7 @@
 		})
 	}
 	restarts.Wait()
-	assertAnswered(t, open, time.Millisecond, 8*time.Second)
+	assertAnswered(t, open, "later", time.Millisecond, 8*time.Second)
 }
 
 // Guards against callers that wait for their deadline on flows of a removed route.
@@ -74,7 +75,7 @@
 	var requests sync.WaitGroup
 	for i, flow := range open {
 		requests.Go(func() {
-			got, _, _ := flow.Request(fmt.Sprint("after-", i), 2*routesBound)
+			got, _, _ := flow.Request(fmt.Sprint("later-", i), 2*routesBound)
 			assert.Check(t, got == platformtest.WasReset, "%s: %v", flow.ID, got)
 		})
 	}
