policy/roster, node/packetagent: the service that a target has reported counts until another report, and an unreported target is asked

After its start, an agent sends the service of its settings until its target reports, up to a heartbeat of 0.8 s later. If its target is of another service (its address was used by another one before), searches for the target's flows left the agent out, and ended: "no target holds the flow". And the agent passed the packets of such flows on without asking its target. Now other nodes keep the service that a target there has reported until another report, and an agent asks a target that hasn't reported yet, which bounces what it doesn't hold.

Left: a node that starts within the same heartbeat and has never heard the reported service takes that of the settings.

--- a/node/packetagent/agent.go
+++ b/node/packetagent/agent.go
@@ -428,7 +428,7 @@
 	switch {
 	case s.Ended:
 		return "ended"
-	case fp.Service != "" && fp.Service != a.service(s):
+	case fp.Service != "" && s.Service != "" && fp.Service != s.Service:
 		return "target of another service"
 	}
 	return ""
--- a/policy/roster/roster.go
+++ b/policy/roster/roster.go
@@ -131,6 +131,7 @@
 	Node
 	Heartbeat
 	Service       string        // of its target, from its heartbeats or, before the first of them, from its record
+	serviceKnown  bool          // a target there has reported Service; until one has, an agent sends that of its settings
 	LastSeen      time.Duration // time of the last heartbeat, or of adding the peer
 	HeartbeatSeen bool          // a heartbeat was received
 	Drained       bool          // its target has announced its end, according to its record
@@ -289,10 +290,15 @@
 	if n.ID == r.self {
 		return false
 	}
-	if p, ok := r.peers[n.ID]; ok && p.Incarnation >= n.Incarnation {
+	p, ok := r.peers[n.ID]
+	if ok && p.Incarnation >= n.Incarnation {
 		return false
 	}
-	r.peers[n.ID] = &Peer{Node: n, Service: service, LastSeen: now, Drained: drained}
+	added := &Peer{Node: n, Service: service, LastSeen: now, Drained: drained}
+	if ok && p.serviceKnown {
+		added.Service, added.serviceKnown = p.Service, true
+	}
+	r.peers[n.ID] = added
 	return true
 }
 
@@ -387,11 +393,12 @@
 	case !p.Leaving && !r.isRunning(now, p):
 		change = Returned
 	}
-	service := heartbeat.Target.Service
-	if service == "" && ok {
-		service = p.Service
+	service, known := heartbeat.Target.Service, heartbeat.Target.ID != ""
+	if ok && (service == "" || !known && p.serviceKnown) {
+		service, known = p.Service, p.serviceKnown
 	}
-	r.peers[n.ID] = &Peer{Node: n, Heartbeat: heartbeat, Service: service, LastSeen: at, HeartbeatSeen: true}
+	r.peers[n.ID] = &Peer{Node: n, Heartbeat: heartbeat, Service: service, serviceKnown: known, LastSeen: at,
+		HeartbeatSeen: true}
 	return change
 }
 
--- a/policy/roster/roster_test.go
+++ b/policy/roster/roster_test.go
@@ -251,3 +251,22 @@
 	r.RecordDigest(900*time.Millisecond, dc)
 	assert.Equal(t, health(1800*time.Millisecond), roster.Live)
 }
+
+// Guards against searches that leave out an agent which has just restarted and sends the service of its
+// settings, while its target is of another one.
+func TestReportedServiceOutlivesARestartOfTheAgent(t *testing.T) {
+	r := roster.New(1)
+	n := roster.Node{ID: 2, Name: "agent", Incarnation: 1}
+	record := func(service, target string) string {
+		n.Incarnation++
+		r.Add(0, n, "expected", false)
+		r.RecordHeartbeat(0, n, roster.Heartbeat{Sequence: 1, Target: roster.Target{Service: service, ID: target}})
+		p, _ := r.Find(n.ID)
+		return p.Service
+	}
+	assert.Equal(t, record("expected", ""), "expected")
+	assert.Equal(t, record("reported", "t-1"), "reported")
+	assert.Equal(t, record("expected", ""), "reported")
+	assert.Equal(t, record("", ""), "reported")
+	assert.Equal(t, record("expected", "t-2"), "expected")
+}
