--- a/bench/flows/routes_test.go
+++ b/bench/flows/routes_test.go
@@ -81,3 +81,19 @@
 	}
 	requests.Wait()
 }
+
+// Guards against resets of idle flows whose service was removed when their route got another one.
+func TestFlowsOutliveTheRemovalOfTheirService(t *testing.T) {
+	t.Parallel()
+	f := start(t, map[string]int{"a": 2, "b": 2})
+	to := netip.MustParseAddrPort("198.18.0.3:9100")
+	f.Store.PutRoutes(4, []string{"a", "b"}, routesOf(idleRoute(9100)))
+	time.Sleep(routesBound)
+	open := f.openFlows(t, to, 12)
+	f.Store.PutRoutes(7, []string{"a"}, []platformtest.Route{
+		{Name: "a", Host: "198.18.0.1", Port: 8443, Service: "a"},
+		{Name: "idle-9100", Host: "198.18.0.3", Port: 9100, Service: "a"},
+	})
+	time.Sleep(2 * routesBound)
+	assertAnswered(t, open, "later", 50*time.Millisecond, 4*time.Second)
+}
