node/packetagent: reports of a target are accepted also while the routes don't list its service

An agent rejected the reports of its running target when the configuration in force no longer listed the target's service, or not yet. After 2 heartbeats and 1 s without packets it took the target for ended: entries dropped their records of its flows, searched at the route's new service, and the flows were reset. A configuration leaves open flows where they are; new flows don't reach the target, because no route names its service. Reports of a service that is neither listed nor the one that the target had, or was expected to have, are rejected as before.

TestForeignReportsAreRejected holds. Left: a search still covers only the services that the route has now.

--- a/node/packetagent/agent.go
+++ b/node/packetagent/agent.go
@@ -172,18 +172,19 @@
 }
 
 // HandleHeartbeat handles a report of the target. An error means that the report is not of this
-// agent's target or names an unknown service.
+// agent's target or names an unknown service that the target wasn't known or expected to have.
 func (a *Agent) HandleHeartbeat(r targetstate.Report, address string) error {
 	if from, err := netip.ParseAddrPort(address); err != nil || from != a.target {
 		return errors.Errorf("report of %s names another target: %q", r.ID, address)
 	}
-	if t := a.fleet.Routes.Load(); t != nil {
+	now := fleet.Now()
+	before := a.targetState.Status(now)
+	// A running target keeps its flows when its service is removed, or not in force here yet.
+	if t := a.fleet.Routes.Load(); t != nil && r.Service != a.service(&before) {
 		if _, ok := t.Services[r.Service]; !ok {
 			return errors.Errorf("report of %s names unknown service %q", r.ID, r.Service)
 		}
 	}
-	now := fleet.Now()
-	before := a.targetState.Status(now)
 	result := a.targetState.RecordReport(now, r)
 	if result == targetstate.Accepted {
 		return nil
