--- a/node/packetagent/agent.go
+++ b/node/packetagent/agent.go
@@ -181,18 +181,19 @@
 }
 
 // HandleHeartbeat handles a report of the target. An error means that the report is not of this
-// agent's target or names an unknown service.
+// agent's target or names an unknown service that the target wasn't known or expected to have.
 func (a *Agent) HandleHeartbeat(r targetstate.Report, address string) error {
 	if from, err := netip.ParseAddrPort(address); err != nil || from != a.target {
 		return errors.Errorf("report of %s names another target: %q", r.ID, address)
 	}
-	if t := a.fleet.Routes.Load(); t != nil {
+	now := fleet.Now()
+	before := a.targetState.Status(now)
+	// A running target keeps its flows when its service is removed, or not in force here yet.
+	if t := a.fleet.Routes.Load(); t != nil && r.Service != a.service(&before) {
 		if _, ok := t.Services[r.Service]; !ok {
 			return errors.Errorf("report of %s names unknown service %q", r.ID, r.Service)
 		}
 	}
-	now := fleet.Now()
-	before := a.targetState.Status(now)
 	result := a.targetState.RecordReport(now, r)
 	if result == targetstate.Accepted {
 		return nil
@@ -465,7 +466,7 @@
 	switch {
 	case s.Ended:
 		return "ended"
-	case fp.Service != "" && fp.Service != a.service(s):
+	case fp.Service != "" && s.Service != "" && fp.Service != s.Service:
 		return "target of another service"
 	}
 	return ""
@@ -579,6 +580,12 @@
 	return services
 }
 
+// knowsCandidates reports whether this node knows all agents that may hold the flow of a packet. Routes older
+// than the entry's may lack services of the flow's route.
+func (a *Agent) knowsCandidates(now time.Duration, fp *fleet.ForwardedPacket) bool {
+	return fp.Service != "" && a.fleet.RosterComplete(now) && !fleet.AreRoutesNewer(fp.Routes, a.fleet.Routes.Position())
+}
+
 // forward sends a packet to another agent.
 func (a *Agent) forward(to netip.AddrPort, fp *fleet.ForwardedPacket) {
 	if !a.fleet.Send(to, fp) {
@@ -665,7 +672,7 @@
 	flow := p.CallerFlow()
 	a.markTried(fp)
 	a.withSearchCandidates(flow, fp, func(agents []roster.Peer) {
-		index, result := steering.NextCandidate(now, agents, fp.Tried, fp.Service != "" && a.fleet.RosterComplete(now))
+		index, result := steering.NextCandidate(now, agents, fp.Tried, a.knowsCandidates(now, fp))
 		outcome := ""
 		switch result {
 		case steering.Continue:
--- a/policy/roster/roster.go
+++ b/policy/roster/roster.go
@@ -65,6 +65,9 @@
 	maxProbes     = 3
 	// expireAfter is the silence after which a node is removed.
 	expireAfter = time.Minute
+	// MaxUptime bounds the uptime in heartbeats, to keep them small. It exceeds the time in which a node
+	// joins its fleet.
+	MaxUptime = 10 * time.Second
 	// minRunningSilence is the least silence, before notRunningSlack, after which a node counts as
 	// not running: nodes without flows here send a heartbeat every second.
 	minRunningSilence = 2300 * time.Millisecond
@@ -80,11 +83,6 @@
 	Address     netip.AddrPort // for datagrams and RPCs between nodes
 }
 
-// StartedBefore reports whether the node was started longer than d before the time of day start.
-func (n *Node) StartedBefore(start ident.Incarnation, d time.Duration) bool {
-	return n.Incarnation+ident.Incarnation(d.Microseconds()) < start
-}
-
 // Target is the state of an agent's target, as its heartbeats report it.
 type Target struct {
 	Service      string // empty until a target has reported
@@ -109,6 +107,8 @@
 	Routes   routes.Position // of the routes in force at the sender
 	StoreEra uint64          // highest era of the store that the sender knows, 0 if none
 	Leaving  bool            // the process is stopping
+	// Uptime is how long the sender has run, at most MaxUptime; 0 if it doesn't tell.
+	Uptime time.Duration
 	// StoreLost is set if the sender has tried to read the store and can't reach it.
 	StoreLost bool
 	Target    Target // agents only
@@ -138,6 +138,7 @@
 	Node
 	Heartbeat
 	Service       string        // of its target, from its heartbeats or, before the first of them, from its record
+	serviceKnown  bool          // a target there has reported Service; until one has, an agent sends that of its settings
 	LastSeen      time.Duration // time of the last heartbeat, or of adding the peer
 	HeartbeatSeen bool          // a heartbeat was received
 	Drained       bool          // its target has announced its end, according to its record
@@ -154,6 +155,15 @@
 	instanceRuns    bool          // since its last heartbeat, the instance was seen to run without the process
 }
 
+// RanBefore reports whether the peer has run for longer than d when a node of this uptime and incarnation
+// started. Only a peer that doesn't tell its uptime is judged by the time of day.
+func (p *Peer) RanBefore(now, uptime time.Duration, start ident.Incarnation, d time.Duration) bool {
+	if p.Uptime > 0 {
+		return p.Uptime+now-p.LastSeen > uptime+d
+	}
+	return p.Incarnation+ident.Incarnation(d.Microseconds()) < start
+}
+
 // PlacedLoad returns the decayed number of flows that were placed on the peer since its last
 // heartbeat.
 func (p *Peer) PlacedLoad(now time.Duration) float64 {
@@ -317,10 +327,11 @@
 	if ok && p.Incarnation >= n.Incarnation {
 		return false
 	}
-	if ok && service == "" {
-		service = p.Service
+	added := &Peer{Node: n, Service: service, LastSeen: now, Drained: drained}
+	if ok && (p.serviceKnown || service == "") {
+		added.Service, added.serviceKnown = p.Service, p.serviceKnown
 	}
-	r.peers[n.ID] = &Peer{Node: n, Service: service, LastSeen: now, Drained: drained}
+	r.peers[n.ID] = added
 	return true
 }
 
@@ -383,12 +394,13 @@
 	return absent
 }
 
-// HasEarlier reports whether a running peer was started longer than d before the time of day start.
-func (r *Roster) HasEarlier(now time.Duration, start ident.Incarnation, d time.Duration) bool {
+// MayHaveEarlier reports whether a running peer has run for longer than d when a node of this uptime and
+// incarnation started, or may have: no heartbeat of it has arrived.
+func (r *Roster) MayHaveEarlier(now, uptime time.Duration, start ident.Incarnation, d time.Duration) bool {
 	r.mu.RLock()
 	defer r.mu.RUnlock()
 	for _, p := range r.peers {
-		if p.StartedBefore(start, d) && r.isRunning(now, p) {
+		if !p.HeartbeatSeen || p.RanBefore(now, uptime, start, d) && r.isRunning(now, p) {
 			return true
 		}
 	}
@@ -426,11 +438,12 @@
 	case !p.Leaving && !r.isRunning(now, p):
 		change = Returned
 	}
-	service := heartbeat.Target.Service
-	if service == "" && ok {
-		service = p.Service
+	service, known := heartbeat.Target.Service, heartbeat.Target.ID != ""
+	if ok && (service == "" || !known && p.serviceKnown) {
+		service, known = p.Service, p.serviceKnown
 	}
-	r.peers[n.ID] = &Peer{Node: n, Heartbeat: heartbeat, Service: service, LastSeen: at, HeartbeatSeen: true}
+	r.peers[n.ID] = &Peer{Node: n, Heartbeat: heartbeat, Service: service, serviceKnown: known, LastSeen: at,
+		HeartbeatSeen: true}
 	return change
 }
 
