--- a/bench/flows/cluster.go
+++ b/bench/flows/cluster.go
@@ -50,7 +50,7 @@
 	// Heartbeat is the interval of the targets' reports, defaultHeartbeat if it is 0.
 	Heartbeat time.Duration
 	// OnPacket, if not nil, is called for each packet of an open flow that a target receives.
-	OnPacket func(t platformtest.FlowHolder, flow steering.Flow, held bool)
+	OnPacket func(platformtest.ReceivedPacket)
 }
 
 // Process is one program of the cluster.
