bench/flows: searches that stop at a silent hop

Callers' open flows are searched by an entry without their records, and a hop of the search swallows the packet: a target that has crashed with its socket closed, an agent that was killed, or that of the flow's own target while it is being restarted.

--- a/bench/flows/flows_test.go
+++ b/bench/flows/flows_test.go
@@ -48,9 +48,15 @@
 }
 
 func start(t *testing.T, targets map[string]int) *fixture {
+	t.Helper()
+	return startWith(t, flows.Options{Zones: 2, Targets: targets})
+}
+
+// startWith starts a cluster. It sets the directories and the subnet.
+func startWith(t *testing.T, o flows.Options) *fixture {
 	t.Helper()
 	n := 80 + int(subnet.Add(1))
-	o := flows.Options{Bin: programDir(t), Dir: t.TempDir(), Subnet: n, Zones: 2, Targets: targets}
+	o.Bin, o.Dir, o.Subnet = programDir(t), t.TempDir(), n
 	c, err := flows.Start(o, func(platformtest.Run) {}, func() {
 		t.Error("a target received a packet that differs from the one sent")
 	})
--- /dev/null
+++ b/bench/flows/search_test.go
@@ -0,0 +1,159 @@
+package flows_test
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lacewinglever.dev/bench/flows"
+	"lacewinglever.dev/platform/platformtest"
+)
+
+// searchCase is a cluster whose open flows are judged while entries search for them.
+type searchCase struct {
+	*fixture
+	mu          sync.Mutex
+	misdirected []string
+}
+
+func startSearchCase(t *testing.T, zones, targets int) *searchCase {
+	t.Helper()
+	s := &searchCase{}
+	judge := flows.NewFlowJudge(func(m flows.Misdirection) {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.misdirected = append(s.misdirected, m.String())
+	})
+	s.fixture = startWith(t, flows.Options{Zones: zones, Targets: map[string]int{"a": targets},
+		Heartbeat: 1200 * time.Millisecond, OnPacket: judge.RecordPacket})
+	return s
+}
+
+// openFlows opens flows, and sends a request on each, while the first entry is being restarted. That entry gets its
+// share of the flows later, has no record of them, and asks the targets of its own data centre first.
+func (s *searchCase) openFlows(t *testing.T, n int) (open []*platformtest.Flow) {
+	t.Helper()
+	first := s.Entries[0]
+	first.Stop()
+	for until := time.Now().Add(10 * time.Second); s.Ready(first); time.Sleep(50 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(until), "%s is still ready", first.Name)
+	}
+	time.Sleep(time.Second) // the fabric takes an entry out after two failed probes
+	for i := range n {
+		flow := s.openFlow(t)
+		assertOutcome(t, flow, fmt.Sprint("before-", i), platformtest.Answered)
+		open = append(open, flow)
+	}
+	assert.NilError(t, first.Launch())
+	s.waitUntilReady(t, first)
+	time.Sleep(settledTime)
+	return open
+}
+
+// settledTime is the time after a start in which a node hears of all others.
+const settledTime = 2 * time.Second
+
+// heldBy returns the flows that the target beside an agent holds, and the others.
+func (s *searchCase) heldBy(n *flows.Node, open []*platformtest.Flow) (held, others []*platformtest.Flow) {
+	target, _ := s.Target(n)
+	for _, flow := range open {
+		if target.Holds(flow.ID) {
+			held = append(held, flow)
+		} else {
+			others = append(others, flow)
+		}
+	}
+	return held, others
+}
+
+// requestAll sends a request on each flow at once. None may be reset or misdirected.
+func (s *searchCase) requestAll(t *testing.T, open []*platformtest.Flow) {
+	t.Helper()
+	var requests sync.WaitGroup
+	answered := 0
+	for i, flow := range open {
+		requests.Go(func() {
+			got, _, _ := flow.Request(fmt.Sprint("after-", i), 5*time.Second)
+			assert.Check(t, got != platformtest.WasReset, "%s was reset", flow.ID)
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if got == platformtest.Answered {
+				answered++
+			}
+		})
+	}
+	requests.Wait()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t.Logf("%d of %d flows answered, %d misdirected", answered, len(open), len(s.misdirected))
+	assert.Check(t, len(s.misdirected) == 0, strings.Join(s.misdirected, "\n"))
+	assert.Check(t, answered == len(open), "%d of %d", answered, len(open))
+}
+
+// waitForReport waits until the target beside an agent has just sent a report.
+func (s *searchCase) waitForReport(n *flows.Node) {
+	target, _ := s.Target(n)
+	for before := target.Reports(); target.Reports() == before; {
+		time.Sleep(time.Millisecond)
+	}
+	time.Sleep(20 * time.Millisecond) // the call itself
+}
+
+// Guards against searches that end at a target that has crashed and can't bounce the packet: the targets in front of
+// it get each retransmission, and the flow's own none.
+func TestSearchPassesACrashedTarget(t *testing.T) {
+	t.Parallel()
+	s := startSearchCase(t, 4, 8)
+	open := s.openFlows(t, 40)
+	crashed := s.Agents[0] // beside the first entry
+	_, living := s.heldBy(crashed, open)
+	target, _ := s.Target(crashed)
+	s.waitForReport(crashed)
+	target.Crash()
+	s.requestAll(t, living)
+}
+
+// Guards against flows whose retransmissions all go to the other targets while the agent of their own is being
+// restarted.
+func TestSearchWaitsForARestartingAgent(t *testing.T) {
+	t.Parallel()
+	s := startSearchCase(t, 4, 8)
+	open := s.openFlows(t, 60)
+	away := s.Agents[1]
+	held, _ := s.heldBy(away, open)
+	assert.Assert(t, len(held) > 0)
+	away.Stop()
+	var restart sync.WaitGroup
+	defer restart.Wait()
+	restart.Go(func() {
+		time.Sleep(3 * time.Second)
+		assert.Check(t, away.Launch())
+	})
+	s.requestAll(t, held)
+}
+
+// Guards against searches that end at an agent that was killed, of which a fleet with digests hears late, above all
+// if the relay of its data centre was killed too.
+func TestSearchPassesAKilledAgent(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		killRelay bool
+	}{{"relay runs", false}, {"relay killed", true}} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			s := startSearchCase(t, 4, 32)
+			open := s.openFlows(t, 80)
+			killed := s.Agents[1] // beside the second entry
+			_, living := s.heldBy(killed, open)
+			if c.killRelay {
+				s.Entries[killed.Zone].Kill()
+			}
+			killed.Kill()
+			s.requestAll(t, living)
+		})
+	}
+}
