node/packetentry, policy/flowsearch: a retransmission doesn't take the way on which the packet before it was lost

Cause: each agent passes a searched packet on to the next one and nobody waits for an answer; each retransmission starts the search again. A hop that swallows the packet swallows all of them until it counts as silent (a target up to 1.8 s after its last report), and the targets in front of it see each of them. Class: a node takes no note of what its earlier attempts have shown.

From the first packet later than 100 ms after the first one without a result, the entry asks the agents that pass the packet on for a message of 35 bytes (SearchProgress: who passes it on, to whom). The next retransmission carries the agents whose targets have bounced the flow's packets as tried, and those that got one and haven't answered for 100 ms as silent: these are asked last, the least recently asked first, and never count as not holding the flow. If only an agent that is away is left, the entry holds the packet for it. With nobody left to ask, the search starts again without this knowledge, so that it alone never leads to a reset. The decisions are in policy/flowsearch and policy/steering.

A search whose first packet arrives costs nothing more (a test compares its frame with that of the previous release). A retransmission costs 2 bytes for the request, 8 for each agent that is known to have bounced the flow or not to answer, and 35 for each agent that passes it on; those that are left out save a frame each.

Programs of the previous release skip the new fields and messages. In front of them the entry gets no progress and asks them last from the third packet on; behind them packets lose the fields and are searched as before.

--- a/node/fleet/compatibility_test.go
+++ b/node/fleet/compatibility_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -13,6 +14,7 @@
 	"gotest.tools/v3/assert"
 
 	fleetv1 "lacewinglever.dev/node/gen/lacewing/fleet/v1"
+	"lacewinglever.dev/policy/ident"
 	"lacewinglever.dev/policy/roster"
 	"lacewinglever.dev/policy/routes"
 )
@@ -117,3 +119,24 @@
 		t.Fatal("the node still requests nodes")
 	}
 }
+
+// Guards against frames of the previous release that can't be read, and against ones that it can't read: it skips
+// fields that it doesn't know, and these come after those that it does.
+func TestFramesOfThePreviousRelease(t *testing.T) {
+	p := testPacket()
+	const previous = "\x01\x0a\x06\x0a\x01\x00\x0a\x1e\x28\x12\x04dc-1\x1a\x01a\x20\x9c\x03\x38\x02\x40\x1f\x28\x01" +
+		"\x32\x10\x00\x00\x00\x00\x00\x00\x00\x01\x80\x00\x00\x00\x00\x00\x00\x00\x7a\x06packet"
+	assert.Equal(t, string(p.Append(nil)), previous)
+	var got ForwardedPacket
+	assert.NilError(t, got.decode([]byte(previous)[1:], interner{}))
+	assert.Equal(t, got.Remembered, 0)
+	assert.Equal(t, len(got.Silent), 0)
+	assert.Assert(t, !got.WantsProgress)
+
+	p.Remembered, p.Silent, p.WantsProgress = 1, []ident.NodeID{3}, true
+	const added = "\x4a\x08\x00\x00\x00\x00\x00\x00\x00\x03\x50\x01\x58\x01"
+	assert.Equal(t, strings.Replace(string(p.Append(nil)), added, "", 1), previous)
+	later := previous[:len(previous)-8] + "\xa2\x06\x01x\xa8\x06\x07" + previous[len(previous)-8:]
+	assert.NilError(t, got.decode([]byte(later)[1:], interner{}), "fields of a later release")
+	assert.Equal(t, string(got.Append(nil)), previous)
+}
--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -63,6 +63,9 @@
 	HandlePacket(now time.Duration, p *ForwardedPacket)
 	// RecordOwner handles an agent's message that its target holds a flow.
 	RecordOwner(flow steering.Flow, owner ident.NodeID)
+	// RecordProgress handles an agent's message that it has passed a packet of a flow on to the next agent, or holds it
+	// if next is 0.
+	RecordProgress(now time.Duration, flow steering.Flow, agent, next ident.NodeID)
 	// FillHeartbeat fills in the fields of this node's heartbeat that the data path owns.
 	FillHeartbeat(now time.Duration, hb *roster.Heartbeat)
 }
@@ -315,6 +318,14 @@
 	f.sendMessage(entry, &fleetv1.Message{FlowOwner: &fleetv1.FlowOwner{Flow: flow.Append(nil), Owner: f.Self.Name}})
 }
 
+// SendProgress sends an entry the message that this node has passed a packet of a flow on to the next agent, or holds it
+// if next is 0.
+func (f *Fleet) SendProgress(entry netip.AddrPort, flow steering.Flow, next ident.NodeID) {
+	f.sendMessage(entry, &fleetv1.Message{SearchProgress: &fleetv1.SearchProgress{
+		Flow: flow.Append(nil), Agent: uint64(f.Self.ID), Next: uint64(next),
+	}})
+}
+
 func (f *Fleet) write(to netip.AddrPort, b []byte) {
 	if len(b) == 0 {
 		f.sendFailures.Inc()
@@ -460,6 +471,14 @@
 		}
 		f.options.Handler.RecordOwner(flow, ident.NewNodeID(o.GetOwner()))
 	}
+	if p := m.GetSearchProgress(); p != nil {
+		flow, err := steering.DecodeFlow(p.GetFlow())
+		if err != nil {
+			f.rejectMessage("search progress", err)
+			return
+		}
+		f.options.Handler.RecordProgress(now, flow, ident.NodeID(p.GetAgent()), ident.NodeID(p.GetNext()))
+	}
 }
 
 // handleHeartbeat applies a heartbeat. It answers with one of this node if the sender is new or
--- a/node/fleet/frame.go
+++ b/node/fleet/frame.go
@@ -7,8 +7,10 @@
 	"github.com/go-faster/errors"
 	"google.golang.org/protobuf/encoding/protowire"
 
+	"lacewinglever.dev/policy/flowsearch"
 	"lacewinglever.dev/policy/ident"
 	"lacewinglever.dev/policy/routes"
+	"lacewinglever.dev/policy/steering"
 )
 
 // Kinds of datagram between nodes. The kind is the first byte of a datagram.
@@ -27,7 +29,11 @@
 	fieldTried      = 6 // ids of the agents that must not be tried again, 8 bytes each
 	fieldEra        = 7 // of the store, with the revision
 	fieldVersion    = 8 // of those routes; missing in frames of older programs
-	fieldPacket     = 15
+	// Of the search for the owner of an open flow; ignored by older programs.
+	fieldSilent        = 9  // ids of agents that are tried last, 8 bytes each, the least recently asked first
+	fieldRemembered    = 10 // number of the first agents in fieldTried that were tried with earlier packets
+	fieldWantsProgress = 11 // 1 if the entry is to get a SearchProgress message from each agent that passes the packet on
+	fieldPacket        = 15
 )
 
 // maxTried limits the agents that one packet is offered to, so that a frame fits into
@@ -46,7 +52,21 @@
 	Routes     routes.Position // of the entry
 	WantsOwner bool
 	Tried      []ident.NodeID
-	Packet     []byte
+	Remembered int // see steering.Asked, as for Tried and Silent
+	Silent     []ident.NodeID
+	// WantsProgress is set if the entry is to be told by each agent that passes the packet on.
+	WantsProgress bool
+	Packet        []byte
+}
+
+// Asked returns what the packet says of the agents that were asked in a search.
+func (p *ForwardedPacket) Asked() steering.Asked {
+	return steering.Asked{Tried: p.Tried, Remembered: p.Remembered, Silent: p.Silent}
+}
+
+// SetAsked sets what the packet says of the agents that were asked in a search.
+func (p *ForwardedPacket) SetAsked(a steering.Asked) {
+	p.Tried, p.Remembered, p.Silent = a.Tried, a.Remembered, a.Silent
 }
 
 // Append appends the encoded frame.
@@ -71,17 +91,43 @@
 		b = protowire.AppendTag(b, fieldWantsOwner, protowire.VarintType)
 		b = protowire.AppendVarint(b, 1)
 	}
-	if len(p.Tried) > 0 {
-		b = protowire.AppendTag(b, fieldTried, protowire.BytesType)
-		b = protowire.AppendVarint(b, uint64(8*len(p.Tried)))
-		for _, id := range p.Tried {
-			b = binary.BigEndian.AppendUint64(b, uint64(id))
-		}
+	b = appendNodes(b, fieldTried, p.Tried)
+	b = appendNodes(b, fieldSilent, p.Silent)
+	if p.Remembered > 0 {
+		b = protowire.AppendTag(b, fieldRemembered, protowire.VarintType)
+		b = protowire.AppendVarint(b, uint64(p.Remembered))
+	}
+	if p.WantsProgress {
+		b = protowire.AppendTag(b, fieldWantsProgress, protowire.VarintType)
+		b = protowire.AppendVarint(b, 1)
 	}
 	b = protowire.AppendTag(b, fieldPacket, protowire.BytesType)
 	return protowire.AppendBytes(b, p.Packet)
 }
 
+func appendNodes(b []byte, field protowire.Number, nodes []ident.NodeID) []byte {
+	if len(nodes) == 0 {
+		return b
+	}
+	b = protowire.AppendTag(b, field, protowire.BytesType)
+	b = protowire.AppendVarint(b, uint64(8*len(nodes)))
+	for _, id := range nodes {
+		b = binary.BigEndian.AppendUint64(b, uint64(id))
+	}
+	return b
+}
+
+// decodeNodes appends the nodes of a field, of which there must be at most limit.
+func decodeNodes(nodes []ident.NodeID, v []byte, limit int) ([]ident.NodeID, bool) {
+	if len(v)%8 != 0 || len(v) > 8*limit {
+		return nodes, false
+	}
+	for ; len(v) > 0; v = v[8:] {
+		nodes = append(nodes, ident.NodeID(binary.BigEndian.Uint64(v)))
+	}
+	return nodes, true
+}
+
 // interner keeps one copy of each name in frames, so that decoding allocates nothing.
 type interner map[string]string
 
@@ -102,7 +148,7 @@
 
 // decode decodes a frame without its first byte. The decoded packet aliases b.
 func (p *ForwardedPacket) decode(b []byte, n interner) error {
-	*p = ForwardedPacket{Tried: p.Tried[:0]}
+	*p = ForwardedPacket{Tried: p.Tried[:0], Silent: p.Silent[:0]}
 	for len(b) > 0 {
 		field, kind, size := protowire.ConsumeTag(b)
 		if size < 0 {
@@ -127,7 +173,7 @@
 		}
 		b = b[size:]
 	}
-	if !p.Entry.IsValid() || p.Packet == nil {
+	if !p.Entry.IsValid() || p.Packet == nil || p.Remembered > len(p.Tried) {
 		return errMalformedFrame
 	}
 	return nil
@@ -143,6 +189,10 @@
 		p.Routes.Version = int64(v)
 	case fieldWantsOwner:
 		p.WantsOwner = v != 0
+	case fieldRemembered:
+		p.Remembered = int(min(v, maxTried+1))
+	case fieldWantsProgress:
+		p.WantsProgress = v != 0
 	}
 }
 
@@ -158,11 +208,14 @@
 	case fieldService:
 		p.Service = n.intern(v)
 	case fieldTried:
-		if len(v)%8 != 0 || len(v) > 8*maxTried {
+		var ok bool
+		if p.Tried, ok = decodeNodes(p.Tried, v, maxTried-len(p.Tried)); !ok {
 			return false
 		}
-		for ; len(v) > 0; v = v[8:] {
-			p.Tried = append(p.Tried, ident.NodeID(binary.BigEndian.Uint64(v)))
+	case fieldSilent:
+		var ok bool
+		if p.Silent, ok = decodeNodes(p.Silent, v, flowsearch.MaxSilent-len(p.Silent)); !ok {
+			return false
 		}
 	case fieldPacket:
 		p.Packet = v
--- a/node/fleet/frame_test.go
+++ b/node/fleet/frame_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"lacewinglever.dev/policy/flowsearch"
 	"lacewinglever.dev/policy/ident"
 	"lacewinglever.dev/policy/routes"
 )
@@ -30,18 +31,26 @@
 	assert.Equal(t, got.WantsOwner, want.WantsOwner)
 	assert.DeepEqual(t, got.Tried, want.Tried)
 	assert.DeepEqual(t, got.Packet, want.Packet)
+
+	want.Remembered, want.Silent, want.WantsProgress = 2, []ident.NodeID{3, 4}, true
+	assert.NilError(t, got.decode(want.Append(nil)[1:], interner{}))
+	assert.DeepEqual(t, got.Asked(), want.Asked())
+	assert.Assert(t, got.WantsProgress)
+	want.Remembered = 3
+	assert.ErrorIs(t, got.decode(want.Append(nil)[1:], interner{}), errMalformedFrame)
 }
 
 // The receiver decodes all frames into one value. Guards against fields of the previous frame that
 // remain in it.
 func TestForwardedPacketDecodeStartsEmpty(t *testing.T) {
 	full, plain := testPacket(), testPacket()
+	full.Remembered, full.Silent, full.WantsProgress = 1, []ident.NodeID{3}, true
 	plain.Tried, plain.WantsOwner = nil, false
 	var got ForwardedPacket
 	assert.NilError(t, got.decode(full.Append(nil)[1:], interner{}))
 	assert.NilError(t, got.decode(plain.Append(nil)[1:], interner{}))
-	assert.Equal(t, len(got.Tried), 0)
-	assert.Assert(t, !got.WantsOwner)
+	assert.Equal(t, len(got.Tried)+len(got.Silent)+got.Remembered, 0)
+	assert.Assert(t, !got.WantsOwner && !got.WantsProgress)
 }
 
 // Guards against allocations for each decoded packet.
@@ -62,7 +71,11 @@
 	for i := range maxTried - 2 {
 		p.Tried = append(p.Tried, ident.NodeID(i))
 	}
-	assert.Assert(t, maxTried >= 2*82)
+	p.Remembered, p.WantsProgress = maxTried, true
+	for i := range flowsearch.MaxSilent {
+		p.Silent = append(p.Silent, ident.NodeID(i))
+	}
+	assert.Assert(t, maxTried >= 2*82 && flowsearch.MaxTried < maxTried)
 	frame := p.Append(nil)
 	assert.Assert(t, len(frame) <= maxDatagramBytes, "%d bytes", len(frame))
 	var got ForwardedPacket
@@ -79,7 +92,8 @@
 	f.Fuzz(func(t *testing.T, b []byte) {
 		var got ForwardedPacket
 		if got.decode(b, interner{}) == nil {
-			assert.Assert(t, got.Entry.IsValid() && len(got.Tried) <= maxTried)
+			assert.Assert(t, got.Entry.IsValid() && len(got.Tried) <= maxTried &&
+				got.Remembered <= len(got.Tried) && len(got.Silent) <= flowsearch.MaxSilent)
 		}
 	})
 }
--- a/node/packetagent/agent.go
+++ b/node/packetagent/agent.go
@@ -151,6 +151,11 @@
 	a.counters.CountDrop("owner told to an agent")
 }
 
+// RecordProgress counts a message that was sent to an agent by mistake.
+func (a *Agent) RecordProgress(time.Duration, steering.Flow, ident.NodeID, ident.NodeID) {
+	a.counters.CountDrop("search progress told to an agent")
+}
+
 // FillHeartbeat sets the state and load of the target.
 func (a *Agent) FillHeartbeat(now time.Duration, hb *roster.Heartbeat) {
 	s := a.targetState.Status(now)
@@ -370,6 +375,7 @@
 	if item.Arrived == now { // the receive buffers are reused for the next packet
 		item.Value.Packet = bytes.Clone(fp.Packet)
 		item.Value.Tried = slices.Clone(fp.Tried)
+		item.Value.Silent = slices.Clone(fp.Silent)
 	}
 	kept := a.held.Put(now, item)
 	if !kept {
@@ -619,11 +625,12 @@
 	flow := p.CallerFlow()
 	a.markTried(fp)
 	a.withRankedAgents(flow, fp, a.searchServices(flow, fp), func(agents []roster.Peer) {
-		index, result := steering.NextCandidate(now, agents, fp.Tried, fp.Service != "" && a.fleet.RosterComplete(now))
-		outcome := ""
+		index, result, asked := steering.Next(now, agents, fp.Asked(), fp.Service != "" && a.fleet.RosterComplete(now))
+		fp.SetAsked(asked)
+		outcome, next := "", ident.NodeID(0)
 		switch result {
 		case steering.Continue:
-			outcome = "forwarded to " + agents[index].Name
+			outcome, next = "forwarded to "+agents[index].Name, agents[index].ID
 			a.counters.forwarded.Inc()
 			if fp.Service != "" {
 				fp.Service = agents[index].Service
@@ -640,10 +647,13 @@
 		case steering.NotFound:
 			outcome = a.resetFlow(now, pending, steering.MeanLoad(now, agents))
 		}
+		if fp.WantsProgress && (result == steering.Continue || result == steering.Unknown && arrived == now) {
+			a.fleet.SendProgress(fp.Entry, flow, next)
+		}
 		if (!strings.HasPrefix(outcome, "held") || arrived == now) && a.logs.Unusual.Allow() {
 			a.logs.Unusual.Log("flow not held by the target", logging.KeyFlow, flow, "sequence", p.Sequence(),
 				logging.KeyService, fp.Service, logging.KeyRevision, fp.Routes.Revision,
-				logging.KeyVersion, fp.Routes.Version, "outcome", outcome, "tried", len(fp.Tried), "candidates", len(agents),
+				logging.KeyVersion, fp.Routes.Version, "outcome", outcome, "tried", len(fp.Tried), "silent", fp.Silent, "candidates", len(agents),
 				"agents", steering.DescribeCandidates(now, agents, fp.Tried))
 		}
 	})
--- a/node/packetagent/offers.go
+++ b/node/packetagent/offers.go
@@ -27,6 +27,10 @@
 	routes     routes.Position
 	wantsOwner bool
 	tried      []ident.NodeID
+	// Of a search, as in fleet.ForwardedPacket.
+	remembered    int
+	silent        []ident.NodeID
+	wantsProgress bool
 }
 
 // offers keeps the last packets that were sent to the target, and the entries that have requested
@@ -57,7 +61,7 @@
 	}
 	slot := &o.ring[o.lastToken%maxOffers]
 	*slot = offer{o.lastToken, flow, fp.Entry, fp.Origin, fp.Service, fp.Routes, fp.WantsOwner,
-		append(slot.tried[:0], fp.Tried...)}
+		append(slot.tried[:0], fp.Tried...), fp.Remembered, append(slot.silent[:0], fp.Silent...), fp.WantsProgress}
 	if fp.WantsOwner || len(fp.Tried) > 0 {
 		o.addOwnerRequest(flow, fp.Entry)
 	}
@@ -92,7 +96,8 @@
 	delete(o.ownerRequests, flow)
 	return fleet.ForwardedPacket{
 		Entry: slot.entry, Origin: slot.origin, Service: slot.service, Routes: slot.routes, WantsOwner: slot.wantsOwner,
-		Tried: append([]ident.NodeID(nil), slot.tried...),
+		Tried: append([]ident.NodeID(nil), slot.tried...), Remembered: slot.remembered,
+		Silent: append([]ident.NodeID(nil), slot.silent...), WantsProgress: slot.wantsProgress,
 	}, true
 }
 
--- /dev/null
+++ b/node/packetagent/search_test.go
@@ -0,0 +1,67 @@
+package packetagent
+
+import (
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lacewinglever.dev/node/fleet"
+	"lacewinglever.dev/platform"
+	"lacewinglever.dev/platform/platformtest"
+	"lacewinglever.dev/policy/ident"
+	"lacewinglever.dev/policy/roster"
+)
+
+// newSocket returns a socket that stands for another node, and its address.
+func newSocket(t *testing.T) (*net.UDPConn, netip.AddrPort) {
+	t.Helper()
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	return conn, conn.LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
+// received returns the sizes of the datagrams that a socket has received.
+func received(t *testing.T, conn *net.UDPConn) (sizes []int) {
+	t.Helper()
+	assert.NilError(t, conn.SetReadDeadline(time.Now().Add(200*time.Millisecond)))
+	for buffer := make([]byte, 1<<16); ; {
+		n, err := conn.Read(buffer)
+		if err != nil {
+			return sizes
+		}
+		sizes = append(sizes, n)
+	}
+}
+
+// Guards against messages of searches that need none, and against ones that grow with the pool.
+func TestProgressIsSentOnRequestOnly(t *testing.T) {
+	const progressSize = 35 // bytes
+	store, err := platformtest.NewStore("127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(store.Close)
+	a := newTestAgent(t, store) // of service a
+	next, nextAddress := newSocket(t)
+	entry, entryAddress := newSocket(t)
+	a.fleet.Roster.RecordHeartbeat(fleet.Now(), roster.Node{ID: ident.NewNodeID("next"), Name: "next", Address: nextAddress},
+		roster.Heartbeat{Sequence: 1, Target: roster.Target{Service: "b", Accepting: true}})
+	for _, wanted := range []bool{false, true} {
+		var tried []ident.NodeID
+		for i := range ident.NodeID(100) {
+			tried = append(tried, i+1)
+		}
+		packet := make(platform.Packet, platform.HeaderSize)
+		a.HandlePacket(fleet.Now(), &fleet.ForwardedPacket{Entry: entryAddress, Origin: "dc", Service: "b", WantsOwner: true,
+			Tried: tried, WantsProgress: wanted, Packet: packet})
+		assert.Equal(t, len(received(t, next)), 1)
+		sizes := received(t, entry)
+		if wanted {
+			assert.DeepEqual(t, sizes, []int{progressSize})
+		} else {
+			assert.Equal(t, len(sizes), 0)
+		}
+	}
+}
--- a/node/packetentry/entry.go
+++ b/node/packetentry/entry.go
@@ -17,6 +17,7 @@
 	"lacewinglever.dev/node/logging"
 	"lacewinglever.dev/node/timing"
 	"lacewinglever.dev/platform"
+	"lacewinglever.dev/policy/flowsearch"
 	"lacewinglever.dev/policy/holding"
 	"lacewinglever.dev/policy/ident"
 	"lacewinglever.dev/policy/roster"
@@ -55,6 +56,7 @@
 	conn       *net.UDPConn
 	callerPort uint16 // port of the address to which resets are sent
 	flows      *flowTable
+	searches   *flowsearch.Table // for the owners of flows that aren't in flows
 	stopping   atomic.Bool
 	wasReady   atomic.Bool // ready has returned true
 	logs       fleet.DecisionLogs
@@ -71,6 +73,8 @@
 	sentToOwner    *metrics.Counter
 	searched       *metrics.Counter
 	searchedAgain  *metrics.Counter   // searches of flows whose last search has had no result
+	resumed        *metrics.Counter   // of these, those that continue with what was known
+	progress       *metrics.Counter   // messages of agents that have passed on a packet of a search
 	searchSeconds  *metrics.Histogram // from the first search of a flow until its owner is known
 	forwardSeconds *metrics.Histogram
 }
@@ -82,6 +86,8 @@
 		sentToOwner:    set.NewCounter("lacewing_packets_carried_total"),
 		searched:       set.NewCounter("lacewing_packets_searched_total"),
 		searchedAgain:  set.NewCounter("lacewing_searches_repeated_total"),
+		resumed:        set.NewCounter("lacewing_searches_resumed_total"),
+		progress:       set.NewCounter("lacewing_search_progress_received_total"),
 		searchSeconds:  set.NewHistogram("lacewing_search_seconds"),
 		forwardSeconds: set.NewHistogram("lacewing_forward_seconds"),
 	}
@@ -112,7 +118,7 @@
 		return nil, errors.Wrap(err, "callers")
 	}
 	e := &Entry{
-		settings: s, callerPort: address.Port(), flows: newFlowTable(), counters: newCounters(p.Metrics),
+		settings: s, callerPort: address.Port(), flows: newFlowTable(), searches: flowsearch.New(), counters: newCounters(p.Metrics),
 		held: holding.NewQueue[platform.Packet](),
 		logs: p.NewDecisionLogs(),
 	}
@@ -134,12 +140,18 @@
 // RecordOwner records which agent's target holds a flow.
 func (e *Entry) RecordOwner(flow steering.Flow, owner ident.NodeID) {
 	now := fleet.Now()
-	if since, ok := e.flows.endSearch(flow); ok {
+	if since, ok := e.searches.End(flow); ok {
 		e.counters.searchSeconds.Update((now - since).Seconds())
 	}
 	e.flows.put(now, flow, owner)
 }
 
+// RecordProgress records that an agent has passed a packet of a flow on to the next agent, or holds it if next is 0.
+func (e *Entry) RecordProgress(now time.Duration, flow steering.Flow, agent, next ident.NodeID) {
+	e.counters.progress.Inc()
+	e.searches.RecordProgress(now, flow, agent, next)
+}
+
 // FillHeartbeat adds nothing: an entry's heartbeat has no fields of the data path.
 func (e *Entry) FillHeartbeat(time.Duration, *roster.Heartbeat) {}
 
@@ -192,7 +204,9 @@
 		if t := e.fleet.Routes.Load(); t != nil && t.IdleTimeout > 0 {
 			idle = t.IdleTimeout
 		}
-		e.flows.expire(fleet.Now(), idle+idleSlack)
+		now := fleet.Now()
+		e.flows.expire(now, idle+idleSlack)
+		e.searches.Expire(now)
 	})
 }
 
@@ -261,6 +275,7 @@
 	}
 	agent := &agents[index]
 	e.flows.put(now, flow, agent.ID)
+	e.searches.End(flow)
 	e.fleet.Roster.RecordPlacement(now, agent.ID)
 	e.counters.flowsOpened.Inc()
 	e.send(agent, &fleet.ForwardedPacket{Service: service, Routes: table.Position, Tried: tried, Packet: p})
@@ -360,7 +375,7 @@
 }
 
 // searchOwner forwards a packet of a flow without a known owner to the first agent that may hold
-// the flow.
+// the flow, according to what earlier packets have shown.
 func (e *Entry) searchOwner(
 	now time.Duration, pending *pendingPacket, flow steering.Flow, table *routes.Table, cause string) {
 	p := pending.Value
@@ -374,26 +389,37 @@
 		services = route.SearchServices(flow.Hash())
 	}
 	agents := e.rankedAgents(flow, services...)
-	index, result := steering.NextCandidate(now, agents, nil, table != nil && e.fleet.RosterComplete(now))
+	known := e.searches.Lookup(now, flow)
+	index, result, asked := steering.Next(now, agents,
+		steering.Asked{Tried: known.Tried, Remembered: len(known.Tried), Silent: known.Silent},
+		table != nil && e.fleet.RosterComplete(now))
 	switch result {
 	case steering.Continue:
 		e.counters.searched.Inc()
-		repeat := e.flows.recordSearch(now, flow)
-		if repeat > 0 {
+		if known.Repeats > 0 {
 			e.counters.searchedAgain.Inc()
 		}
+		if asked.Remembered < len(known.Tried) { // nobody is left to ask
+			e.searches.Restart(flow)
+		} else if len(asked.Tried) > 0 || len(asked.Silent) > 0 {
+			e.counters.resumed.Inc()
+		}
+		e.searches.RecordSent(now, flow, agents[index].ID, known.Overdue)
 		e.counters.Set.GetOrCreateCounter(`lacewing_searches_total{cause="` + cause + `"}`).Inc()
 		at := table.PositionOrZero()
 		service := ""
 		if table != nil {
 			service = agents[index].Service
 		}
-		e.send(&agents[index], &fleet.ForwardedPacket{Service: service, Routes: at, WantsOwner: true, Packet: p})
+		fp := &fleet.ForwardedPacket{Service: service, Routes: at, WantsOwner: true, WantsProgress: known.Overdue, Packet: p}
+		fp.SetAsked(asked)
+		e.send(&agents[index], fp)
 		if e.logs.Unusual.Allow() {
 			e.logs.Unusual.Log("flow searched", logging.KeyFlow, flow, "sequence", p.Sequence(),
 				logging.KeyService, service, logging.KeyRevision, at.Revision, logging.KeyVersion, at.Version,
-				logging.KeyPeer, agents[index].Name, "candidates", len(agents), logging.KeyReason, cause, "repeat", repeat,
-				"agents", steering.DescribeCandidates(now, agents, nil))
+				logging.KeyPeer, agents[index].Name, "candidates", len(agents), logging.KeyReason, cause, "repeat", known.Repeats,
+				"tried", len(asked.Tried), "silent", asked.Silent,
+				"agents", steering.DescribeCandidates(now, agents, asked.Tried))
 		}
 	case steering.NotFound:
 		if e.logs.Unusual.Allow() {
--- a/node/packetentry/flows.go
+++ b/node/packetentry/flows.go
@@ -19,22 +19,10 @@
 }
 
 type flowShard struct {
-	mu       sync.Mutex
-	flows    map[steering.Flow]flowRecord
-	searches map[steering.Flow]searchRecord
+	mu    sync.Mutex
+	flows map[steering.Flow]flowRecord
 }
 
-// searchRecord is a search without a result yet.
-type searchRecord struct {
-	started time.Duration // time of the first packet that was searched with
-	last    time.Duration
-	repeats int // further packets since
-}
-
-// searchTimeout is the time after which a search without a result is forgotten. Callers send an
-// unanswered packet again after 1.6 s at the latest.
-const searchTimeout = 5 * time.Second
-
 type flowRecord struct {
 	owner    ident.NodeID
 	lastUsed time.Duration
@@ -44,7 +32,6 @@
 	t := &flowTable{}
 	for i := range t.shards {
 		t.shards[i].flows = map[steering.Flow]flowRecord{}
-		t.shards[i].searches = map[steering.Flow]searchRecord{}
 	}
 	return t
 }
@@ -70,33 +57,6 @@
 	s.flows[f] = flowRecord{owner, now}
 }
 
-// recordSearch records that a packet of a flow is searched with, and returns how many were before
-// without a result.
-func (t *flowTable) recordSearch(now time.Duration, f steering.Flow) int {
-	s := t.shard(f)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	record, ok := s.searches[f]
-	if ok {
-		record.repeats++
-	} else {
-		record.started = now
-	}
-	record.last = now
-	s.searches[f] = record
-	return record.repeats
-}
-
-// endSearch removes the record of a flow's search, and returns when the search has started.
-func (t *flowTable) endSearch(f steering.Flow) (time.Duration, bool) {
-	s := t.shard(f)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	record, ok := s.searches[f]
-	delete(s.searches, f)
-	return record.started, ok
-}
-
 func (t *flowTable) expire(now, idle time.Duration) {
 	for i := range t.shards {
 		s := &t.shards[i]
@@ -106,11 +66,6 @@
 				delete(s.flows, f)
 			}
 		}
-		for f, r := range s.searches {
-			if now-r.last > searchTimeout {
-				delete(s.searches, f)
-			}
-		}
 		s.mu.Unlock()
 	}
 }
--- /dev/null
+++ b/node/packetentry/search_test.go
@@ -0,0 +1,74 @@
+package packetentry
+
+import (
+	"io"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lacewinglever.dev/node/fleet"
+	"lacewinglever.dev/platform"
+	"lacewinglever.dev/platform/platformtest"
+	"lacewinglever.dev/policy/flowsearch"
+	"lacewinglever.dev/policy/ident"
+	"lacewinglever.dev/policy/roster"
+)
+
+// newTestEntry returns an entry that knows one agent, and the socket of that agent. Nothing runs.
+func newTestEntry(t *testing.T) (*Entry, *net.UDPConn) {
+	t.Helper()
+	store, err := platformtest.NewStore("127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(store.Close)
+	s := &Settings{
+		Settings: fleet.Settings{Name: "entry", DataCentre: "dc", Fleet: "127.0.0.1:0", Advertise: "127.0.0.1:7400",
+			Store: store.Address(), MemoryMB: 256},
+		Callers: "127.0.0.1:0",
+	}
+	e, err := newEntry(s, fleet.NewProgram(&s.Settings, io.Discard))
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = e.conn.Close() })
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	e.fleet.Roster.RecordHeartbeat(fleet.Now(), roster.Node{ID: ident.NewNodeID("agent"), Name: "agent",
+		Address: conn.LocalAddr().(*net.UDPAddr).AddrPort()}, roster.Heartbeat{Sequence: 1, Target: roster.Target{Service: "a"}})
+	return e, conn
+}
+
+func receive(t *testing.T, conn *net.UDPConn) string {
+	t.Helper()
+	assert.NilError(t, conn.SetReadDeadline(time.Now().Add(5*time.Second)))
+	buffer := make([]byte, 1<<16)
+	n, err := conn.Read(buffer)
+	assert.NilError(t, err)
+	return string(buffer[:n])
+}
+
+// Guards against a first packet of a search that costs more than one frame of the previous release, and against
+// retransmissions that don't carry what is known.
+func TestRetransmissionsCarryWhatIsKnown(t *testing.T) {
+	e, agent := newTestEntry(t)
+	now, packet := fleet.Now(), make(platform.Packet, platform.HeaderSize)
+	frame := fleet.ForwardedPacket{Entry: e.fleet.Self.Address, Origin: "dc", WantsOwner: true, Packet: packet}
+	send := func() string {
+		e.forward(now, &pendingPacket{Arrived: now, Value: packet})
+		return receive(t, agent)
+	}
+	assert.Equal(t, send(), string(frame.Append(nil)))
+	now += flowsearch.AnswerTimeout / 2
+	assert.Equal(t, send(), string(frame.Append(nil)), "a second packet of the caller, not a retransmission")
+	now += flowsearch.AnswerTimeout
+	frame.WantsProgress = true
+	assert.Equal(t, send(), string(frame.Append(nil)))
+	e.RecordProgress(now, packet.CallerFlow(), 77, ident.NewNodeID("agent"))
+	now += 2 * flowsearch.AnswerTimeout
+	frame.Tried, frame.Remembered, frame.Silent = []ident.NodeID{77}, 1, []ident.NodeID{ident.NewNodeID("agent")}
+	assert.Equal(t, send(), string(frame.Append(nil)))
+	assert.Equal(t, e.counters.progress.Get(), uint64(1))
+	e.RecordOwner(packet.CallerFlow(), ident.NewNodeID("agent"))
+	assert.Equal(t, e.searches.Lookup(now, packet.CallerFlow()).Repeats, 0)
+}
--- a/policy/steering/search.go
+++ b/policy/steering/search.go
@@ -18,6 +18,25 @@
 	Unknown                      // an agent that may hold the flow can't be reached at present
 )
 
+// Asked is what is known of the agents that were asked in a search for the owner of a flow.
+type Asked struct {
+	Tried      []ident.NodeID // have bounced the flow's packet, or an earlier one
+	Remembered int            // the first of Tried have bounced earlier packets only
+	Silent     []ident.NodeID // got an earlier packet and haven't answered, the least recently asked first
+}
+
+// Next returns the index of the next agent that may hold a flow, as NextCandidate, and the agents asked as to be sent
+// along with the packet. Agents that were silent come last. What earlier packets have shown doesn't end a search: with no
+// agent left, the search starts again without it.
+func Next(now time.Duration, agents []roster.Peer, asked Asked, complete bool) (int, SearchResult, Asked) {
+	index, result := nextCandidate(now, agents, asked.Tried, asked.Silent, complete)
+	if result == NotFound && asked.Remembered > 0 {
+		asked = Asked{Tried: asked.Tried[asked.Remembered:]}
+		index, result = NextCandidate(now, agents, asked.Tried, complete)
+	}
+	return index, result, asked
+}
+
 // NextCandidate returns the index of the next agent that may hold a flow. agents must be ranked;
 // those in tried have bounced the flow's packet. complete means that agents is the complete list.
 // With Unknown, the index is that of the agent to wait for, or -1 if there is none and the list
@@ -25,18 +44,31 @@
 // and the search would stop there. So do agents of which nothing was heard because digests of their
 // data centre stay away.
 func NextCandidate(now time.Duration, agents []roster.Peer, tried []ident.NodeID, complete bool) (int, SearchResult) {
-	mayHaveEnded, unreported, suspect := -1, -1, -1
+	return nextCandidate(now, agents, tried, nil, complete)
+}
+
+func nextCandidate(now time.Duration, agents []roster.Peer, tried, silentAgents []ident.NodeID, complete bool,
+) (int, SearchResult) {
+	mayHaveEnded, unreported, silent, suspect := -1, -1, -1, -1
+	silentRank := len(silentAgents) // of the agent at the index silent
 	for i := range agents {
 		p := &agents[i]
 		if slices.Contains(tried, p.ID) || p.Target.Ended {
 			continue
 		}
-		switch health := p.Health(now); {
+		health, awaitsDigests := p.Health(now), p.AwaitsDigests(now)
+		if rank := slices.Index(silentAgents, p.ID); rank >= 0 && (health == roster.Live || awaitsDigests) {
+			if rank < silentRank {
+				silent, silentRank = i, rank
+			}
+			continue
+		}
+		switch {
 		case health == roster.Live && !p.Target.MayHaveEnded:
 			return i, Continue
 		case health == roster.Live:
 			mayHaveEnded = firstValid(mayHaveEnded, i)
-		case p.AwaitsDigests(now):
+		case awaitsDigests:
 			unreported = firstValid(unreported, i)
 		case health == roster.Suspect:
 			suspect = firstValid(suspect, i)
@@ -47,6 +79,8 @@
 		return mayHaveEnded, Continue
 	case unreported >= 0:
 		return unreported, Continue
+	case silent >= 0:
+		return silent, Continue
 	case suspect >= 0 && len(tried) == 0:
 		return suspect, Continue // the only agent left
 	case suspect >= 0 || !complete:
