--- a/bench/flows/search_test.go
+++ b/bench/flows/search_test.go
@@ -107,13 +107,26 @@
 // it get each retransmission, and the flow's own none.
 func TestSearchPassesACrashedTarget(t *testing.T) {
 	t.Parallel()
-	s := startSearchCase(t, 4, 8)
-	open := s.openFlows(t, 40)
-	crashed := s.Agents[0] // beside the first entry
-	_, living := s.heldBy(crashed, open)
-	target, _ := s.Target(crashed)
-	s.waitForReport(crashed)
-	target.Crash()
+	requestAfterCrashes(t, startSearchCase(t, 4, 8), 0) // beside the first entry
+}
+
+// Guards against searches that pass one crashed target with each retransmission, and reach the flow's own too late.
+func TestSearchPassesManyCrashedTargets(t *testing.T) {
+	t.Parallel()
+	requestAfterCrashes(t, startSearchCase(t, 4, 20), 0, 3, 6, 9, 12, 15, 18, 1, 4, 7)
+}
+
+// requestAfterCrashes crashes the targets beside some agents, and sends a request on each flow of the others.
+func requestAfterCrashes(t *testing.T, s *searchCase, crashed ...int) {
+	living := s.openFlows(t, 40)
+	for _, i := range crashed {
+		_, living = s.heldBy(s.Agents[i], living)
+	}
+	s.waitForReport(s.Agents[crashed[len(crashed)-1]])
+	for _, i := range crashed {
+		target, _ := s.Target(s.Agents[i])
+		target.Crash()
+	}
 	s.requestAll(t, living)
 }
 
