node/packetentry, policy/flowsearch: a search goes past an agent that doesn't answer without waiting for the caller

Callers send again after 0.2, 0.6, 1.4 and 3 s; with three silent agents in front of it, the flow's own target is reached after the 2 s.

The entry keeps a copy of a packet whose progress it has asked for, up to a second, and sends it on itself when the agent that has it hasn't answered for 100 ms: past that agent, to those that are left, as the next retransmission would go. It stops when only agents are left that were asked before, never resets a flow, and leaves packets alone that an agent holds for one that is away. A property test finds the owner behind any six silent agents within 0.9 s.

A target that takes long for its answer looks like one that doesn't answer. The agent of a flow that its target has served tells the entry on such packets at once that it is the owner, and not with the answer, so that no other target gets them. Agents that have just started don't know it; then each of the others gets the packet once.

--- a/node/packetagent/agent.go
+++ b/node/packetagent/agent.go
@@ -484,6 +484,9 @@
 	p.ClearBounced()
 	p.SetToken(a.offers.add(flow, fp))
 	if !p.Opens() {
+		if fp.WantsProgress && a.flows.Serves(flow) {
+			a.fleet.SendOwner(fp.Entry, flow) // the answer may take longer than the entry waits for progress
+		}
 		a.flows.RecordDelivered(now, flow, eventOf(p))
 	}
 	a.counters.delivered.Inc()
--- a/node/packetagent/search_test.go
+++ b/node/packetagent/search_test.go
@@ -12,6 +12,7 @@
 	"lacewinglever.dev/platform"
 	"lacewinglever.dev/platform/platformtest"
 	"lacewinglever.dev/policy/ident"
+	"lacewinglever.dev/policy/inflight"
 	"lacewinglever.dev/policy/roster"
 )
 
@@ -65,3 +66,25 @@
 		}
 	}
 }
+
+// Guards against packets that an entry sends to all other targets because that of the flow takes long for its answer.
+func TestOwnerIsSentBeforeTheAnswerIfTheSearchIsOverdue(t *testing.T) {
+	store, err := platformtest.NewStore("127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(store.Close)
+	a := newTestAgent(t, store)
+	entry, entryAddress := newSocket(t)
+	packet := make(platform.Packet, platform.HeaderSize)
+	for _, c := range []struct {
+		served, overdue bool
+		want            int
+	}{{false, true, 0}, {true, false, 0}, {true, true, 1}} {
+		a.flows.Clear()
+		if c.served {
+			a.flows.RecordSent(fleet.Now(), packet.CallerFlow(), inflight.Event{Data: true})
+		}
+		a.HandlePacket(fleet.Now(), &fleet.ForwardedPacket{Entry: entryAddress, Origin: "dc", Service: "a", WantsOwner: true,
+			WantsProgress: c.overdue, Packet: packet})
+		assert.Equal(t, len(received(t, entry)), c.want, "%+v", c)
+	}
+}
--- a/node/packetentry/entry.go
+++ b/node/packetentry/entry.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -62,6 +63,7 @@
 	logs       fleet.DecisionLogs
 	counters   counters
 	held       *holding.Queue[platform.Packet]
+	unanswered *holding.Queue[platform.Packet] // sent in searches that are overdue
 
 	mu          sync.Mutex    // serialises the decisions about packets
 	agentBuffer []roster.Peer // used by rankedAgents
@@ -74,6 +76,7 @@
 	searched       *metrics.Counter
 	searchedAgain  *metrics.Counter   // searches of flows whose last search has had no result
 	resumed        *metrics.Counter   // of these, those that continue with what was known
+	resent         *metrics.Counter   // packets of searches that were sent past an agent that didn't answer
 	progress       *metrics.Counter   // messages of agents that have passed on a packet of a search
 	searchSeconds  *metrics.Histogram // from the first search of a flow until its owner is known
 	forwardSeconds *metrics.Histogram
@@ -87,6 +90,7 @@
 		searched:       set.NewCounter("lacewing_packets_searched_total"),
 		searchedAgain:  set.NewCounter("lacewing_searches_repeated_total"),
 		resumed:        set.NewCounter("lacewing_searches_resumed_total"),
+		resent:         set.NewCounter("lacewing_search_packets_resent_total"),
 		progress:       set.NewCounter("lacewing_search_progress_received_total"),
 		searchSeconds:  set.NewHistogram("lacewing_search_seconds"),
 		forwardSeconds: set.NewHistogram("lacewing_forward_seconds"),
@@ -105,7 +109,7 @@
 		return err
 	}
 	return p.Run(ctx, e.stop,
-		e.fleet.Run, e.receive, e.retry, e.expire,
+		e.fleet.Run, e.receive, e.retry, e.resend, e.expire,
 		fleet.Serve(settings.Ready, platform.ReadyHandler(e.ready)),
 		fleet.WatchSettings(p, e.fleet, path, settings, LoadSettings,
 			func(s *Settings) *fleet.Settings { return &s.Settings }),
@@ -119,7 +123,7 @@
 	}
 	e := &Entry{
 		settings: s, callerPort: address.Port(), flows: newFlowTable(), searches: flowsearch.New(), counters: newCounters(p.Metrics),
-		held: holding.NewQueue[platform.Packet](),
+		held: holding.NewQueue[platform.Packet](), unanswered: holding.NewQueue[platform.Packet](),
 		logs: p.NewDecisionLogs(),
 	}
 	p.Metrics.NewGauge("lacewing_flows", func() float64 { return float64(e.flows.size()) })
@@ -227,6 +231,37 @@
 	return fleet.Retry(ctx, e.held, func(item *pendingPacket) { e.forward(fleet.Now(), item) })
 }
 
+// resend sends the packets of searches again that an agent hasn't answered, until the context ends.
+func (e *Entry) resend(ctx context.Context) error {
+	return fleet.Retry(ctx, e.unanswered, func(item *pendingPacket) { e.resendPacket(fleet.Now(), item) })
+}
+
+// resendPacket sends a packet of a search past the agent that hasn't answered, unless all that are left were asked.
+func (e *Entry) resendPacket(now time.Duration, item *pendingPacket) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch e.searches.State(now, item.Flow) {
+	case flowsearch.Waiting:
+		e.unanswered.Put(now, *item) // until the caller's next packet replaces it
+	case flowsearch.Ended:
+	case flowsearch.Stalled:
+		table := e.fleet.Routes.Load()
+		services, ok := searchServices(item.Flow, table)
+		if !ok {
+			return
+		}
+		s := e.nextCandidate(now, item.Flow, table, services)
+		switch {
+		case s.result == steering.Unknown:
+			e.hold(now, item, "agents unknown", table.PositionOrZero())
+		case s.result == steering.Continue && !s.restarted && !slices.Contains(s.asked.Silent, s.agents[s.index].ID):
+			e.counters.resent.Inc()
+			e.sendSearch(now, item, &s, "agent didn't answer")
+			e.unanswered.Put(now, *item)
+		}
+	}
+}
+
 // pendingPacket is a packet that waits for a decision.
 type pendingPacket = holding.Item[platform.Packet]
 
@@ -374,57 +409,69 @@
 	return ""
 }
 
+// searchStep is the next step of the search for the owner of a flow.
+type searchStep struct {
+	table     *routes.Table
+	agents    []roster.Peer // valid until the next call of rankedAgents
+	known     flowsearch.Knowledge
+	asked     steering.Asked
+	index     int // of the next agent
+	result    steering.SearchResult
+	restarted bool // nobody was left to ask, and the search starts again
+}
+
+// searchServices returns the services at which an open flow may be, all if no routes are known. It returns false if the
+// flow's route was removed.
+func searchServices(flow steering.Flow, table *routes.Table) ([]string, bool) {
+	if table == nil {
+		return []string{""}, true
+	}
+	route, ok := table.Lookup(flow.Service())
+	if !ok {
+		return nil, false
+	}
+	return route.SearchServices(flow.Hash()), true
+}
+
+// nextCandidate returns the next step of the search for the owner of a flow.
+func (e *Entry) nextCandidate(now time.Duration, flow steering.Flow, table *routes.Table, services []string) searchStep {
+	s := searchStep{table: table, agents: e.rankedAgents(flow, services...), known: e.searches.Lookup(now, flow)}
+	s.index, s.result, s.asked = steering.Next(now, s.agents,
+		steering.Asked{Tried: s.known.Tried, Remembered: len(s.known.Tried), Silent: s.known.Silent},
+		table != nil && e.fleet.RosterComplete(now))
+	s.restarted = s.asked.Remembered < len(s.known.Tried)
+	return s
+}
+
 // searchOwner forwards a packet of a flow without a known owner to the first agent that may hold
 // the flow, according to what earlier packets have shown.
 func (e *Entry) searchOwner(
 	now time.Duration, pending *pendingPacket, flow steering.Flow, table *routes.Table, cause string) {
 	p := pending.Value
-	services := []string{""} // all
-	if table != nil {
-		route, ok := table.Lookup(flow.Service())
-		if !ok {
-			e.resetFlow(flow, p, "route removed", table)
-			return
-		}
-		services = route.SearchServices(flow.Hash())
+	services, ok := searchServices(flow, table)
+	if !ok {
+		e.resetFlow(flow, p, "route removed", table)
+		return
 	}
-	agents := e.rankedAgents(flow, services...)
-	known := e.searches.Lookup(now, flow)
-	index, result, asked := steering.Next(now, agents,
-		steering.Asked{Tried: known.Tried, Remembered: len(known.Tried), Silent: known.Silent},
-		table != nil && e.fleet.RosterComplete(now))
-	switch result {
+	s := e.nextCandidate(now, flow, table, services)
+	switch s.result {
 	case steering.Continue:
 		e.counters.searched.Inc()
-		if known.Repeats > 0 {
+		if s.known.Repeats > 0 {
 			e.counters.searchedAgain.Inc()
 		}
-		if asked.Remembered < len(known.Tried) { // nobody is left to ask
-			e.searches.Restart(flow)
-		} else if len(asked.Tried) > 0 || len(asked.Silent) > 0 {
-			e.counters.resumed.Inc()
-		}
-		e.searches.RecordSent(now, flow, agents[index].ID, known.Overdue)
 		e.counters.Set.GetOrCreateCounter(`lacewing_searches_total{cause="` + cause + `"}`).Inc()
-		at := table.PositionOrZero()
-		service := ""
-		if table != nil {
-			service = agents[index].Service
-		}
-		fp := &fleet.ForwardedPacket{Service: service, Routes: at, WantsOwner: true, WantsProgress: known.Overdue, Packet: p}
-		fp.SetAsked(asked)
-		e.send(&agents[index], fp)
-		if e.logs.Unusual.Allow() {
-			e.logs.Unusual.Log("flow searched", logging.KeyFlow, flow, "sequence", p.Sequence(),
-				logging.KeyService, service, logging.KeyRevision, at.Revision, logging.KeyVersion, at.Version,
-				logging.KeyPeer, agents[index].Name, "candidates", len(agents), logging.KeyReason, cause, "repeat", known.Repeats,
-				"tried", len(asked.Tried), "silent", asked.Silent,
-				"agents", steering.DescribeCandidates(now, agents, asked.Tried))
+		e.sendSearch(now, pending, &s, cause)
+		if s.known.Overdue {
+			item := *pending
+			item.Flow, item.Value = flow, platform.Packet(bytes.Clone(p))
+			item.Arrived = now
+			e.unanswered.Put(now, item)
 		}
 	case steering.NotFound:
 		if e.logs.Unusual.Allow() {
 			e.logs.Unusual.Log("search ended", logging.KeyFlow, flow, logging.KeyReason, cause,
-				"agents", steering.DescribeCandidates(now, agents, nil))
+				"agents", steering.DescribeCandidates(now, s.agents, nil))
 		}
 		e.resetFlow(flow, p, "no target holds the flow", table)
 	case steering.Unknown:
@@ -432,6 +479,32 @@
 	}
 }
 
+// sendSearch sends a packet to the next agent that may hold its flow.
+func (e *Entry) sendSearch(now time.Duration, pending *pendingPacket, s *searchStep, cause string) {
+	p := pending.Value
+	flow, agent := p.CallerFlow(), &s.agents[s.index]
+	if s.restarted {
+		e.searches.Restart(flow)
+	} else if len(s.asked.Tried) > 0 || len(s.asked.Silent) > 0 {
+		e.counters.resumed.Inc()
+	}
+	e.searches.RecordSent(now, flow, agent.ID, s.known.Overdue)
+	at := s.table.PositionOrZero()
+	fp := &fleet.ForwardedPacket{Routes: at, WantsOwner: true, WantsProgress: s.known.Overdue, Packet: p}
+	if s.table != nil {
+		fp.Service = agent.Service
+	}
+	fp.SetAsked(s.asked)
+	e.send(agent, fp)
+	if e.logs.Unusual.Allow() {
+		e.logs.Unusual.Log("flow searched", logging.KeyFlow, flow, "sequence", p.Sequence(),
+			logging.KeyService, fp.Service, logging.KeyRevision, at.Revision, logging.KeyVersion, at.Version,
+			logging.KeyPeer, agent.Name, "candidates", len(s.agents), logging.KeyReason, cause, "repeat", s.known.Repeats,
+			"tried", len(s.asked.Tried), "silent", s.asked.Silent,
+			"agents", steering.DescribeCandidates(now, s.agents, s.asked.Tried))
+	}
+}
+
 // rankedAgents returns the agents of services in the order in which they are tried for a flow, one
 // service after the other. The result is valid until the next call.
 func (e *Entry) rankedAgents(flow steering.Flow, services ...string) []roster.Peer {
--- a/node/packetentry/search_test.go
+++ b/node/packetentry/search_test.go
@@ -31,12 +31,19 @@
 	e, err := newEntry(s, fleet.NewProgram(&s.Settings, io.Discard))
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = e.conn.Close() })
+	conn, address := newSocket(t)
+	e.fleet.Roster.RecordHeartbeat(fleet.Now(), roster.Node{ID: ident.NewNodeID("agent"), Name: "agent", Address: address},
+		roster.Heartbeat{Sequence: 1, Target: roster.Target{Service: "a"}})
+	return e, conn
+}
+
+// newSocket returns a socket that stands for another node, and its address.
+func newSocket(t *testing.T) (*net.UDPConn, netip.AddrPort) {
+	t.Helper()
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = conn.Close() })
-	e.fleet.Roster.RecordHeartbeat(fleet.Now(), roster.Node{ID: ident.NewNodeID("agent"), Name: "agent",
-		Address: conn.LocalAddr().(*net.UDPAddr).AddrPort()}, roster.Heartbeat{Sequence: 1, Target: roster.Target{Service: "a"}})
-	return e, conn
+	return conn, conn.LocalAddr().(*net.UDPAddr).AddrPort()
 }
 
 func receive(t *testing.T, conn *net.UDPConn) string {
@@ -72,3 +79,37 @@
 	e.RecordOwner(packet.CallerFlow(), ident.NewNodeID("agent"))
 	assert.Equal(t, e.searches.Lookup(now, packet.CallerFlow()).Repeats, 0)
 }
+
+// Guards against packets of a search that stay at an agent that doesn't answer, and against ones that go to the same
+// agents again and again.
+func TestPacketsAreSentPastASilentAgent(t *testing.T) {
+	e, agent := newTestEntry(t)
+	second, address := newSocket(t)
+	now, packet := fleet.Now(), make(platform.Packet, platform.HeaderSize)
+	e.forward(now, &pendingPacket{Arrived: now, Value: packet})
+	receive(t, agent)
+	now += 2 * flowsearch.AnswerTimeout
+	e.forward(now, &pendingPacket{Arrived: now, Value: packet})
+	receive(t, agent)
+	e.fleet.Roster.RecordHeartbeat(now, roster.Node{ID: ident.NewNodeID("second"), Name: "second", Address: address},
+		roster.Heartbeat{Sequence: 1, Target: roster.Target{Service: "a"}})
+	resend := func() {
+		for _, item := range e.unanswered.Take() {
+			e.resendPacket(now, &item)
+		}
+	}
+	now += flowsearch.AnswerTimeout / 2
+	resend()
+	assert.Equal(t, e.unanswered.Len(), 1, "the agent may still answer")
+	now += flowsearch.AnswerTimeout
+	resend()
+	frame := fleet.ForwardedPacket{Entry: e.fleet.Self.Address, Origin: "dc", WantsOwner: true, Packet: packet,
+		Silent: []ident.NodeID{ident.NewNodeID("agent")}, WantsProgress: true}
+	assert.Equal(t, receive(t, second), string(frame.Append(nil)))
+	resend()
+	assert.Equal(t, e.unanswered.Len(), 1, "the second one may still answer")
+	now += 2 * flowsearch.AnswerTimeout
+	resend()
+	assert.Equal(t, e.unanswered.Len(), 0, "all were asked")
+	assert.Equal(t, e.counters.resent.Get(), uint64(1))
+}
--- a/policy/flowsearch/flowsearch.go
+++ b/policy/flowsearch/flowsearch.go
@@ -52,6 +52,7 @@
 	packets int
 	tried   []ident.NodeID
 	asked   []hop // agents that got a packet of which they must send progress, and haven't answered
+	held    bool  // the last agent that has answered holds the packet
 }
 
 type hop struct {
@@ -102,7 +103,7 @@
 		s = &search{started: now}
 		sh.searches[f] = s
 	}
-	s.last = now
+	s.last, s.held = now, false
 	s.packets++
 	if progress {
 		s.recordAsked(now, agent)
@@ -123,11 +124,37 @@
 	if !slices.Contains(s.tried, agent) && len(s.tried) < MaxTried {
 		s.tried = append(s.tried, agent)
 	}
+	s.held = next == 0
 	if next != 0 && !slices.Contains(s.tried, next) { // messages may arrive in another order
 		s.recordAsked(now, next)
 	}
 }
 
+// State is the state of a search.
+type State uint8
+
+// States of a search.
+const (
+	Ended   State = iota // or unknown
+	Waiting              // an agent has the packet
+	Stalled              // the agents that have the packet haven't answered in time
+)
+
+// State returns the state of the search for a flow's owner.
+func (t *Table) State(now time.Duration, f steering.Flow) State {
+	sh := t.shard(f)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	s := sh.searches[f]
+	switch {
+	case s == nil:
+		return Ended
+	case s.held || slices.ContainsFunc(s.asked, func(h hop) bool { return now-h.last <= AnswerTimeout }):
+		return Waiting
+	}
+	return Stalled
+}
+
 func (s *search) recordAsked(now time.Duration, agent ident.NodeID) {
 	for i := range s.asked {
 		if s.asked[i].agent == agent {
--- a/policy/flowsearch/flowsearch_test.go
+++ b/policy/flowsearch/flowsearch_test.go
@@ -74,6 +74,7 @@
 type pool struct {
 	agents   []roster.Peer
 	silent   map[ident.NodeID]bool // swallow packets
+	previous map[ident.NodeID]bool // run the previous release: they send no progress and pass on only what was tried
 	lost     func() bool           // whether the next message of an agent to the entry is lost
 	owner    ident.NodeID          // 0 if no target holds the flow
 	table    *flowsearch.Table
@@ -92,7 +93,7 @@
 func (p *pool) send(now time.Duration) string {
 	known := p.table.Lookup(now, flow)
 	asked := steering.Asked{Tried: known.Tried, Remembered: len(known.Tried), Silent: known.Silent}
-	from := ident.NodeID(0) // the entry
+	from, progress := ident.NodeID(0), known.Overdue // from the entry
 	for {
 		index, result, next := steering.Next(now, p.agents, asked, true)
 		asked = next
@@ -100,7 +101,7 @@
 		case steering.NotFound:
 			return reset
 		case steering.Unknown:
-			if from != 0 && known.Overdue && !p.lost() {
+			if from != 0 && progress && !p.lost() {
 				p.table.RecordProgress(now, flow, from, 0)
 			}
 			return held
@@ -111,7 +112,7 @@
 				p.table.Restart(flow)
 			}
 			p.table.RecordSent(now, flow, to, known.Overdue)
-		} else if known.Overdue && !p.lost() {
+		} else if progress && !p.lost() {
 			p.table.RecordProgress(now, flow, from, to)
 		}
 		if p.silent[to] {
@@ -123,6 +124,9 @@
 		p.received[to]++
 		asked.Tried = append(slices.Clone(asked.Tried), to)
 		from = to
+		if p.previous[to] {
+			asked, progress = steering.Asked{Tried: asked.Tried}, false
+		}
 	}
 }
 
@@ -131,7 +135,7 @@
 
 func newPool(random *rand.Rand, n int) *pool {
 	p := &pool{table: flowsearch.New(), silent: map[ident.NodeID]bool{}, received: map[ident.NodeID]int{},
-		lost: func() bool { return false }}
+		previous: map[ident.NodeID]bool{}, lost: func() bool { return false }}
 	for i := range n {
 		peer := roster.Peer{Node: roster.Node{ID: ident.NodeID(i + 1)}, HeartbeatSeen: true}
 		peer.LastSeen = time.Minute // live all the while
@@ -168,6 +172,49 @@
 	}
 }
 
+// Guards against searches that pass one silent agent with each retransmission only: the callers' next packet comes too
+// late if there are several. The entry sends a packet past them without waiting for the caller.
+func TestStalledSearchesContinue(t *testing.T) {
+	for seed := range uint64(2000) {
+		random := rand.New(rand.NewPCG(seed, 4))
+		p := newPool(random, 8+random.IntN(20))
+		p.owner = p.agents[random.IntN(len(p.agents))].ID
+		for range 6 {
+			if id := p.agents[random.IntN(len(p.agents))].ID; id != p.owner {
+				p.silent[id] = true
+			}
+		}
+		if p.send(0) == found {
+			continue
+		}
+		now := retransmissions[1]
+		for result := p.send(now); result != found; result = p.send(now) {
+			for p.table.State(now, flow) == flowsearch.Waiting {
+				now += ms
+			}
+			assert.Equal(t, p.table.State(now, flow), flowsearch.Stalled, "seed %d", seed)
+			assert.Assert(t, now < 900*ms, "seed %d: not found", seed)
+		}
+		p.table.End(flow)
+		assert.Equal(t, p.table.State(now, flow), flowsearch.Ended)
+	}
+}
+
+// Guards against packets that are sent past an agent that holds one until the agent of the flow's target is back.
+func TestHeldPacketsDontStall(t *testing.T) {
+	table := flowsearch.New()
+	table.RecordSent(0, flow, 1, false)
+	table.RecordSent(200*ms, flow, 1, true)
+	table.RecordProgress(201*ms, flow, 1, 2)
+	assert.Equal(t, table.State(250*ms, flow), flowsearch.Waiting)
+	assert.Equal(t, table.State(400*ms, flow), flowsearch.Stalled)
+	table.RecordSent(400*ms, flow, 3, true)
+	table.RecordProgress(401*ms, flow, 3, 0)
+	assert.Equal(t, table.State(time.Second, flow), flowsearch.Waiting)
+	table.RecordProgress(time.Second, flow, 3, 4) // it no longer holds the packet
+	assert.Equal(t, table.State(2*time.Second, flow), flowsearch.Stalled)
+}
+
 // Guards against retransmissions that are shown to all other targets while the agent of the flow's target is away, and
 // against resets of that flow.
 func TestSearchWaitsForAnAgentThatIsAway(t *testing.T) {
@@ -190,13 +237,16 @@
 	}
 }
 
-// Guards against resets of a flow whose target is alive, with agents that fall silent, return and go away, and messages
-// that get lost; and against a flow that no target holds and that is never reset.
+// Guards against resets of a flow whose target is alive, with agents that fall silent, return, go away or run the
+// previous release, and messages that get lost; and against a flow that no target holds and that is never reset.
 func TestSearchesEndInTheRightWay(t *testing.T) {
 	for seed := range uint64(5000) {
 		random := rand.New(rand.NewPCG(seed, 3))
 		p := newPool(random, 1+random.IntN(12))
 		p.lost = func() bool { return random.IntN(4) == 0 }
+		for i := range p.agents {
+			p.previous[p.agents[i].ID] = seed%2 == 0 && random.IntN(2) == 0
+		}
 		if random.IntN(4) > 0 {
 			p.owner = p.agents[random.IntN(len(p.agents))].ID
 		}
--- a/policy/inflight/inflight.go
+++ b/policy/inflight/inflight.go
@@ -47,6 +47,7 @@
 	sequence     uint32        // of the latest bytes from the caller
 	inProgress   bool          // the target has not answered the caller's latest bytes
 	halfClosed   bool          // one end has finished
+	served       bool          // the target has sent bytes of the connection
 }
 
 // decayingCount is a number of events that decays exponentially with failureTimeConstant.
@@ -161,6 +162,7 @@
 			t.brokenOff.add(now)
 		}
 	}
+	f.served = f.served || e.Data
 	if e.Data || e.Finishes { // a target that finishes sends no more answers
 		t.endRequest(f)
 	}
@@ -171,6 +173,15 @@
 	t.recordFinish(id, f, e)
 }
 
+// Serves reports whether the target has served an open flow, and so holds it. It may hold others too: those that it served
+// before the agent started.
+func (t *Table) Serves(id steering.Flow) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	f := t.flows[id]
+	return f != nil && f.served
+}
+
 // flowOf returns the flow of a packet, nil if the packet belongs to no open flow. Only bytes of the
 // connection add a flow, because the acknowledgement of a flow's end arrives after the flow was
 // removed.
--- a/policy/inflight/inflight_test.go
+++ b/policy/inflight/inflight_test.go
@@ -128,3 +128,19 @@
 	assert.Equal(t, table.Outstanding(40*time.Millisecond), 2)
 	assert.Equal(t, table.Outstanding(time.Second), 0)
 }
+
+func TestServedFlowsAreKnown(t *testing.T) {
+	table := inflight.New()
+	table.RecordDelivered(0, flowA, data)
+	assert.Assert(t, !table.Serves(flowA), "the target may bounce the packet")
+	table.RecordSent(0, flowA, data)
+	assert.Assert(t, table.Serves(flowA) && !table.Serves(flowB))
+	table.RecordBounced(0, flowA)
+	assert.Assert(t, !table.Serves(flowA))
+	table.RecordSent(0, flowA, data)
+	table.RecordSent(0, flowA, inflight.Event{Resets: true})
+	assert.Assert(t, !table.Serves(flowA))
+	table.RecordSent(0, flowA, data)
+	table.Clear()
+	assert.Assert(t, !table.Serves(flowA))
+}
--- a/policy/steering/steering_test.go
+++ b/policy/steering/steering_test.go
@@ -125,6 +125,45 @@
 	assert.Equal(t, result, steering.Unknown, "it has announced its stop")
 }
 
+// Guards against packets that always go to the same one of the agents that haven't answered, and to any of them while others
+// are left.
+func TestSearchTriesSilentAgentsLast(t *testing.T) {
+	agents := pool(4)
+	agents[1].Target.MayHaveEnded = true
+	asked := steering.Asked{Silent: []ident.NodeID{agents[2].ID, agents[0].ID}}
+	for _, want := range []int{3, 1, 2, 0} {
+		at, result, _ := steering.Next(0, agents, asked, true)
+		assert.Equal(t, at, want)
+		assert.Equal(t, result, steering.Continue)
+		asked.Tried = append(asked.Tried, agents[want].ID)
+	}
+	_, result, _ := steering.Next(0, agents, asked, true)
+	assert.Equal(t, result, steering.NotFound)
+}
+
+// Guards against resets because of what earlier packets have shown: the search starts again, and decides without it.
+func TestRememberedAgentsDontEndASearch(t *testing.T) {
+	agents := pool(3)
+	asked := steering.Asked{Remembered: 2, Tried: []ident.NodeID{agents[0].ID, agents[1].ID, agents[2].ID}}
+	at, result, asked := steering.Next(0, agents, asked, true)
+	assert.Equal(t, at, 0)
+	assert.Equal(t, result, steering.Continue)
+	assert.DeepEqual(t, asked, steering.Asked{Tried: []ident.NodeID{agents[2].ID}})
+	asked.Tried = append(asked.Tried, agents[0].ID, agents[1].ID)
+	_, result, _ = steering.Next(0, agents, asked, true)
+	assert.Equal(t, result, steering.NotFound)
+}
+
+// Guards against packets that are shown to other targets again although only an agent that is away is left.
+func TestRememberedAgentsAreNotAskedAgainWhileOneIsAway(t *testing.T) {
+	agents := pool(3)
+	agents[1].Leaving = true
+	asked := steering.Asked{Remembered: 2, Tried: []ident.NodeID{agents[0].ID, agents[2].ID}}
+	at, result, _ := steering.Next(0, agents, asked, true)
+	assert.Equal(t, at, 1)
+	assert.Equal(t, result, steering.Unknown)
+}
+
 // Guards against resets that are held back by loads which digests reported seconds ago.
 func TestMeanLoadIsThatOfRecentHeartbeats(t *testing.T) {
 	agents := pool(3)
