--- a/node/packetentry/entry.go
+++ b/node/packetentry/entry.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,6 +19,7 @@
 	"lacewinglever.dev/node/logging"
 	"lacewinglever.dev/node/timing"
 	"lacewinglever.dev/platform"
+	"lacewinglever.dev/policy/flowsearch"
 	"lacewinglever.dev/policy/holding"
 	"lacewinglever.dev/policy/ident"
 	"lacewinglever.dev/policy/roster"
@@ -57,11 +59,13 @@
 	callerPort uint16 // port of the address to which resets are sent
 	flows      *flowTable
 	unrouted   steering.UnroutedFlows
+	searches   *flowsearch.Table // for the owners of flows that aren't in flows
 	stopping   atomic.Bool
 	wasReady   atomic.Bool // ready has returned true
 	logs       fleet.DecisionLogs
 	counters   counters
 	held       *holding.Queue[platform.Packet]
+	unanswered *holding.Queue[platform.Packet] // sent in searches that are overdue
 
 	mu          sync.Mutex    // serialises the decisions about packets
 	agentBuffer []roster.Peer // used by rankedAgents and searchCandidates
@@ -73,6 +77,9 @@
 	sentToOwner    *metrics.Counter
 	searched       *metrics.Counter
 	searchedAgain  *metrics.Counter   // searches of flows whose last search has had no result
+	resumed        *metrics.Counter   // of these, those that continue with what was known
+	resent         *metrics.Counter   // packets of searches that were sent past an agent that didn't answer
+	progress       *metrics.Counter   // messages of agents that have passed on a packet of a search
 	searchSeconds  *metrics.Histogram // from the first search of a flow until its owner is known
 	forwardSeconds *metrics.Histogram
 }
@@ -84,6 +91,9 @@
 		sentToOwner:    set.NewCounter("lacewing_packets_carried_total"),
 		searched:       set.NewCounter("lacewing_packets_searched_total"),
 		searchedAgain:  set.NewCounter("lacewing_searches_repeated_total"),
+		resumed:        set.NewCounter("lacewing_searches_resumed_total"),
+		resent:         set.NewCounter("lacewing_search_packets_resent_total"),
+		progress:       set.NewCounter("lacewing_search_progress_received_total"),
 		searchSeconds:  set.NewHistogram("lacewing_search_seconds"),
 		forwardSeconds: set.NewHistogram("lacewing_forward_seconds"),
 	}
@@ -101,7 +111,7 @@
 		return err
 	}
 	return p.Run(ctx, e.stop,
-		e.fleet.Run, e.receive, e.retry, e.expire,
+		e.fleet.Run, e.receive, e.retry, e.resend, e.expire,
 		fleet.Serve(settings.Ready, platform.ReadyHandler(e.ready)),
 		fleet.WatchSettings(p, e.fleet, path, settings, LoadSettings,
 			func(s *Settings) *fleet.Settings { return &s.Settings }),
@@ -114,8 +124,8 @@
 		return nil, errors.Wrap(err, "callers")
 	}
 	e := &Entry{
-		settings: s, callerPort: address.Port(), flows: newFlowTable(), counters: newCounters(p.Metrics),
-		held: holding.NewQueue[platform.Packet](),
+		settings: s, callerPort: address.Port(), flows: newFlowTable(), searches: flowsearch.New(), counters: newCounters(p.Metrics),
+		held: holding.NewQueue[platform.Packet](), unanswered: holding.NewQueue[platform.Packet](),
 		logs: p.NewDecisionLogs(),
 	}
 	p.Metrics.NewGauge("lacewing_flows", func() float64 { return float64(e.flows.size()) })
@@ -136,12 +146,18 @@
 // RecordOwner records which agent's target holds a flow.
 func (e *Entry) RecordOwner(flow steering.Flow, owner ident.NodeID) {
 	now := fleet.Now()
-	if since, ok := e.flows.endSearch(flow); ok {
+	if since, ok := e.searches.End(flow); ok {
 		e.counters.searchSeconds.Update((now - since).Seconds())
 	}
 	e.flows.put(now, flow, owner)
 }
 
+// RecordProgress records that an agent has passed a packet of a flow on to the next agent, or holds it if next is 0.
+func (e *Entry) RecordProgress(now time.Duration, flow steering.Flow, agent, next ident.NodeID) {
+	e.counters.progress.Inc()
+	e.searches.RecordProgress(now, flow, agent, next)
+}
+
 // FillHeartbeat adds nothing: an entry's heartbeat has no fields of the data path.
 func (e *Entry) FillHeartbeat(time.Duration, *roster.Heartbeat) {}
 
@@ -197,6 +213,7 @@
 		now := fleet.Now()
 		e.flows.expire(now, idle+idleSlack)
 		e.unrouted.Expire(now)
+		e.searches.Expire(now)
 	})
 }
 
@@ -222,6 +239,42 @@
 	})
 }
 
+// resend sends the packets of searches again that an agent hasn't answered, until the context ends.
+func (e *Entry) resend(ctx context.Context) error {
+	return fleet.Retry(ctx, e.unanswered, func(item *pendingPacket) {
+		now := fleet.Now()
+		e.fleet.CheckStall(now)
+		e.resendPacket(now, item)
+	})
+}
+
+// resendPacket sends a packet of a search past the agent that hasn't answered, unless all that are left were asked.
+func (e *Entry) resendPacket(now time.Duration, item *pendingPacket) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	switch e.searches.State(now, item.Flow) {
+	case flowsearch.Waiting:
+		e.unanswered.Put(now, *item) // until the caller's next packet replaces it
+	case flowsearch.Ended:
+	case flowsearch.Stalled:
+		table := e.fleet.Routes.Load()
+		services, ok := searchServices(item.Flow, table)
+		if !ok {
+			return
+		}
+		s := e.nextCandidate(now, item.Flow, table, services)
+		switch {
+		case s.result == steering.Unknown:
+			e.fleet.ProbeSilent(now, s.agents, s.asked.Tried)
+			e.hold(now, item, "agents unknown", table.PositionOrZero())
+		case s.result == steering.Continue && !s.restarted && !slices.Contains(s.asked.Silent, s.agents[s.index].ID):
+			e.counters.resent.Inc()
+			e.sendSearch(now, item, &s, "agent didn't answer")
+			e.unanswered.Put(now, *item)
+		}
+	}
+}
+
 // pendingPacket is a packet that waits for a decision.
 type pendingPacket = holding.Item[platform.Packet]
 
@@ -270,6 +323,7 @@
 	}
 	agent := &agents[index]
 	e.flows.put(now, flow, agent.ID)
+	e.searches.End(flow)
 	e.fleet.Roster.RecordPlacement(now, agent.ID)
 	e.counters.flowsOpened.Inc()
 	e.send(agent, &fleet.ForwardedPacket{Service: service, Routes: table.Position, Tried: tried, Packet: p})
@@ -373,58 +427,108 @@
 	return ""
 }
 
+// searchStep is the next step of the search for the owner of a flow.
+type searchStep struct {
+	table     *routes.Table
+	services  []string      // at which the flow may be
+	agents    []roster.Peer // valid until the next call of searchCandidates
+	known     flowsearch.Knowledge
+	asked     steering.Asked
+	index     int // of the next agent
+	result    steering.SearchResult
+	restarted bool // nobody was left to ask, and the search starts again
+}
+
+// searchServices returns the services at which an open flow may be, all if no routes are known. It returns false if the
+// flow's route was removed.
+func searchServices(flow steering.Flow, table *routes.Table) ([]string, bool) {
+	if table == nil {
+		return []string{""}, true
+	}
+	route, ok := table.Lookup(flow.Service())
+	if !ok {
+		return nil, false
+	}
+	return route.SearchServices(flow.Hash()), true
+}
+
+// nextCandidate returns the next step of the search for the owner of a flow.
+func (e *Entry) nextCandidate(now time.Duration, flow steering.Flow, table *routes.Table, services []string) searchStep {
+	s := searchStep{table: table, services: services, agents: e.searchCandidates(flow, services), known: e.searches.Lookup(now, flow)}
+	s.index, s.result, s.asked = steering.Next(now, s.agents,
+		steering.Asked{Tried: s.known.Tried, Remembered: len(s.known.Tried), Silent: s.known.Silent},
+		table != nil && e.fleet.RosterComplete(now))
+	s.restarted = s.asked.Remembered < len(s.known.Tried)
+	return s
+}
+
 // searchOwner forwards a packet of a flow without a known owner to the first agent that may hold
-// the flow.
+// the flow, according to what earlier packets have shown.
 func (e *Entry) searchOwner(
 	now time.Duration, pending *pendingPacket, flow steering.Flow, table *routes.Table, cause string) {
 	p := pending.Value
-	services := []string{""} // all
-	if table != nil {
-		route, ok := table.Lookup(flow.Service())
-		if !ok {
-			if e.unrouted.Judge(now, flow) == steering.Unknown {
-				e.hold(now, pending, "route unknown", table.Position)
-				return
-			}
-			e.resetFlow(flow, p, "route removed", table)
+	services, ok := searchServices(flow, table)
+	if !ok {
+		if e.unrouted.Judge(now, flow) == steering.Unknown {
+			e.hold(now, pending, "route unknown", table.Position)
 			return
 		}
-		services = route.SearchServices(flow.Hash())
+		e.resetFlow(flow, p, "route removed", table)
+		return
 	}
-	agents := e.searchCandidates(flow, services)
-	index, result := steering.NextCandidate(now, agents, nil, table != nil && e.fleet.RosterComplete(now))
-	switch result {
+	s := e.nextCandidate(now, flow, table, services)
+	switch s.result {
 	case steering.Continue:
 		e.counters.searched.Inc()
-		repeat := e.flows.recordSearch(now, flow)
-		if repeat > 0 {
+		if s.known.Repeats > 0 {
 			e.counters.searchedAgain.Inc()
 		}
 		e.counters.Set.GetOrCreateCounter(`lacewing_searches_total{cause="` + cause + `"}`).Inc()
-		at := table.PositionOrZero()
-		service := ""
-		if table != nil {
-			service = cmp.Or(agents[index].Service, services[0])
-		}
-		e.send(&agents[index], &fleet.ForwardedPacket{Service: service, Routes: at, WantsOwner: true, Packet: p})
-		if e.logs.Unusual.Allow() {
-			e.logs.Unusual.Log("flow searched", logging.KeyFlow, flow, "sequence", p.Sequence(),
-				logging.KeyService, service, logging.KeyRevision, at.Revision, logging.KeyVersion, at.Version,
-				logging.KeyPeer, agents[index].Name, "candidates", len(agents), logging.KeyReason, cause, "repeat", repeat,
-				"agents", steering.DescribeCandidates(now, agents, nil))
+		e.sendSearch(now, pending, &s, cause)
+		if s.known.Overdue {
+			item := *pending
+			item.Flow, item.Value = flow, platform.Packet(bytes.Clone(p))
+			item.Arrived = now
+			e.unanswered.Put(now, item)
 		}
 	case steering.NotFound:
 		if e.logs.Unusual.Allow() {
 			e.logs.Unusual.Log("search ended", logging.KeyFlow, flow, logging.KeyReason, cause,
-				"agents", steering.DescribeCandidates(now, agents, nil))
+				"agents", steering.DescribeCandidates(now, s.agents, nil))
 		}
 		e.resetFlow(flow, p, "no target holds the flow", table)
 	case steering.Unknown:
-		e.fleet.ProbeSilent(now, agents, nil)
+		e.fleet.ProbeSilent(now, s.agents, s.asked.Tried)
 		e.hold(now, pending, "agents unknown", table.PositionOrZero())
 	}
 }
 
+// sendSearch sends a packet to the next agent that may hold its flow.
+func (e *Entry) sendSearch(now time.Duration, pending *pendingPacket, s *searchStep, cause string) {
+	p := pending.Value
+	flow, agent := p.CallerFlow(), &s.agents[s.index]
+	if s.restarted {
+		e.searches.Restart(flow)
+	} else if len(s.asked.Tried) > 0 || len(s.asked.Silent) > 0 {
+		e.counters.resumed.Inc()
+	}
+	e.searches.RecordSent(now, flow, agent.ID, s.known.Overdue)
+	at := s.table.PositionOrZero()
+	fp := &fleet.ForwardedPacket{Routes: at, WantsOwner: true, WantsProgress: s.known.Overdue, Packet: p}
+	if s.table != nil {
+		fp.Service = cmp.Or(agent.Service, s.services[0])
+	}
+	fp.SetAsked(s.asked)
+	e.send(agent, fp)
+	if e.logs.Unusual.Allow() {
+		e.logs.Unusual.Log("flow searched", logging.KeyFlow, flow, "sequence", p.Sequence(),
+			logging.KeyService, fp.Service, logging.KeyRevision, at.Revision, logging.KeyVersion, at.Version,
+			logging.KeyPeer, agent.Name, "candidates", len(s.agents), logging.KeyReason, cause, "repeat", s.known.Repeats,
+			"tried", len(s.asked.Tried), "silent", s.asked.Silent,
+			"agents", steering.DescribeCandidates(now, s.agents, s.asked.Tried))
+	}
+}
+
 // rankedAgents returns the agents of a service in the order in which they are tried for a new flow. The
 // result is valid until the next call of it or of searchCandidates.
 func (e *Entry) rankedAgents(flow steering.Flow, service string) []roster.Peer {
