--- a/bench/flows/cluster.go
+++ b/bench/flows/cluster.go
@@ -33,7 +33,7 @@
 )
 
 const (
-	heartbeat         = 800 * time.Millisecond
+	defaultHeartbeat  = 800 * time.Millisecond
 	probeInterval     = 500 * time.Millisecond
 	stopGrace         = 6 * time.Second
 	targetRequestTime = 15 * time.Millisecond
@@ -47,6 +47,10 @@
 	Subnet  int    // second octet of the loopback addresses; differs between clusters that run in parallel
 	Zones   int
 	Targets map[string]int // by service
+	// Heartbeat is the interval of the targets' reports, defaultHeartbeat if it is 0.
+	Heartbeat time.Duration
+	// OnPacket, if not nil, is called for each packet of an open flow that a target receives.
+	OnPacket func(t platformtest.FlowHolder, flow steering.Flow, held bool)
 }
 
 // Process is one program of the cluster.
@@ -92,6 +96,9 @@
 // Start starts the stand-ins and the programs. onRun is called when a target runs a request,
 // onAltered when a target receives a packet that differs from the one sent.
 func Start(o Options, onRun func(platformtest.Run), onAltered func()) (*Cluster, error) {
+	if o.Heartbeat == 0 {
+		o.Heartbeat = defaultHeartbeat
+	}
 	c := &Cluster{options: o, probeMisses: map[*Node]int{}, onRun: onRun, onAltered: onAltered, stop: make(chan struct{})}
 	store, err := platformtest.NewStore(fmt.Sprintf("127.%d.250.1:%d", o.Subnet, portStore))
 	if err != nil {
@@ -143,7 +150,7 @@
 		"service: %q\ntarget: %q\nfrom_target: %q\nreports: %q\nready: %q\ncallers_address: %q\nheartbeat: %s\naddress_reuse: 2s\n",
 		service, address(n.host, portTarget), address(n.host, portFromTarget), address(n.host, portReports),
 		address(n.host, portReady),
-		address(n.host, portCallers), heartbeat)
+		address(n.host, portCallers), c.options.Heartbeat)
 	if err := c.prepare(n, "lacewing-agent", agentSettings); err != nil {
 		return err
 	}
@@ -163,8 +170,8 @@
 	t, err := platformtest.StartTarget(platformtest.TargetOptions{
 		ID: id, Service: service, Zone: fmt.Sprint("dc-", n.Zone),
 		Address: addressPort(n.host, portTarget), FromTarget: addressPort(n.host, portFromTarget),
-		Reports: address(n.host, portReports), Heartbeat: heartbeat, Slots: targetSlots, RequestTime: targetRequestTime,
-		OnRun: c.onRun, OnAltered: c.onAltered,
+		Reports: address(n.host, portReports), Heartbeat: c.options.Heartbeat, Slots: targetSlots,
+		RequestTime: targetRequestTime, OnRun: c.onRun, OnAltered: c.onAltered, OnPacket: c.options.OnPacket,
 	})
 	if err != nil {
 		return err
