bench/flows: the judge counts a retransmission once, however many targets receive it

A search shows one packet to several targets. Callers number their retransmissions, so that the judge can tell packets that were sent again from packets that were passed on.

--- a/bench/flows/cluster.go
+++ b/bench/flows/cluster.go
@@ -51,7 +51,7 @@
 	// Heartbeat is the interval of the targets' reports, defaultHeartbeat if it is 0.
 	Heartbeat time.Duration
 	// OnPacket, if not nil, is called for each packet of an open flow that a target receives.
-	OnPacket func(t platformtest.FlowHolder, flow steering.Flow, held bool)
+	OnPacket func(platformtest.ReceivedPacket)
 	// ZoneRouting is set if the fabric sends the flows of a caller to the entry of its zone, and to
 	// another one only while that one is out of rotation. Otherwise it hashes flows over all entries.
 	ZoneRouting bool
--- a/bench/flows/flowjudge.go
+++ b/bench/flows/flowjudge.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -20,29 +19,16 @@
 
 // Misdirection is a violation: packets of an open flow reached other targets and never its own.
 type Misdirection struct {
-	Flow   steering.Flow
-	Holder string         // id of the target that holds the flow
-	Others map[string]int // packets by the id of the target that received them
-	Since  time.Time      // when the first of them was received
-}
-
-// Packets returns the number of packets that other targets received. One packet counts once at each of them.
-func (m *Misdirection) Packets() int {
-	n := 0
-	for _, received := range m.Others {
-		n += received
-	}
-	return n
-}
-
-// Retransmissions returns how often the caller has sent packets again that reached other targets, at the least.
-func (m *Misdirection) Retransmissions() int {
-	return slices.Max(slices.Collect(maps.Values(m.Others))) - 1
+	Flow    steering.Flow
+	Holder  string         // id of the target that holds the flow
+	Packets int            // distinct packets that other targets received
+	Others  map[string]int // packets by the id of the target that received them
+	Since   time.Time      // when the first of them was received
 }
 
 func (m *Misdirection) String() string {
 	return fmt.Sprintf("flow %s of %s: %d packets reached other targets and none its own for %v since %s: %v",
-		m.Flow, m.Holder, m.Packets(), misdirectedWindow, m.Since.Format("15:04:05.000"), m.Others)
+		m.Flow, m.Holder, m.Packets, misdirectedWindow, m.Since.Format("15:04:05.000"), m.Others)
 }
 
 // FlowJudge finds flows that are misdirected although their target is alive and holds them. Its method RecordPacket
@@ -57,12 +43,13 @@
 type judgedFlow struct {
 	holder      platformtest.FlowHolder
 	misdirected []misdirectedPacket // since the holder received the last packet
+	distinct    []time.Time         // when other targets received a packet for the first time
 	judged      bool                // the window of these packets is judged, or will be
 }
 
 type misdirectedPacket struct {
-	at     time.Time
-	target string
+	at           time.Time
+	data, target string
 }
 
 // NewFlowJudge returns a judge that calls onMisdirected for each violation, from a goroutine of its own.
@@ -70,14 +57,14 @@
 	return &FlowJudge{onMisdirected: onMisdirected, flows: map[steering.Flow]*judgedFlow{}}
 }
 
-// RecordPacket records that a target received a packet of an open flow. held is whether the target holds the flow.
-func (j *FlowJudge) RecordPacket(t platformtest.FlowHolder, flow steering.Flow, held bool) {
+// RecordPacket records that a target received a packet of an open flow.
+func (j *FlowJudge) RecordPacket(p platformtest.ReceivedPacket) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	f := j.flows[flow]
-	if held {
-		if f == nil || f.holder != t || len(f.misdirected) > 0 {
-			j.flows[flow] = &judgedFlow{holder: t} // a new record, so that a pending judgement finds no packets
+	f := j.flows[p.Flow]
+	if p.Held {
+		if f == nil || f.holder != p.Target || len(f.misdirected) > 0 {
+			j.flows[p.Flow] = &judgedFlow{holder: p.Target} // a new record, so that a pending judgement finds another one
 		}
 		return
 	}
@@ -85,14 +72,17 @@
 		return
 	}
 	now := time.Now()
-	f.misdirected = append(f.misdirected, misdirectedPacket{now, t.ID()})
-	if f.judged || len(f.misdirected) < misdirectedPackets {
+	if !slices.ContainsFunc(f.misdirected, func(m misdirectedPacket) bool { return m.data == p.Data }) {
+		f.distinct = append(f.distinct, now)
+	}
+	f.misdirected = append(f.misdirected, misdirectedPacket{now, p.Data, p.Target.ID()})
+	if f.judged || len(f.distinct) < misdirectedPackets {
 		return
 	}
-	first := f.misdirected[len(f.misdirected)-misdirectedPackets].at
+	first := f.distinct[len(f.distinct)-misdirectedPackets]
 	if left := misdirectedWindow - now.Sub(first); left >= 0 {
 		f.judged = true
-		time.AfterFunc(left, func() { j.judge(flow, f, first) })
+		time.AfterFunc(left, func() { j.judge(p.Flow, f, first) })
 	}
 }
 
@@ -101,6 +91,11 @@
 	j.mu.Lock()
 	current := j.flows[flow] == f
 	m := Misdirection{Flow: flow, Holder: f.holder.ID(), Others: map[string]int{}, Since: first}
+	for _, at := range f.distinct {
+		if !at.Before(first) {
+			m.Packets++
+		}
+	}
 	for _, p := range f.misdirected {
 		if !p.at.Before(first) {
 			m.Others[p.target]++
--- a/bench/flows/flowjudge_test.go
+++ b/bench/flows/flowjudge_test.go
@@ -1,6 +1,7 @@
 package flows_test
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -8,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"lacewinglever.dev/bench/flows"
+	"lacewinglever.dev/platform/platformtest"
 	"lacewinglever.dev/policy/steering"
 )
 
@@ -29,7 +31,7 @@
 		return times
 	}
 	for name, c := range map[string]struct {
-		others []time.Duration // when another target receives a packet
+		others []time.Duration // when two other targets receive a packet
 		own    time.Duration   // when the holder does, 0 for never
 		ends   time.Duration   // when the holder ends, 0 for never
 		want   int
@@ -47,14 +49,18 @@
 			synctest.Test(t, func(t *testing.T) {
 				var found []flows.Misdirection
 				j := flows.NewFlowJudge(func(m flows.Misdirection) { found = append(found, m) })
-				own, other := &holder{id: "own"}, &holder{id: "other"}
-				j.RecordPacket(own, steering.Flow{}, true)
+				own := &holder{id: "own"}
+				j.RecordPacket(platformtest.ReceivedPacket{Target: own, Held: true})
 				time.Sleep(time.Minute)
-				for _, at := range c.others {
-					time.AfterFunc(at, func() { j.RecordPacket(other, steering.Flow{}, false) })
+				for i, at := range c.others {
+					time.AfterFunc(at, func() {
+						for _, other := range []*holder{{id: "other"}, {id: "another"}} {
+							j.RecordPacket(platformtest.ReceivedPacket{Target: other, Data: fmt.Sprint(i)})
+						}
+					})
 				}
 				if c.own > 0 {
-					time.AfterFunc(c.own, func() { j.RecordPacket(own, steering.Flow{}, true) })
+					time.AfterFunc(c.own, func() { j.RecordPacket(platformtest.ReceivedPacket{Target: own, Held: true}) })
 				}
 				if c.ends > 0 {
 					time.AfterFunc(c.ends, func() { own.ended = true })
--- a/bench/flows/load.go
+++ b/bench/flows/load.go
@@ -301,7 +301,7 @@
 func (l *Load) OnMisdirected(m Misdirection) {
 	now := time.Now()
 	node, holder := l.holderOf(m.Flow)
-	if holder != nil && m.Retransmissions()+1 >= misdirectedPackets && l.countsFor(now, append(l.entriesOf(m.Flow, now), node)) {
+	if holder != nil && l.countsFor(now, append(l.entriesOf(m.Flow, now), node)) {
 		l.RecordViolation("%v; it is beside %s", &m, node.Name)
 	}
 }
