bench/flows: split routes, slow processes and lost datagrams in the soak

Idle flows of runs with Churn use a route that is split between both services and whose weights change. A frozen process is stopped most of the time instead in half of the cases.

--- a/bench/cmd/flowsoak/main.go
+++ b/bench/cmd/flowsoak/main.go
@@ -26,6 +26,7 @@
 	Zones     int            `long:"zones" description:"number of data centres, with one entry each" default:"3"`
 	Targets   map[string]int `long:"target" description:"number of targets of the services a and b, as a:4" default:"a:4" default:"b:3"`
 	Heartbeat time.Duration  `long:"heartbeat" description:"interval of the targets' reports" default:"800ms"`
+	Loss      float64        `long:"loss" description:"share of the datagrams between nodes that are lost" default:"0"`
 	Subnet    int            `long:"subnet" description:"second octet of the loopback addresses of the first concurrent run" default:"50"`
 }
 
@@ -84,7 +85,7 @@
 	defer func() { _ = log.Close() }() // the log is diagnostic; violations are printed too
 	violations, err := flows.Soak(flows.SoakOptions{
 		Cluster: flows.Options{Bin: o.Bin, Dir: dir, Subnet: o.Subnet + worker, Zones: o.Zones, Targets: o.Targets,
-			Heartbeat: o.Heartbeat, ZoneRouting: o.Churn},
+			Heartbeat: o.Heartbeat, ZoneRouting: o.Churn, Loss: o.Loss},
 		Seed: seed, Faults: o.Faults, Spacing: o.Spacing, Churn: o.Churn, Callers: 8, Log: log,
 	})
 	if err != nil {
--- a/bench/flows/cluster.go
+++ b/bench/flows/cluster.go
@@ -55,6 +55,7 @@
 	// ZoneRouting is set if the fabric sends the flows of a caller to the entry of its zone, and to
 	// another one only while that one is out of rotation. Otherwise it hashes flows over all entries.
 	ZoneRouting bool
+	Loss        float64 // share of the datagrams between nodes that are lost
 }
 
 // Process is one program of the cluster.
@@ -222,14 +223,14 @@
 		advertise = fmt.Sprintf("127.%d.200%s", c.options.Subnet, n.host[strings.LastIndexByte(n.host, '.'):])
 	}
 	var err error
-	if n.peerProxy, err = NewProxy(addressPort(advertise, portFleet), addressPort(n.host, portFleet), true); err != nil {
+	if n.peerProxy, err = NewProxy(addressPort(advertise, portFleet), addressPort(n.host, portFleet), true, c.options.Loss); err != nil {
 		return err
 	}
 	c.mu.Lock()
 	c.hosts[netip.MustParseAddr(n.host)] = n
 	c.mu.Unlock()
 	storeAddress := addressPort(n.host, portStore)
-	if n.storeProxy, err = NewProxy(storeAddress, netip.MustParseAddrPort(c.Store.Address()), false); err != nil {
+	if n.storeProxy, err = NewProxy(storeAddress, netip.MustParseAddrPort(c.Store.Address()), false, 0); err != nil {
 		return err
 	}
 	seed := fmt.Sprintf("127.%d.150.1:%d", c.options.Subnet, portFleet)
--- a/bench/flows/load.go
+++ b/bench/flows/load.go
@@ -16,6 +16,8 @@
 var (
 	addressA = netip.MustParseAddrPort("198.18.0.1:8443")
 	addressB = netip.MustParseAddrPort("198.18.0.2:8443")
+	// addressSplit is of a route that is split between both services.
+	addressSplit = netip.MustParseAddrPort("198.18.0.4:8443")
 )
 
 const (
@@ -45,6 +47,7 @@
 type Load struct {
 	cluster *Cluster
 	callers []*platformtest.Caller
+	idleTo  netip.AddrPort // of the flows on which callers seldom send
 	stop    chan struct{}
 	running sync.WaitGroup
 
@@ -67,7 +70,7 @@
 // NewLoad returns an idle load. The cluster that it will use must be started with its methods OnRun
 // and OnAltered.
 func NewLoad() *Load {
-	return &Load{commandRuns: map[string]int{}, disturbedUntil: map[*Node]time.Time{},
+	return &Load{idleTo: addressA, commandRuns: map[string]int{}, disturbedUntil: map[*Node]time.Time{},
 		sentTo: map[steering.Flow]map[netip.Addr]time.Time{}, stop: make(chan struct{})}
 }
 
@@ -172,9 +175,11 @@
 			return err
 		}
 		l.callers = append(l.callers, caller)
-		l.running.Go(func() { l.runReads(caller, func() time.Duration { return 150 * time.Millisecond }) })
+		l.running.Go(func() { l.runReads(caller, addressA, func() time.Duration { return 150 * time.Millisecond }) })
 		for range idleFlows {
-			l.running.Go(func() { l.runReads(caller, func() time.Duration { return minIdle + rand.N(maxIdle-minIdle) }) })
+			l.running.Go(func() {
+				l.runReads(caller, l.idleTo, func() time.Duration { return minIdle + rand.N(maxIdle-minIdle) })
+			})
 		}
 		l.running.Go(func() { l.runShortFlows(caller, "command", addressA, 300*time.Millisecond) })
 		l.running.Go(func() { l.runShortFlows(caller, "report", addressB, 400*time.Millisecond) })
@@ -215,7 +220,7 @@
 
 // runReads sends reads on one flow and opens another when it ends. Reads are idempotent and
 // retried.
-func (l *Load) runReads(c *platformtest.Caller, interval func() time.Duration) {
+func (l *Load) runReads(c *platformtest.Caller, to netip.AddrPort, interval func() time.Duration) {
 	var flow *platformtest.Flow
 	var opened time.Time
 	for l.wait(interval()) {
@@ -227,7 +232,7 @@
 		outcome := platformtest.NotOpened
 		for range maxAttempts {
 			if flow == nil {
-				if flow = c.Open(addressA); flow == nil {
+				if flow = c.Open(to); flow == nil {
 					continue
 				}
 				opened = time.Now()
--- a/bench/flows/proxy.go
+++ b/bench/flows/proxy.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
@@ -27,6 +28,7 @@
 // names.
 type Proxy struct {
 	to       netip.AddrPort
+	loss     float64 // share of the datagrams that are lost
 	listener net.Listener
 	udp      *net.UDPConn
 
@@ -35,13 +37,13 @@
 	conns map[net.Conn]struct{}
 }
 
-// NewProxy starts a proxy for TCP and, if datagrams is set, for UDP.
-func NewProxy(listen, to netip.AddrPort, datagrams bool) (*Proxy, error) {
+// NewProxy starts a proxy for TCP and, if datagrams is set, for UDP, of which it loses a share.
+func NewProxy(listen, to netip.AddrPort, datagrams bool, loss float64) (*Proxy, error) {
 	l, err := net.Listen("tcp", listen.String())
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{to: to, listener: l, conns: map[net.Conn]struct{}{}}
+	p := &Proxy{to: to, loss: loss, listener: l, conns: map[net.Conn]struct{}{}}
 	if datagrams {
 		if p.udp, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(listen)); err != nil {
 			_ = l.Close()
@@ -91,6 +93,9 @@
 		if err != nil {
 			return
 		}
+		if rand.Float64() < p.loss {
+			continue
+		}
 		switch p.currentLink() {
 		case Pass, OneWay:
 			_, _ = p.udp.WriteToUDPAddrPort(buffer[:n], to)
--- a/bench/flows/soak.go
+++ b/bench/flows/soak.go
@@ -61,6 +61,7 @@
 	releaseService
 	rollNodes
 	loseInstance
+	changeWeights
 )
 
 // plannedWorkEvery is the divisor of the seeds that have planned work only. Some guarantees hold
@@ -75,8 +76,9 @@
 		killOne, killOne, freezeOne, freezeOne, failStore, failStore, restoreStore, restoreStore, degradeLink, degradeLink,
 		crashOne, crashOne, killMany,
 	}, plannedWork...)
-	plannedChurn = append([]faultKind{resizeService, resizeService, releaseService, releaseService, rollNodes, rollNodes},
-		plannedWork...)
+	plannedChurn = append([]faultKind{
+		resizeService, resizeService, releaseService, releaseService, rollNodes, rollNodes, changeWeights,
+	}, plannedWork...)
 	instanceFaults = append([]faultKind{
 		killOne, killOne, freezeOne, freezeOne, degradeLink, crashOne, crashOne, loseInstance, killMany,
 	}, plannedChurn...)
@@ -99,15 +101,13 @@
 	routesVersion int
 	routes        []platformtest.Route // those with traffic first
 	removed       []platformtest.Route
+	permanent     int // number of routes with traffic, which are never removed
 
 	storeCopy  platformtest.StoreCopy // to which the store is restored
 	changesDue int                    // changes of the routes that come before the next fault
 	instances  atomic.Int32           // added so far
 }
 
-// permanentRoutes is the number of routes with traffic, which are never removed.
-const permanentRoutes = 2
-
 var soakServices = []string{"a", "b"}
 
 // Soak runs the programs under faults drawn from the seed and returns the violated guarantees.
@@ -130,6 +130,11 @@
 		{Name: "a", Host: addressA.Addr().String(), Port: int(addressA.Port()), Service: "a"},
 		{Name: "b", Host: addressB.Addr().String(), Port: int(addressB.Port()), Service: "b"},
 	}
+	if o.Churn {
+		l.idleTo = addressSplit
+		s.routes = append(s.routes, splitRoute(0.5))
+	}
+	s.permanent = len(s.routes)
 	s.putRoutes()
 	s.storeCopy = c.Store.Copy()
 	time.Sleep(warmUp)
@@ -237,7 +242,7 @@
 	case restartAgent:
 		s.restartNode(s.reserve(agents), s.restartTime())
 	case freezeOne:
-		s.freezeNode(s.reserve(all), s.randomDuration(300*time.Millisecond, 3*time.Second))
+		s.freezeNode(s.reserve(all), s.randomDuration(300*time.Millisecond, 3*time.Second), s.options.Churn && s.rand.IntN(2) == 0)
 	case hangup:
 		n := all[s.rand.IntN(len(all))]
 		s.logf("SIGHUP to %s", n.Name)
@@ -260,6 +265,8 @@
 		s.resize(agents)
 	case releaseService:
 		s.releaseInstances(agents)
+	case changeWeights:
+		s.changeWeights(s.rand.Float64())
 	case rollNodes:
 		s.roll(agents)
 	case loseInstance:
@@ -302,14 +309,23 @@
 	})
 }
 
-func (s *soak) freezeNode(n *Node, d time.Duration) {
+// freezeNode stops a process for a while, or most of the time for a while if it is to be slow.
+func (s *soak) freezeNode(n *Node, d time.Duration, slow bool) {
 	if n == nil {
 		return
 	}
-	s.logf("SIGSTOP to %s for %v", n.Name, d)
+	s.logf("SIGSTOP to %s for %v, slow %v", n.Name, d, slow)
 	s.load.RecordDisturbance(time.Now().Add(d), n)
 	n.Signal(syscall.SIGSTOP)
-	s.runAfter(d, func() {
+	s.runAfter(0, func() {
+		end := time.Now().Add(d)
+		for slow && time.Until(end) > slowPause {
+			time.Sleep(slowPause)
+			n.Signal(syscall.SIGCONT)
+			time.Sleep(slowPause / 4)
+			n.Signal(syscall.SIGSTOP)
+		}
+		time.Sleep(time.Until(end))
 		n.Signal(syscall.SIGCONT)
 		s.release(n)
 	})
@@ -418,7 +434,7 @@
 // change is in force.
 func (s *soak) changeRoutes() {
 	s.mu.Lock()
-	added := len(s.routes) == permanentRoutes || s.rand.IntN(2) == 0
+	added := len(s.routes) == s.permanent || s.rand.IntN(2) == 0
 	var route platformtest.Route
 	if added {
 		port := 9000 + s.routesVersion
--- a/bench/flows/soak_churn.go
+++ b/bench/flows/soak_churn.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"lacewinglever.dev/platform/platformtest"
 )
 
 const (
@@ -15,6 +17,8 @@
 	// maxInstances is the number of instances that are started in one run at most; addresses aren't reused.
 	maxInstances   = 240
 	slowestRestart = 3 * time.Second
+	// slowPause is the time for which a slow process stands still at a time.
+	slowPause = 40 * time.Millisecond
 	// drainTime is the time that a draining target goes on at least.
 	drainTime = 3 * time.Second
 )
@@ -101,6 +105,21 @@
 	})
 }
 
+// splitRoute returns the route that is split between the services, with the weight of the first one.
+func splitRoute(weight float64) platformtest.Route {
+	return platformtest.Route{Name: "split", Host: addressSplit.Addr().String(), Port: int(addressSplit.Port()),
+		Split: [2]platformtest.Share{{Service: "a", Weight: weight}, {Service: "b", Weight: 1 - weight}}}
+}
+
+// changeWeights changes the weights of the split route. Open flows stay where they are.
+func (s *soak) changeWeights(weight float64) {
+	s.logf("weight of service a in the split route: %.2f", weight)
+	s.mu.Lock()
+	s.routes[s.permanent-1] = splitRoute(weight)
+	s.mu.Unlock()
+	s.putRoutes()
+}
+
 // restartTime draws the time for which a restarted node is away; 0 unless instances are changed.
 func (s *soak) restartTime() time.Duration {
 	if !s.options.Churn {
--- a/bench/flows/soak_restore.go
+++ b/bench/flows/soak_restore.go
@@ -77,7 +77,7 @@
 	for _, r := range s.removed {
 		idle[r] = false
 	}
-	for _, r := range s.routes[permanentRoutes:] {
+	for _, r := range s.routes[s.permanent:] {
 		idle[r] = true
 	}
 	return idle
