--- a/bench/flows/load.go
+++ b/bench/flows/load.go
@@ -31,7 +31,7 @@
 	// disturbed: 4 s, and 200 ms of slack for the precision of the timestamps.
 	stableWindow = 4*time.Second + 200*time.Millisecond
 	// idleFlows is the number of long flows of each caller on which it seldom sends.
-	idleFlows = 6
+	idleFlows = 12
 	minIdle   = time.Second
 	maxIdle   = 10 * time.Second
 	// maxFlowAge is the age at which callers close a flow.
