--- a/bench/flows/soak.go
+++ b/bench/flows/soak.go
@@ -5,8 +5,10 @@
 	"io"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -19,11 +21,16 @@
 	Seed    uint64
 	Faults  time.Duration // how long faults are injected
 	Callers int
+	// Churn adds work that changes the instances: growth, releases at new addresses, rolls.
+	Churn bool
+	// Spacing is the mean time between two faults, defaultSpacing if it is 0.
+	Spacing time.Duration
 	Log     io.Writer // receives a line per fault
 }
 
 const (
-	warmUp = 3 * time.Second
+	warmUp         = 3 * time.Second
+	defaultSpacing = 450 * time.Millisecond
 	// recoveryTime is the time after the last fault until callers must be served again.
 	recoveryTime = 8 * time.Second
 	// servedWindow is the time after recoveryTime in which the share of served requests is
@@ -50,6 +57,11 @@
 	hangup
 	drainOne
 	changeSettings
+	resizeService
+	releaseService
+	rollNodes
+	loseInstance
+	changeWeights
 )
 
 // plannedWorkEvery is the divisor of the seeds that have planned work only. Some guarantees hold
@@ -64,8 +76,18 @@
 		killOne, killOne, freezeOne, freezeOne, failStore, failStore, restoreStore, restoreStore, degradeLink, degradeLink,
 		crashOne, crashOne, killMany,
 	}, plannedWork...)
+	plannedChurn = append([]faultKind{
+		resizeService, resizeService, releaseService, releaseService, rollNodes, rollNodes, changeWeights,
+	}, plannedWork...)
+	instanceFaults = append([]faultKind{
+		killOne, killOne, freezeOne, freezeOne, degradeLink, crashOne, crashOne, loseInstance, killMany,
+	}, plannedChurn...)
 )
 
+// storeFaultsIn is the remainder of plannedWorkEvery of the seeds with faults of the store, if instances
+// are changed too. The other seeds show what is suspended while the store is disturbed.
+const storeFaultsIn = 1
+
 // soak is one run of the fault soak.
 type soak struct {
 	options SoakOptions
@@ -79,19 +101,22 @@
 	routesVersion int
 	routes        []platformtest.Route // those with traffic first
 	removed       []platformtest.Route
+	permanent     int // number of routes with traffic, which are never removed
 
 	storeCopy  platformtest.StoreCopy // to which the store is restored
 	changesDue int                    // changes of the routes that come before the next fault
+	instances  atomic.Int32           // added so far
 }
 
-// permanentRoutes is the number of routes with traffic, which are never removed.
-const permanentRoutes = 2
-
 var soakServices = []string{"a", "b"}
 
 // Soak runs the programs under faults drawn from the seed and returns the violated guarantees.
 func Soak(o SoakOptions) ([]string, error) {
 	l := NewLoad()
+	o.Cluster.OnPacket = NewFlowJudge(l.OnMisdirected).RecordPacket
+	if o.Spacing == 0 {
+		o.Spacing = defaultSpacing
+	}
 	c, err := Start(o.Cluster, l.OnRun, l.OnAltered)
 	if c != nil {
 		defer c.Close()
@@ -105,6 +130,11 @@
 		{Name: "a", Host: addressA.Addr().String(), Port: int(addressA.Port()), Service: "a"},
 		{Name: "b", Host: addressB.Addr().String(), Port: int(addressB.Port()), Service: "b"},
 	}
+	if o.Churn {
+		l.idleTo = addressSplit
+		s.routes = append(s.routes, splitRoute(0.5))
+	}
+	s.permanent = len(s.routes)
 	s.putRoutes()
 	s.storeCopy = c.Store.Copy()
 	time.Sleep(warmUp)
@@ -115,7 +145,7 @@
 	for end := time.Now().Add(o.Faults); time.Now().Before(end); {
 		s.copyStore()
 		s.startFault()
-		time.Sleep(time.Duration(s.rand.IntN(900)) * time.Millisecond)
+		time.Sleep(time.Duration(s.rand.IntN(int(2*o.Spacing.Milliseconds()))) * time.Millisecond)
 	}
 	s.running.Wait()
 	s.logf("no more faults; waiting for the recovery")
@@ -134,6 +164,7 @@
 			l.RecordViolation("%s exited unexpectedly %d times", n.Name, n.UnexpectedExits())
 		}
 	}
+	s.logf("%d resets or misdirections of living flows not counted", l.Excused())
 	return l.Violations(), nil
 }
 
@@ -152,9 +183,13 @@
 // reserve picks a random node for a fault. It returns nil if the node has a fault in progress: two
 // faults on one node could cancel each other.
 func (s *soak) reserve(nodes []*Node) *Node {
+	return s.reserveNode(nodes[s.rand.IntN(len(nodes))])
+}
+
+// reserveNode reserves a node for a fault, or returns nil.
+func (s *soak) reserveNode(n *Node) *Node {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	n := nodes[s.rand.IntN(len(nodes))]
 	if s.busy[n] {
 		return nil
 	}
@@ -188,19 +223,26 @@
 		return
 	}
 	all := s.cluster.Nodes()
-	kinds := anyFault
+	kinds, work := anyFault, plannedWork
+	if s.options.Churn {
+		kinds, work = instanceFaults, plannedChurn
+		if s.options.Seed%plannedWorkEvery == storeFaultsIn {
+			kinds = append(slices.Clone(kinds), anyFault...)
+		}
+	}
 	if s.options.Seed%plannedWorkEvery == 0 {
-		kinds = plannedWork
+		kinds = work
 	}
+	agents := s.cluster.currentAgents()
 	switch kinds[s.rand.IntN(len(kinds))] {
 	case killOne:
 		s.killNode(s.reserve(all), s.randomDuration(100*time.Millisecond, 2*time.Second))
 	case restartEntry:
-		s.restartNode(s.reserve(s.cluster.Entries))
+		s.restartNode(s.reserve(s.cluster.Entries), s.restartTime())
 	case restartAgent:
-		s.restartNode(s.reserve(s.cluster.Agents))
+		s.restartNode(s.reserve(agents), s.restartTime())
 	case freezeOne:
-		s.freezeNode(s.reserve(all), s.randomDuration(300*time.Millisecond, 3*time.Second))
+		s.freezeNode(s.reserve(all), s.randomDuration(300*time.Millisecond, 3*time.Second), s.options.Churn && s.rand.IntN(2) == 0)
 	case hangup:
 		n := all[s.rand.IntN(len(all))]
 		s.logf("SIGHUP to %s", n.Name)
@@ -212,13 +254,23 @@
 	case degradeLink:
 		s.setLinkFault(s.reserve(all), s.randomDuration(500*time.Millisecond, 4*time.Second))
 	case crashOne:
-		s.crashTarget(s.reserve(s.cluster.Agents), s.randomDuration(100*time.Millisecond, 3*time.Second))
+		s.crashTarget(s.reserve(agents), s.randomDuration(100*time.Millisecond, 3*time.Second))
 	case drainOne:
-		s.drainTarget(s.reserve(s.cluster.Agents), s.randomDuration(500*time.Millisecond, 2*time.Second))
+		s.drainTarget(s.reserve(agents), s.randomDuration(500*time.Millisecond, 2*time.Second))
 	case changeSettings:
 		s.changeRoutes()
 	case killMany:
-		s.killAllNodes(s.randomDuration(300*time.Millisecond, 1500*time.Millisecond))
+		s.killNodes(s.randomDuration(300*time.Millisecond, 1500*time.Millisecond))
+	case resizeService:
+		s.resize(agents)
+	case releaseService:
+		s.releaseInstances(agents)
+	case changeWeights:
+		s.changeWeights(s.rand.Float64())
+	case rollNodes:
+		s.roll(agents)
+	case loseInstance:
+		s.loseInstance(s.reserve(agents), s.randomDuration(500*time.Millisecond, 4*time.Second))
 	}
 }
 
@@ -227,9 +279,10 @@
 		return
 	}
 	s.logf("SIGKILL to %s, back after %v", n.Name, down)
-	s.load.RecordDisturbance(time.Now().Add(down))
+	s.load.RecordDisturbance(time.Now().Add(down), n)
 	n.Kill()
 	s.runAfter(down, func() {
+		s.load.RecordDisturbance(time.Now(), n)
 		s.launchNode(n)
 		s.release(n)
 	})
@@ -241,28 +294,38 @@
 	}
 }
 
-// restartNode stops and restarts a node. As planned work it suspends no guarantee.
-func (s *soak) restartNode(n *Node) {
+// restartNode stops a node and starts it again after a time. As planned work it suspends no guarantee.
+func (s *soak) restartNode(n *Node, away time.Duration) {
 	if n == nil {
 		return
 	}
-	s.logf("SIGTERM to %s", n.Name)
+	s.logf("SIGTERM to %s, away for %v", n.Name, away)
 	s.running.Go(func() {
 		n.Stop()
+		time.Sleep(away)
 		s.launchNode(n)
 		time.Sleep(time.Second)
 		s.release(n)
 	})
 }
 
-func (s *soak) freezeNode(n *Node, d time.Duration) {
+// freezeNode stops a process for a while, or most of the time for a while if it is to be slow.
+func (s *soak) freezeNode(n *Node, d time.Duration, slow bool) {
 	if n == nil {
 		return
 	}
-	s.logf("SIGSTOP to %s for %v", n.Name, d)
-	s.load.RecordDisturbance(time.Now().Add(d))
+	s.logf("SIGSTOP to %s for %v, slow %v", n.Name, d, slow)
+	s.load.RecordDisturbance(time.Now().Add(d), n)
 	n.Signal(syscall.SIGSTOP)
-	s.runAfter(d, func() {
+	s.runAfter(0, func() {
+		end := time.Now().Add(d)
+		for slow && time.Until(end) > slowPause {
+			time.Sleep(slowPause)
+			n.Signal(syscall.SIGCONT)
+			time.Sleep(slowPause / 4)
+			n.Signal(syscall.SIGSTOP)
+		}
+		time.Sleep(time.Until(end))
 		n.Signal(syscall.SIGCONT)
 		s.release(n)
 	})
@@ -273,7 +336,7 @@
 		platformtest.Unavailable, platformtest.RateLimited, platformtest.Unanswered, platformtest.Reset,
 		platformtest.AnswersLost, platformtest.Slow,
 	}
-	s.load.RecordDisturbance(time.Now().Add(d))
+	s.load.RecordDisturbance(time.Now().Add(d), nil)
 	if s.rand.IntN(4) == 0 {
 		s.logf("store without watch events for 1 s, then compacted")
 		s.cluster.Store.Compact(time.Second)
@@ -290,7 +353,7 @@
 	if n == nil {
 		return
 	}
-	s.load.RecordDisturbance(time.Now().Add(d))
+	s.load.RecordDisturbance(time.Now().Add(d), n)
 	state := []Link{Silence, Cut, OneWay, Delay}[s.rand.IntN(4)]
 	proxy, farEnd := n.peerProxy, "other nodes"
 	if s.rand.IntN(2) == 0 {
@@ -316,10 +379,16 @@
 		// The platform reuses an address after 2 s at the earliest.
 		next, down = map[string]string{"a": "b", "b": "a"}[service], max(down, 2*time.Second)
 	}
-	s.logf("target beside %s crashes, one of service %s replaces it after %v", n.Name, next, down)
-	s.load.RecordDisturbance(time.Now().Add(down))
-	t.Crash()
+	dark := s.options.Churn && s.rand.IntN(2) == 0
+	s.logf("target beside %s crashes (dark %v), one of service %s replaces it after %v", n.Name, dark, next, down)
+	s.load.RecordDisturbance(time.Now().Add(down), n)
+	if dark {
+		t.GoDark()
+	} else {
+		t.Crash()
+	}
 	s.runAfter(down, func() {
+		t.Crash()
 		s.startTarget(n, next)
 		s.release(n)
 	})
@@ -329,7 +398,7 @@
 // agent.
 func (s *soak) hasOtherTargets(excluded *Node, service string) bool {
 	count := 0
-	for _, n := range s.cluster.Agents {
+	for _, n := range s.cluster.currentAgents() {
 		if _, other := s.cluster.Target(n); n != excluded && other == service {
 			count++
 		}
@@ -365,7 +434,7 @@
 // change is in force.
 func (s *soak) changeRoutes() {
 	s.mu.Lock()
-	added := len(s.routes) == permanentRoutes || s.rand.IntN(2) == 0
+	added := len(s.routes) == s.permanent || s.rand.IntN(2) == 0
 	var route platformtest.Route
 	if added {
 		port := 9000 + s.routesVersion
@@ -409,18 +478,21 @@
 	return !added
 }
 
-func (s *soak) killAllNodes(down time.Duration) {
+// killNodes kills all nodes at once, or herdShare of them if instances are changed.
+func (s *soak) killNodes(down time.Duration) {
+	nodes := s.cluster.Nodes()
+	if s.options.Churn {
+		s.rand.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
+		nodes = nodes[:int(herdShare*float64(len(nodes)))]
+	}
 	var reserved []*Node
-	s.mu.Lock()
-	for _, n := range s.cluster.Nodes() {
-		if !s.busy[n] {
-			s.busy[n] = true
+	for _, n := range nodes {
+		if s.reserveNode(n) != nil {
 			reserved = append(reserved, n)
 		}
 	}
-	s.mu.Unlock()
 	s.logf("SIGKILL to %d nodes at once, back after %v", len(reserved), down)
-	s.load.RecordDisturbance(time.Now().Add(down))
+	s.load.RecordDisturbance(time.Now().Add(down), reserved...)
 	for _, n := range reserved {
 		n.Signal(syscall.SIGKILL)
 	}
@@ -428,6 +500,7 @@
 		n.Kill()
 	}
 	s.runAfter(down, func() {
+		s.load.RecordDisturbance(time.Now(), reserved...)
 		for _, n := range reserved {
 			s.launchNode(n)
 			s.release(n)
