--- a/node/packetagent/agent.go
+++ b/node/packetagent/agent.go
@@ -656,7 +656,7 @@
 		if (!strings.HasPrefix(outcome, "held") || arrived == now) && a.logs.Unusual.Allow() {
 			a.logs.Unusual.Log("flow not held by the target", logging.KeyFlow, flow, "sequence", p.Sequence(),
 				logging.KeyService, fp.Service, logging.KeyRevision, fp.Routes.Revision,
-				logging.KeyVersion, fp.Routes.Version, "outcome", outcome, "tried", len(fp.Tried), "silent", fp.Silent, "candidates", len(agents),
+				logging.KeyVersion, fp.Routes.Version, "outcome", outcome, "tried", len(fp.Tried), "silent", len(fp.Silent), "candidates", len(agents),
 				"agents", steering.DescribeCandidates(now, agents, fp.Tried))
 		}
 	})
--- a/node/packetentry/entry.go
+++ b/node/packetentry/entry.go
@@ -500,7 +500,7 @@
 		e.logs.Unusual.Log("flow searched", logging.KeyFlow, flow, "sequence", p.Sequence(),
 			logging.KeyService, fp.Service, logging.KeyRevision, at.Revision, logging.KeyVersion, at.Version,
 			logging.KeyPeer, agent.Name, "candidates", len(s.agents), logging.KeyReason, cause, "repeat", s.known.Repeats,
-			"tried", len(s.asked.Tried), "silent", s.asked.Silent,
+			"tried", len(s.asked.Tried), "silent", len(s.asked.Silent),
 			"agents", steering.DescribeCandidates(now, s.agents, s.asked.Tried))
 	}
 }
