policy/stall, policy/roster, policy/targetstate: a node that was stalled takes nobody for gone

What callers saw: open flows reset although their targets, and the agents beside them, had been running all the while. The entry of the flow, or an agent, had been frozen or without processor time for more than about a second.

Cause: a process that continues after 2.5 s measures the silence of all others with a clock that counts the freeze, and finds all of them gone. Their heartbeats wait in one of its sockets and the callers' packets in another. Those that are read first are searched for, find no agent that may hold the flow, and are reset. Beside an agent, it is the target's reports that wait. Relays had a rule against this (policy/digest), the roster and the target's state had none. The class: a silence is counted that nobody has listened to.

Change: a process records ten times a second that it runs. After a pause of more than 500 ms it takes no node for gone, removes none and takes its target for ended for 1.5 s; the pause counts before it is recorded as well, so that it doesn't matter which goroutine continues first. Nodes are suspect meanwhile: packets with a known owner go there, others are offered or held. It resets flows of a node that ended during the freeze up to 1.5 s later. `process was stalled` and lacewing_stalls_total tell of it.

--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -32,6 +32,7 @@
 	"lacewinglever.dev/policy/roster"
 	"lacewinglever.dev/policy/routes"
 	"lacewinglever.dev/policy/stalerecords"
+	"lacewinglever.dev/policy/stall"
 	"lacewinglever.dev/policy/steering"
 )
 
@@ -108,6 +109,7 @@
 	heartbeatsSent  *metrics.Counter
 	digestsSent     *metrics.Counter
 	sendFailures    *metrics.Counter
+	stalls          *metrics.Counter
 	storeDependency dependency
 	storeLost       atomic.Bool   // the last read of the routes has failed
 	storeEra        atomic.Uint64 // highest era of the store that this node knows, 0 if none
@@ -175,6 +177,7 @@
 	f.heartbeatsSent = m.NewCounter("lacewing_fleet_heartbeats_sent_total")
 	f.digestsSent = m.NewCounter("lacewing_fleet_digests_sent_total")
 	f.sendFailures = m.NewCounter("lacewing_fleet_send_failures_total")
+	f.stalls = m.NewCounter("lacewing_stalls_total")
 	m.NewGauge("lacewing_routes_revision", func() float64 { return float64(f.Routes.Position().Revision) })
 	m.NewGauge("lacewing_routes_version", func() float64 { return float64(f.Routes.Position().Version) })
 	m.NewGauge("lacewing_store_era", func() float64 { return float64(f.storeEra.Load()) })
@@ -194,6 +197,7 @@
 func (f *Fleet) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return f.receive(ctx) })
+	g.Go(func() error { return timing.Every(ctx, stall.RecordInterval, func(time.Time) { f.recordRunning() }) })
 	g.Go(func() error { f.sendHeartbeats(ctx); return nil })
 	g.Go(func() error { return f.sendDigests(ctx) })
 	g.Go(func() error { f.join(ctx); return nil })
@@ -204,6 +208,14 @@
 	return g.Wait()
 }
 
+// recordRunning records that this process is running.
+func (f *Fleet) recordRunning() {
+	if pause := f.Roster.RecordRunning(Now()); pause > 0 {
+		f.stalls.Inc()
+		_ = level.Warn(f.options.Logger).Log(logging.KeyMessage, "process was stalled", logging.KeyAge, pause)
+	}
+}
+
 // self returns this node with its present incarnation.
 func (f *Fleet) self() *roster.Node {
 	n := f.Self
--- a/node/packetagent/agent.go
+++ b/node/packetagent/agent.go
@@ -233,6 +233,7 @@
 	round := 0
 	return timing.Every(ctx, checkInterval, func(time.Time) {
 		now := fleet.Now()
+		a.targetState.RecordRunning(now)
 		if round++; round%checksPerExpiry == 0 {
 			a.flows.Expire(now, flowIdleTimeout)
 		}
--- a/policy/roster/roster.go
+++ b/policy/roster/roster.go
@@ -13,6 +13,7 @@
 
 	"lacewinglever.dev/policy/ident"
 	"lacewinglever.dev/policy/routes"
+	"lacewinglever.dev/policy/stall"
 )
 
 const (
@@ -123,7 +124,9 @@
 const (
 	Live    Health = iota
 	Suspect        // silent for a while but may return: gets no new flows
-	Gone           // silent for so long that it is taken to hold no flow
+	// Gone nodes are silent for so long that they are taken to hold no flow. None is until this node has
+	// settled after a stall of its own.
+	Gone
 )
 
 // Peer is the local view of another node.
@@ -138,9 +141,10 @@
 
 	placedLoad      float64 // decayed number of flows placed there since its last heartbeat, as of placedAt
 	placedAt        time.Duration
-	unansweredSince time.Duration // time of the first flow placed there that no heartbeat has followed yet
-	silentSince     time.Duration // time from which it was reported as Silent
-	lastDigest      time.Duration // time of the last digest of its data centre if it is ViaDigest and not Silent, else 0
+	unansweredSince time.Duration  // time of the first flow placed there that no heartbeat has followed yet
+	silentSince     time.Duration  // time from which it was reported as Silent
+	lastDigest      time.Duration  // time of the last digest of its data centre if it is ViaDigest and not Silent, else 0
+	listener        stall.Detector // of this node
 }
 
 // PlacedLoad returns the decayed number of flows that were placed on the peer since its last
@@ -209,7 +213,7 @@
 func (p *Peer) Health(now time.Duration) Health {
 	silence := p.silence(now)
 	switch {
-	case silence > p.goneAfter() && (!p.Silent || now-p.silentSince > silenceConfirmation):
+	case silence > p.goneAfter() && (!p.Silent || now-p.silentSince > silenceConfirmation) && p.listener.Settled(now):
 		return Gone
 	case silence > p.suspectAfter() || !p.HeartbeatSeen || p.Leaving || p.Silent ||
 		p.Unanswered() && now-p.unansweredSince > answerTimeout:
@@ -259,6 +263,7 @@
 	self        ident.NodeID
 	peers       map[ident.NodeID]*Peer
 	lastDigests map[ident.DataCentre]time.Duration // time of the last digest
+	listener    stall.Detector
 }
 
 // New returns an empty roster for the node self, which is never added.
@@ -266,10 +271,19 @@
 	return &Roster{self: self, peers: map[ident.NodeID]*Peer{}, lastDigests: map[ident.DataCentre]time.Duration{}}
 }
 
-// view returns a copy of the peer with the time of the last digest filled in. A digest of a data
+// RecordRunning records that this node is running, and returns for how long it was stalled before, usually
+// 0. It is due every stall.RecordInterval.
+func (r *Roster) RecordRunning(now time.Duration) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.listener.Record(now)
+}
+
+// view returns a copy of the peer with what this node hears of it otherwise filled in. A digest of a data
 // centre is evidence that the nodes there which it doesn't report as silent are running.
 func (r *Roster) view(p *Peer) Peer {
 	v := *p
+	v.listener = r.listener
 	if p.isReported() {
 		v.lastDigest = r.lastDigests[p.DataCentre]
 	}
@@ -508,6 +522,9 @@
 func (r *Roster) Expire(now time.Duration) []Peer {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if !r.listener.Settled(now) {
+		return nil
+	}
 	var expired []Peer
 	for id, p := range r.peers {
 		if v := r.view(p); v.silence(now) > expireAfter {
--- a/policy/roster/roster_test.go
+++ b/policy/roster/roster_test.go
@@ -251,3 +251,28 @@
 	r.RecordDigest(900*time.Millisecond, dc)
 	assert.Equal(t, health(1800*time.Millisecond), roster.Live)
 }
+
+// Guards against taking all nodes for gone because this one was frozen and has not read their heartbeats.
+func TestFrozenNodeTakesNoOtherForGone(t *testing.T) {
+	r := roster.New(1)
+	run := func(from, to time.Duration) {
+		for now := from; now <= to; now += 100 * time.Millisecond {
+			r.RecordRunning(now)
+		}
+	}
+	health := func(now time.Duration) roster.Health {
+		p, ok := r.Find(ident.NewNodeID("a"))
+		assert.Assert(t, ok)
+		return p.Health(now)
+	}
+	run(0, time.Second)
+	r.RecordHeartbeat(time.Second, node("a", 1), roster.Heartbeat{Sequence: 1})
+	frozenUntil := 2 * time.Minute
+	assert.Equal(t, health(frozenUntil), roster.Suspect, "before it has read anything")
+	assert.Equal(t, len(r.Expire(frozenUntil)), 0)
+	run(frozenUntil, frozenUntil+time.Second)
+	assert.Equal(t, health(frozenUntil+time.Second), roster.Suspect)
+	run(frozenUntil+time.Second, frozenUntil+2*time.Second)
+	assert.Equal(t, health(frozenUntil+2*time.Second), roster.Gone, "silent since")
+	assert.Equal(t, len(r.Expire(frozenUntil+2*time.Second)), 1)
+}
--- a/policy/targetstate/target.go
+++ b/policy/targetstate/target.go
@@ -5,6 +5,8 @@
 import (
 	"sync"
 	"time"
+
+	"lacewinglever.dev/policy/stall"
 )
 
 // Report is the content of one report of a target.
@@ -86,7 +88,8 @@
 	confirmAfter time.Duration
 
 	mu                 sync.Mutex
-	started            time.Duration // when the agent began to listen
+	listener           stall.Detector // of the agent
+	started            time.Duration  // when the agent began to listen
 	report             Report
 	hasReported        bool
 	latestStart        int64          // latest StartUnixMs of any recorded report
@@ -112,6 +115,13 @@
 	return t
 }
 
+// RecordRunning records that the agent is running. It is due every stall.RecordInterval.
+func (t *Target) RecordRunning(now time.Duration) {
+	t.mu.Lock()
+	t.listener.Record(now)
+	t.mu.Unlock()
+}
+
 // RecordReport records a report unless it is stale.
 func (t *Target) RecordReport(now time.Duration, r Report) ReportResult {
 	t.mu.Lock()
@@ -303,6 +313,9 @@
 	if t.left {
 		return now-t.lastPacket > t.endedAfter-endedSlack
 	}
+	if !t.listener.Settled(now) {
+		return false // reports may be unread
+	}
 	if t.drainedBeforeStart {
 		return now-max(t.lastPacket, t.started) > t.silentAfter
 	}
--- a/policy/targetstate/target_test.go
+++ b/policy/targetstate/target_test.go
@@ -247,3 +247,20 @@
 	assert.Assert(t, drained.AwaitsFirstReport(second), "it may have announced its end only")
 	assert.Assert(t, !drained.AwaitsFirstReport(2*second))
 }
+
+// Guards against taking a running target for ended because its agent was frozen and has not read its reports.
+func TestFrozenAgentEndsNoTarget(t *testing.T) {
+	target := newTarget()
+	run := func(from, to time.Duration) {
+		for now := from; now <= to; now += 100 * time.Millisecond {
+			target.RecordRunning(now)
+		}
+	}
+	run(0, second)
+	target.RecordReport(second, report(10, 1))
+	assert.Assert(t, !target.Status(9*second).Ended, "before it has read anything")
+	run(9*second, 10*second)
+	assert.Assert(t, !target.Status(10*second).Ended)
+	run(10*second, 11*second)
+	assert.Assert(t, target.Status(11*second).Ended, "silent since")
+}
