policy/targetstate: an agent that stops after a freeze may not have read any report

An agent that is frozen right after its start and then told to stop took an unseen target for ended: the silence since its start was that of the freeze. It would announce this and delete the node's record, and the flows of the running target would be reset. Found by reading; TestStopAfterAFreeze failed before and passes.

--- a/policy/targetstate/target.go
+++ b/policy/targetstate/target.go
@@ -289,7 +289,7 @@
 func (t *Target) MarkStopping(now time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.endedAtStop = t.left || t.report.Draining && t.hasEnded(now) || t.isUnseen() && now-t.started > t.silentAfter
+	t.endedAtStop = t.left || t.report.Draining && t.hasEnded(now) || t.isUnseen() && !t.mayStillReport(now)
 	return t.endedAtStop
 }
 
@@ -302,7 +302,12 @@
 func (t *Target) AwaitsFirstReport(now time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.isUnseen() && now-t.started <= t.silentAfter
+	return t.isUnseen() && t.mayStillReport(now)
+}
+
+// mayStillReport reports whether an unseen target may not have had the time to report to this agent.
+func (t *Target) mayStillReport(now time.Duration) bool {
+	return now-t.started <= t.silentAfter || !t.listener.Settled(now)
 }
 
 // hasEnded reports whether the target holds no flow any more.
--- a/policy/targetstate/target_test.go
+++ b/policy/targetstate/target_test.go
@@ -264,3 +264,17 @@
 	run(10*second, 11*second)
 	assert.Assert(t, target.Status(11*second).Ended, "silent since")
 }
+
+// Guards against a stop that ends an unseen target because its agent was frozen and has not read its reports.
+func TestStopAfterAFreeze(t *testing.T) {
+	target := newTarget()
+	target.RecordRunning(100 * time.Millisecond)
+	frozenUntil := 5 * second
+	assert.Assert(t, target.AwaitsFirstReport(frozenUntil))
+	assert.Assert(t, !target.MarkStopping(frozenUntil))
+	for now := frozenUntil; now <= 7*second; now += 100 * time.Millisecond {
+		target.RecordRunning(now)
+	}
+	assert.Assert(t, !target.AwaitsFirstReport(7*second))
+	assert.Assert(t, target.MarkStopping(7*second), "a running target would have reported")
+}
