Merge stalls as a policy (policy/stall)

The detector in policy/stall is kept: a silence isn't judged while the process has not settled after a stall of its own, whichever goroutine goes on first. Requests for heartbeats stay as they were.

--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -76,11 +76,9 @@
 	Entry     bool
 	Service   string // service that an agent's target is expected to have
 	OnDrained func() // called if the target announced its end to an earlier incarnation of the agent
-	// OnStall is called if this process was stalled until now. It may be nil.
-	OnStall func(now time.Duration)
-	Handler Handler
-	Logger  log.Logger
-	Metrics *metrics.Set
+	Handler   Handler
+	Logger    log.Logger
+	Metrics   *metrics.Set
 }
 
 // Fleet is a node's membership of the fleet, and its client of the store.
@@ -114,8 +112,7 @@
 	digestsSent     *metrics.Counter
 	sendFailures    *metrics.Counter
 	probesSent      *metrics.Counter
-	stallCount      *metrics.Counter
-	stalls          stallDetector
+	stalls          *metrics.Counter
 	instanceProbes  chan struct{} // holds an element for each connection that is being tried
 	storeDependency dependency
 	storeLost       atomic.Bool   // the last read of the routes has failed
@@ -154,7 +151,6 @@
 		nodeLog:         logging.NewDecisionsWithLimit(o.Logger, nodeLinesPerSecond),
 	}
 	f.incarnation.Store(uint64(f.Self.Incarnation))
-	f.stalls.lastRound.Store(int64(f.started))
 	f.setSeeds(o.Settings.Seeds)
 	f.Roster = roster.New(f.Self.ID)
 	f.store = platform.NewStore(o.Settings.Store, f.observeStore)
@@ -187,7 +183,7 @@
 	f.digestsSent = m.NewCounter("lacewing_fleet_digests_sent_total")
 	f.sendFailures = m.NewCounter("lacewing_fleet_send_failures_total")
 	f.probesSent = m.NewCounter("lacewing_fleet_probes_sent_total")
-	f.stallCount = m.NewCounter("lacewing_stalls_total")
+	f.stalls = m.NewCounter("lacewing_stalls_total")
 	m.NewGauge("lacewing_routes_revision", func() float64 { return float64(f.Routes.Position().Revision) })
 	m.NewGauge("lacewing_routes_version", func() float64 { return float64(f.Routes.Position().Version) })
 	m.NewGauge("lacewing_store_era", func() float64 { return float64(f.storeEra.Load()) })
@@ -217,6 +213,14 @@
 	return g.Wait()
 }
 
+// recordRunning records that this process is running.
+func (f *Fleet) recordRunning() {
+	if pause := f.Roster.RecordRunning(Now()); pause > 0 {
+		f.stalls.Inc()
+		_ = level.Warn(f.options.Logger).Log(logging.KeyMessage, "process was stalled", logging.KeyAge, pause)
+	}
+}
+
 // self returns this node with its present incarnation.
 func (f *Fleet) self() *roster.Node {
 	n := f.Self
@@ -430,7 +434,6 @@
 			continue
 		}
 		now := Now()
-		f.CheckStall(now)
 		switch buffer[0] {
 		case kindPacket:
 			if err := packet.decode(buffer[1:n], interned); err != nil {
--- a/node/fleet/stall_test.go
+++ b/node/fleet/probe_test.go
@@ -41,17 +41,6 @@
 	assert.Assert(t, !answer.GetProbe(), "probes answer each other without end")
 }
 
-func TestStallsAreRecordedOnce(t *testing.T) {
-	var d stallDetector
-	recorded := 0
-	observe := func(now time.Duration) time.Duration { return d.observe(now, func() { recorded++ }) }
-	d.lastRound.Store(int64(time.Second))
-	assert.Equal(t, observe(1400*time.Millisecond), time.Duration(0))
-	assert.Equal(t, observe(4*time.Second), 3*time.Second)
-	assert.Equal(t, observe(4*time.Second), time.Duration(0))
-	assert.Equal(t, recorded, 1)
-}
-
 // Guards against flows that are given up while their agent's process is stalled or being restarted.
 func TestInstancesAnswerForSilentNodes(t *testing.T) {
 	f := newStoreFleet(t, "n-1")
--- a/node/packetagent/agent.go
+++ b/node/packetagent/agent.go
@@ -144,7 +144,7 @@
 		return nil, err
 	}
 	a.fleet, err = fleet.New(fleet.Options{
-		Settings: &s.Settings, Service: s.Service, OnDrained: a.onDrained, OnStall: a.targetState.RecordStall, Handler: a, Logger: p.Logger,
+		Settings: &s.Settings, Service: s.Service, OnDrained: a.onDrained, Handler: a, Logger: p.Logger,
 		Metrics: p.Metrics,
 	})
 	return a, err
@@ -249,7 +249,7 @@
 	var checked routes.Position // of the table in force at the last check of the former routes
 	return timing.Every(ctx, checkInterval, func(time.Time) {
 		now := fleet.Now()
-		a.fleet.CheckStall(now)
+		a.targetState.RecordRunning(now)
 		round++
 		expires := round%checksPerExpiry == 0
 		if table := a.fleet.Routes.Load(); expires || table.PositionOrZero() != checked {
@@ -335,7 +335,6 @@
 // receive handles packets of the target until the context ends.
 func (a *Agent) receive(ctx context.Context) error {
 	return fleet.ReadPackets(ctx, a.conn, a.counters.DropCounters, func(now time.Duration, p platform.Packet) {
-		a.fleet.CheckStall(now)
 		if p.Accepts() || p.HasData() && !p.Bounced() {
 			a.targetState.RecordSent(now)
 		} else {
@@ -382,11 +381,7 @@
 
 // retry decides again about held packets until the context ends.
 func (a *Agent) retry(ctx context.Context) error {
-	return fleet.Retry(ctx, a.held, func(item *pendingPacket) {
-		now := fleet.Now()
-		a.fleet.CheckStall(now)
-		a.retryPacket(now, item)
-	})
+	return fleet.Retry(ctx, a.held, func(item *pendingPacket) { a.retryPacket(fleet.Now(), item) })
 }
 
 // retryPacket decides again about a held packet. A new flow may be accepted by any target by now,
--- a/node/packetentry/entry.go
+++ b/node/packetentry/entry.go
@@ -220,7 +220,6 @@
 // receive forwards callers' packets until the context ends.
 func (e *Entry) receive(ctx context.Context) error {
 	return fleet.ReadPackets(ctx, e.conn, e.counters.DropCounters, func(now time.Duration, p platform.Packet) {
-		e.fleet.CheckStall(now)
 		if p.Bounced() || p.Accepts() {
 			e.counters.CountDrop("malformed")
 			return
@@ -232,20 +231,12 @@
 
 // retry decides again about held packets until the context ends.
 func (e *Entry) retry(ctx context.Context) error {
-	return fleet.Retry(ctx, e.held, func(item *pendingPacket) {
-		now := fleet.Now()
-		e.fleet.CheckStall(now)
-		e.forward(now, item)
-	})
+	return fleet.Retry(ctx, e.held, func(item *pendingPacket) { e.forward(fleet.Now(), item) })
 }
 
 // resend sends the packets of searches again that an agent hasn't answered, until the context ends.
 func (e *Entry) resend(ctx context.Context) error {
-	return fleet.Retry(ctx, e.unanswered, func(item *pendingPacket) {
-		now := fleet.Now()
-		e.fleet.CheckStall(now)
-		e.resendPacket(now, item)
-	})
+	return fleet.Retry(ctx, e.unanswered, func(item *pendingPacket) { e.resendPacket(fleet.Now(), item) })
 }
 
 // resendPacket sends a packet of a search past the agent that hasn't answered, unless all that are left were asked.
--- a/policy/roster/roster.go
+++ b/policy/roster/roster.go
@@ -13,6 +13,7 @@
 
 	"lacewinglever.dev/policy/ident"
 	"lacewinglever.dev/policy/routes"
+	"lacewinglever.dev/policy/stall"
 )
 
 const (
@@ -130,7 +131,9 @@
 const (
 	Live    Health = iota
 	Suspect        // silent for a while but may return: gets no new flows
-	Gone           // silent for so long that it is taken to hold no flow
+	// Gone nodes are silent for so long that they are taken to hold no flow. None is until this node has
+	// settled after a stall of its own.
+	Gone
 )
 
 // Peer is the local view of another node.
@@ -146,13 +149,14 @@
 
 	placedLoad      float64 // decayed number of flows placed there since its last heartbeat, as of placedAt
 	placedAt        time.Duration
-	unansweredSince time.Duration // time of the first flow placed there that no heartbeat has followed yet
-	silentSince     time.Duration // time from which it was reported as Silent
-	lastDigest      time.Duration // time of the last digest of its data centre if it is ViaDigest and not Silent, else 0
-	probes          int           // requests for a heartbeat since its last heartbeat
-	firstProbe      time.Duration // time of the first of them
-	lastProbe       time.Duration // time of the last one
-	instanceRuns    bool          // since its last heartbeat, the instance was seen to run without the process
+	unansweredSince time.Duration  // time of the first flow placed there that no heartbeat has followed yet
+	silentSince     time.Duration  // time from which it was reported as Silent
+	lastDigest      time.Duration  // time of the last digest of its data centre if it is ViaDigest and not Silent, else 0
+	probes          int            // requests for a heartbeat since its last heartbeat
+	firstProbe      time.Duration  // time of the first of them
+	lastProbe       time.Duration  // time of the last one
+	listener        stall.Detector // of this node
+	instanceRuns    bool           // since its last heartbeat, the instance was seen to run without the process
 }
 
 // RanBefore reports whether the peer has run for longer than d when a node of this uptime and incarnation
@@ -238,7 +242,7 @@
 func (p *Peer) Health(now time.Duration) Health {
 	silence := p.silence(now)
 	switch {
-	case silence > p.goneAfter() && (!p.Silent || now-p.silentSince > silenceConfirmation):
+	case silence > p.goneAfter() && (!p.Silent || now-p.silentSince > silenceConfirmation) && p.listener.Settled(now):
 		return Gone
 	case silence > p.suspectAfter() || !p.HeartbeatSeen || p.Leaving || p.Silent ||
 		p.Unanswered() && now-p.unansweredSince > answerTimeout:
@@ -294,6 +298,7 @@
 	self        ident.NodeID
 	peers       map[ident.NodeID]*Peer
 	lastDigests map[ident.DataCentre]time.Duration // time of the last digest
+	listener    stall.Detector
 }
 
 // New returns an empty roster for the node self, which is never added.
@@ -301,10 +306,26 @@
 	return &Roster{self: self, peers: map[ident.NodeID]*Peer{}, lastDigests: map[ident.DataCentre]time.Duration{}}
 }
 
-// view returns a copy of the peer with the time of the last digest filled in. A digest of a data
+// RecordRunning records that this node is running, and returns for how long it was stalled before, usually
+// 0. It is due every stall.RecordInterval. After a stall, peers may be asked for a heartbeat again: answers to
+// earlier requests may have been dropped.
+func (r *Roster) RecordRunning(now time.Duration) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	pause := r.listener.Record(now)
+	if pause > 0 {
+		for _, p := range r.peers {
+			p.probes = 0
+		}
+	}
+	return pause
+}
+
+// view returns a copy of the peer with what this node hears of it otherwise filled in. A digest of a data
 // centre is evidence that the nodes there which it doesn't report as silent are running.
 func (r *Roster) view(p *Peer) Peer {
 	v := *p
+	v.listener = r.listener
 	if p.isReported() {
 		v.lastDigest = r.lastDigests[p.DataCentre]
 	}
@@ -499,16 +520,6 @@
 	}
 }
 
-// RecordStall records that this node has not run for a while. Answers to earlier requests for a heartbeat may
-// be unread.
-func (r *Roster) RecordStall() {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, p := range r.peers {
-		p.probes = 0
-	}
-}
-
 // Find returns the peer with the given id.
 func (r *Roster) Find(id ident.NodeID) (Peer, bool) {
 	r.mu.RLock()
@@ -608,6 +619,9 @@
 func (r *Roster) Expire(now time.Duration) []Peer {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if !r.listener.Settled(now) {
+		return nil
+	}
 	var expired []Peer
 	for id, p := range r.peers {
 		if v := r.view(p); v.silence(now) > expireAfter {
--- a/policy/roster/roster_test.go
+++ b/policy/roster/roster_test.go
@@ -10,6 +10,7 @@
 
 	"lacewinglever.dev/policy/ident"
 	"lacewinglever.dev/policy/roster"
+	"lacewinglever.dev/policy/stall"
 )
 
 func node(name string, incarnation uint64) roster.Node {
@@ -306,7 +307,12 @@
 		return p.IsUnconfirmed(10 * time.Second)
 	}
 	assert.Assert(t, !unconfirmed())
-	r.RecordStall()
+	for _, at := range []time.Duration{3 * time.Second, 8 * time.Second} { // a stall
+		r.RecordRunning(at)
+	}
+	for at := 8 * time.Second; at <= 10*time.Second; at += stall.RecordInterval {
+		r.RecordRunning(at)
+	}
 	assert.Assert(t, unconfirmed())
 	r.RecordProbe(5*time.Second, id)
 	assert.Assert(t, !unconfirmed())
@@ -352,3 +358,28 @@
 	assert.Equal(t, record("", ""), "reported")
 	assert.Equal(t, record("expected", "t-2"), "expected")
 }
+
+// Guards against taking all nodes for gone because this one was frozen and has not read their heartbeats.
+func TestFrozenNodeTakesNoOtherForGone(t *testing.T) {
+	r := roster.New(1)
+	run := func(from, to time.Duration) {
+		for now := from; now <= to; now += 100 * time.Millisecond {
+			r.RecordRunning(now)
+		}
+	}
+	health := func(now time.Duration) roster.Health {
+		p, ok := r.Find(ident.NewNodeID("a"))
+		assert.Assert(t, ok)
+		return p.Health(now)
+	}
+	run(0, time.Second)
+	r.RecordHeartbeat(time.Second, node("a", 1), roster.Heartbeat{Sequence: 1})
+	frozenUntil := 2 * time.Minute
+	assert.Equal(t, health(frozenUntil), roster.Suspect, "before it has read anything")
+	assert.Equal(t, len(r.Expire(frozenUntil)), 0)
+	run(frozenUntil, frozenUntil+time.Second)
+	assert.Equal(t, health(frozenUntil+time.Second), roster.Suspect)
+	run(frozenUntil+time.Second, frozenUntil+2*time.Second)
+	assert.Equal(t, health(frozenUntil+2*time.Second), roster.Gone, "silent since")
+	assert.Equal(t, len(r.Expire(frozenUntil+2*time.Second)), 1)
+}
--- a/policy/steering/steering_test.go
+++ b/policy/steering/steering_test.go
@@ -95,7 +95,8 @@
 	assert.Equal(t, next(answerTime, true), steering.Unknown)
 	assert.Equal(t, next(answerTime+1, true), steering.NotFound)
 	assert.Equal(t, next(answerTime+1, false), steering.Unknown)
-	r.RecordStall()
+	r.RecordRunning(answerTime + 1 - time.Second)
+	r.RecordRunning(answerTime + 1) // was stalled
 	assert.Equal(t, next(answerTime+1, true), steering.Unknown)
 }
 
--- a/policy/targetstate/target.go
+++ b/policy/targetstate/target.go
@@ -5,6 +5,8 @@
 import (
 	"sync"
 	"time"
+
+	"lacewinglever.dev/policy/stall"
 )
 
 // Report is the content of one report of a target.
@@ -86,8 +88,8 @@
 	confirmAfter time.Duration
 
 	mu                 sync.Mutex
-	started            time.Duration // when the agent began to listen
-	resumed            time.Duration // when the agent last went on after a stall
+	listener           stall.Detector // of the agent
+	started            time.Duration  // when the agent began to listen
 	report             Report
 	hasReported        bool
 	latestStart        int64          // latest StartUnixMs of any recorded report
@@ -113,11 +115,10 @@
 	return t
 }
 
-// RecordStall records that the agent was stalled until now. Reports and packets of the target may be unread, so
-// that its silence doesn't show its end.
-func (t *Target) RecordStall(now time.Duration) {
+// RecordRunning records that the agent is running. It is due every stall.RecordInterval.
+func (t *Target) RecordRunning(now time.Duration) {
 	t.mu.Lock()
-	t.resumed = now
+	t.listener.Record(now)
 	t.mu.Unlock()
 }
 
@@ -288,7 +289,7 @@
 func (t *Target) MarkStopping(now time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.endedAtStop = t.left || t.report.Draining && t.hasEnded(now) || t.isUnseen() && now-t.started > t.silentAfter
+	t.endedAtStop = t.left || t.report.Draining && t.hasEnded(now) || t.isUnseen() && !t.mayStillReport(now)
 	return t.endedAtStop
 }
 
@@ -301,7 +302,12 @@
 func (t *Target) AwaitsFirstReport(now time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.isUnseen() && now-t.started <= t.silentAfter
+	return t.isUnseen() && t.mayStillReport(now)
+}
+
+// mayStillReport reports whether an unseen target may not have had the time to report to this agent.
+func (t *Target) mayStillReport(now time.Duration) bool {
+	return now-t.started <= t.silentAfter || !t.listener.Settled(now)
 }
 
 // hasEnded reports whether the target holds no flow any more.
@@ -310,12 +316,15 @@
 		return true
 	}
 	if t.left {
-		return now-max(t.lastPacket, t.resumed) > t.endedAfter-endedSlack
+		return now-t.lastPacket > t.endedAfter-endedSlack
+	}
+	if !t.listener.Settled(now) {
+		return false // reports may be unread
 	}
 	if t.drainedBeforeStart {
-		return now-max(t.lastPacket, t.started, t.resumed) > t.silentAfter
+		return now-max(t.lastPacket, t.started) > t.silentAfter
 	}
-	return now-max(t.lastReport, t.lastPacket, t.started, t.resumed) > t.endedAfter
+	return now-max(t.lastReport, t.lastPacket, t.started) > t.endedAfter
 }
 
 // Draining reports whether the target has announced its end, or has ended.
--- a/policy/targetstate/target_test.go
+++ b/policy/targetstate/target_test.go
@@ -248,14 +248,33 @@
 	assert.Assert(t, !drained.AwaitsFirstReport(2*second))
 }
 
-// Guards against an agent that was stalled and takes its target's unread reports for silence.
-func TestStallOfTheAgentEndsNoTarget(t *testing.T) {
+// Guards against taking a running target for ended because its agent was frozen and has not read its reports.
+func TestFrozenAgentEndsNoTarget(t *testing.T) {
 	target := newTarget()
+	run := func(from, to time.Duration) {
+		for now := from; now <= to; now += 100 * time.Millisecond {
+			target.RecordRunning(now)
+		}
+	}
+	run(0, second)
 	target.RecordReport(second, report(10, 1))
-	assert.Assert(t, target.Status(6*second).Ended)
-	target.RecordStall(6 * second)
-	s := target.Status(6 * second)
-	assert.Assert(t, !s.Ended && s.MayHaveEnded && !s.Accepting, "%+v", s)
-	assert.Assert(t, !target.Status(9*second).Ended)
-	assert.Assert(t, target.Status(10*second).Ended)
+	assert.Assert(t, !target.Status(9*second).Ended, "before it has read anything")
+	run(9*second, 10*second)
+	assert.Assert(t, !target.Status(10*second).Ended)
+	run(10*second, 11*second)
+	assert.Assert(t, target.Status(11*second).Ended, "silent since")
+}
+
+// Guards against a stop that ends an unseen target because its agent was frozen and has not read its reports.
+func TestStopAfterAFreeze(t *testing.T) {
+	target := newTarget()
+	target.RecordRunning(100 * time.Millisecond)
+	frozenUntil := 5 * second
+	assert.Assert(t, target.AwaitsFirstReport(frozenUntil))
+	assert.Assert(t, !target.MarkStopping(frozenUntil))
+	for now := frozenUntil; now <= 7*second; now += 100 * time.Millisecond {
+		target.RecordRunning(now)
+	}
+	assert.Assert(t, !target.AwaitsFirstReport(7*second))
+	assert.Assert(t, target.MarkStopping(7*second), "a running target would have reported")
 }
