bench/flows: a test of open flows across a restart with an earlier time of day

No clock of the machine is changed: while the agent is down, the other nodes get a heartbeat as from a process of it that started 10 s later, which is what a process with a clock that is ahead leaves behind.

--- a/bench/flows/cluster.go
+++ b/bench/flows/cluster.go
@@ -6,6 +6,7 @@
 
 import (
 	"fmt"
+	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -16,6 +17,9 @@
 	"syscall"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
+	fleetv1 "lacewinglever.dev/node/gen/lacewing/fleet/v1"
 	"lacewinglever.dev/platform/platformtest"
 	"lacewinglever.dev/policy/steering"
 )
@@ -68,6 +72,7 @@
 	*Process
 	Zone          int
 	host          string
+	advertised    string // address for control messages of other nodes
 	peerProxy     *Proxy // link from other nodes
 	storeProxy    *Proxy // link to the store
 	target        *platformtest.Target
@@ -189,6 +194,7 @@
 	if n.Agent {
 		advertise = fmt.Sprintf("127.%d.%d.%d", c.options.Subnet, 200, 1+len(c.Agents))
 	}
+	n.advertised = address(advertise, portFleet)
 	var err error
 	if n.peerProxy, err = NewProxy(addressPort(advertise, portFleet), addressPort(n.host, portFleet), true); err != nil {
 		return err
@@ -200,7 +206,7 @@
 	seed := fmt.Sprintf("127.%d.150.1:%d", c.options.Subnet, portFleet)
 	commonSettings := fmt.Sprintf(
 		"mode: flows\nname: %s\ndata_centre: dc-%d\nfleet: %q\nadvertise: %q\nmetrics: %q\nseeds: [%q]\nstore: %q\nmemory_mb: 256\n",
-		n.Name, n.Zone, address(n.host, portFleet), address(advertise, portFleet), address(n.host, portMetrics), seed,
+		n.Name, n.Zone, address(n.host, portFleet), n.advertised, address(n.host, portMetrics), seed,
 		storeAddress)
 	path := filepath.Join(c.options.Dir, n.Name+".yaml")
 	n.log = filepath.Join(c.options.Dir, n.Name+".log")
@@ -359,5 +365,37 @@
 	return known && misses == 0
 }
 
+// kindControl is the first byte of a datagram with a control message.
+const kindControl = 2
+
+// SendHeartbeat sends a heartbeat of an agent to all other nodes, as from a process of it with the given incarnation.
+func (c *Cluster) SendHeartbeat(n *Node, incarnation time.Time) error {
+	t, service := c.Target(n)
+	b, err := proto.MarshalOptions{}.MarshalAppend([]byte{kindControl}, &fleetv1.Message{Heartbeat: &fleetv1.Heartbeat{
+		Sender: &fleetv1.Node{
+			Name: n.Name, Incarnation: uint64(incarnation.UnixMicro()), DataCentre: fmt.Sprint("dc-", n.Zone), Address: n.advertised,
+		},
+		Sequence: 1, Direct: true,
+		Target: &fleetv1.Target{Service: service, Id: n.targetOptions.ID, BornUnixMs: t.StartUnixMs(), Accepting: true, Slots: targetSlots},
+	}})
+	if err != nil {
+		return err
+	}
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(addressPort(n.host, 0)))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close() }() // nothing is read
+	for _, o := range c.Nodes() {
+		if o == n {
+			continue
+		}
+		if _, err := conn.WriteToUDPAddrPort(b, addressPort(o.host, portFleet)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // ReportsAddress returns the address at which an agent accepts the reports of its target.
 func (c *Cluster) ReportsAddress(n *Node) string { return address(n.host, portReports) }
--- a/bench/flows/flows_test.go
+++ b/bench/flows/flows_test.go
@@ -235,6 +235,40 @@
 	joinTime = 400 * time.Millisecond
 )
 
+// Guards against resets of open flows whose agent has restarted with an earlier time of day than before.
+func TestFlowsOutliveARestartAfterTheClockHasGoneBack(t *testing.T) {
+	t.Parallel()
+	const clockBack = 10 * time.Second
+	f := start(t, map[string]int{"a": 3})
+	first := f.Agents[0]
+	target, _ := f.Target(first)
+	var open []*platformtest.Flow
+	for i := 0; len(open) < 12; i++ {
+		assert.Assert(t, i < 200, "the target gets no flows")
+		flow := f.openFlow(t)
+		assertOutcome(t, flow, fmt.Sprint("before-", i), platformtest.Answered)
+		if target.Holds(flow.ID) {
+			open = append(open, flow)
+		}
+	}
+	time.Sleep(2 * time.Second) // all nodes have heartbeats of each other
+	first.Kill()
+	assert.NilError(t, f.SendHeartbeat(first, time.Now().Add(clockBack))) // the last one of the ended process
+	assert.NilError(t, first.Launch())
+	time.Sleep(joinTime + goneTime)
+	for _, n := range f.Entries { // entries without records have to search
+		n.Kill()
+		assert.NilError(t, n.Launch())
+		f.waitUntilReady(t, n)
+	}
+	for i, flow := range open {
+		assertOutcome(t, flow, fmt.Sprint("after-", i), platformtest.Answered)
+	}
+}
+
+// goneTime is the silence after which a node counts as gone, about.
+const goneTime = 2 * time.Second
+
 // Guards against callers that wait for their deadline on a flow that no target holds any more.
 func TestLostFlowsAreReset(t *testing.T) {
 	t.Parallel()
