--- a/node/packetentry/entry.go
+++ b/node/packetentry/entry.go
@@ -460,7 +460,7 @@
 	p := pending.Value
 	services, ok := searchServices(flow, table)
 	if !ok {
-		if e.unrouted.Judge(now, flow) == steering.Unknown {
+		if !e.fleet.Routes.HasRemoved(flow.Service()) && e.unrouted.Judge(now, flow) == steering.Unknown {
 			e.hold(now, pending, "route unknown", table.Position)
 			return
 		}
--- a/policy/routes/change.go
+++ b/policy/routes/change.go
@@ -121,6 +121,11 @@
 	}
 }
 
+// hasRemoved reports whether one of the changes has removed the route of an address.
+func (h *history) hasRemoved(a netip.AddrPort) bool {
+	return slices.ContainsFunc(h.changes, func(c Change) bool { return slices.Contains(c.RemovedRoutes, a) })
+}
+
 // since returns the changes that lead from a position to the newest, nil if they are no longer kept.
 func (h *history) since(p Position) []Change {
 	at := slices.IndexFunc(h.changes, func(c Change) bool { return c.Base == p })
--- a/policy/routes/former_test.go
+++ b/policy/routes/former_test.go
@@ -50,3 +50,18 @@
 	latest := flows[routes.MaxFormer : 2*routes.MaxFormer]
 	assert.DeepEqual(t, f.Update(time.Second, table, "a", latest), latest, equalAddresses)
 }
+
+// Guards against callers on a removed route who wait as if it were being added.
+func TestRemovedRoutesAreToldFromUnknownOnes(t *testing.T) {
+	var current routes.Current
+	assert.Assert(t, !current.HasRemoved(addressOf(1)))
+	for version, services := range []map[int]string{{1: "a", 2: "a"}, {2: "a"}, {1: "a"}} {
+		table := tableTo(services)
+		table.Position = routes.Position{Version: int64(version) + 1, Revision: uint64(version) + 1}
+		_, ok := current.Offer(table)
+		assert.Assert(t, ok)
+		assert.Equal(t, current.HasRemoved(addressOf(1)), version == 1)
+		assert.Equal(t, current.HasRemoved(addressOf(2)), version == 2)
+		assert.Assert(t, !current.HasRemoved(addressOf(3)))
+	}
+}
--- a/policy/routes/routes.go
+++ b/policy/routes/routes.go
@@ -135,6 +135,19 @@
 	return []Change{Diff(nil, t)}
 }
 
+// HasRemoved reports whether the latest changes have removed the route of an address. A route that is missing
+// otherwise may never have existed, or be newer than the table in force.
+func (c *Current) HasRemoved(a netip.AddrPort) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t := c.table.Load()
+	if t == nil {
+		return false
+	}
+	_, exists := t.Lookup(a)
+	return !exists && c.history.hasRemoved(a)
+}
+
 // Latest returns the last change. It returns false if there was none since the first table.
 func (c *Current) Latest() (Change, bool) {
 	c.mu.Lock()
