--- a/node/fleet/membership_test.go
+++ b/node/fleet/membership_test.go
@@ -23,6 +23,7 @@
 
 	fleetv1 "lacewinglever.dev/node/gen/lacewing/fleet/v1"
 	"lacewinglever.dev/platform/platformtest"
+	"lacewinglever.dev/policy/heartbeat"
 	"lacewinglever.dev/policy/ident"
 	"lacewinglever.dev/policy/roster"
 	"lacewinglever.dev/policy/routes"
@@ -313,6 +314,49 @@
 	}
 }
 
+// Guards against a starting node that takes its roster for complete although the part of an answer with the nodes
+// that are away was lost.
+func TestAnswersCompleteTheRosterOnlyWithTheNodesThatAreAway(t *testing.T) {
+	settled := newStoreFleet(t, "settled")
+	settled.storeListed.Store(true)
+	settled.joined.Store(true)
+	now, latest := Now(), latestIncarnation()
+	for i := range 2 * nodesPerMessage {
+		node := roster.Node{ID: ident.NewNodeID(fmt.Sprint("n-", i)), Name: fmt.Sprint("n-", i), Incarnation: 1,
+			Address: netip.MustParseAddrPort(fmt.Sprintf("127.61.201.%d:7400", i+1))}
+		settled.Roster.RecordHeartbeat(now, node, roster.Heartbeat{Sequence: 1, Leaving: i == 0})
+	}
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	settled.sendNodes(roster.Node{Address: conn.LocalAddr().(*net.UDPAddr).AddrPort()})
+	var answer [][]byte
+	assert.NilError(t, conn.SetReadDeadline(time.Now().Add(100*time.Millisecond)))
+	for b := make([]byte, maxDatagramBytes); ; {
+		n, err := conn.Read(b)
+		if err != nil {
+			break
+		}
+		answer = append(answer, append([]byte(nil), b[1:n]...))
+	}
+	assert.Assert(t, len(answer) > 1)
+	for lost := range len(answer) + 1 {
+		starting := newStoreFleet(t, "starting")
+		starting.storeListed.Store(true)
+		hello := settled.heartbeatMessage(Now(), heartbeat.Receiver{}, false).GetHeartbeat()
+		hello.UptimeMs = uint32(roster.MaxUptime.Milliseconds())
+		starting.handleHeartbeat(Now(), latest, hello)
+		for i, part := range answer {
+			if i != lost {
+				starting.handleControl(Now(), part)
+			}
+		}
+		_, known := starting.Roster.Find(ident.NewNodeID("n-0"))
+		assert.Assert(t, known || !starting.joined.Load(), "part %d of %d lost", lost, len(answer))
+		assert.Assert(t, lost < len(answer) || starting.joined.Load(), "nothing lost")
+	}
+}
+
 // Guards against a roster that counts as complete by the answer of a node that has just started too, before a
 // node that has run for longer is heard.
 func TestAnswersBeforeHeartbeatsOfNodesThatRun(t *testing.T) {
