node/fleet: a settled answer completes a roster only together with the nodes that are away

A node that answers a starting one sent the nodes that are away in datagrams of their own, and called each part of its list of running nodes settled. If the datagram with the former is lost, as in a full socket buffer, the starting node takes its roster for complete, stops asking, and gives the nodes that are being restarted 1.5 s after its start instead of 8 s after their stop; their flows are reset. Now only the datagram with the last of these nodes says that the answer is settled. Older programs read such datagrams as well. Nothing changes if no node is away.

--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -629,27 +629,32 @@
 	return true
 }
 
-// sendNodes sends a node the list of all running nodes, and what is known of those that may return. The
-// latter go first, because the former complete the roster of the receiver.
+// sendNodes sends a node the list of all running nodes, and what is known of those that may return. If there
+// are any of the latter, only the datagram with them (the last of them) says that this node is settled, so
+// that the roster of the receiver isn't complete without them.
 func (f *Fleet) sendNodes(to roster.Node) {
 	now := Now()
 	settled := f.RosterComplete(now)
-	for absent := range slices.Chunk(f.Roster.Absent(now), digest.NodesPerDatagram) {
+	self := toListedNode(f.self(), f.service())
+	absent := slices.Collect(slices.Chunk(f.Roster.Absent(now), digest.NodesPerDatagram-1)) // leaves room for this node
+	for i, part := range absent {
 		m := &fleetv1.Message{}
-		for i := range absent {
-			p := &absent[i]
+		if i == len(absent)-1 {
+			m.Nodes, m.Settled = []*fleetv1.Node{self}, settled
+		}
+		for _, p := range part {
 			m.Absent = append(m.Absent, toNews(&digest.NodeUpdate{Node: p.Node, Heartbeat: p.Heartbeat, Age: now - p.LastSeen}))
 		}
 		f.sendMessage(to.Address, m)
 	}
-	nodes := []*fleetv1.Node{toListedNode(f.self(), f.service())}
+	nodes := []*fleetv1.Node{self}
 	for _, p := range f.Roster.Peers() {
 		if p.Running(now) {
 			nodes = append(nodes, toListedNode(&p.Node, p.Service))
 		}
 	}
 	for part := range slices.Chunk(nodes, nodesPerMessage) {
-		f.sendMessage(to.Address, &fleetv1.Message{Nodes: part, Settled: settled})
+		f.sendMessage(to.Address, &fleetv1.Message{Nodes: part, Settled: settled && len(absent) == 0})
 	}
 }
 
