node/packetentry, policy/steering: searches ask for progress at once while an agent is being restarted

If an agent that may hold the flow has announced its stop, the first packet asks for progress already, and the second one is held for that agent.

--- a/node/packetentry/entry.go
+++ b/node/packetentry/entry.go
@@ -428,6 +428,9 @@
 	index     int // of the next agent
 	result    steering.SearchResult
 	restarted bool // nobody was left to ask, and the search starts again
+	// wantsProgress is set if agents are to tell who has bounced the packet: it may not arrive, and must not go the
+	// same way again.
+	wantsProgress bool
 }
 
 // searchServices returns the services at which an open flow may be, all if no routes are known. It returns false if the
@@ -450,6 +453,7 @@
 		steering.Asked{Tried: s.known.Tried, Remembered: len(s.known.Tried), Silent: s.known.Silent},
 		table != nil && e.fleet.RosterComplete(now))
 	s.restarted = s.asked.Remembered < len(s.known.Tried)
+	s.wantsProgress = s.known.Overdue || steering.AwaitsReturn(now, s.agents)
 	return s
 }
 
@@ -503,9 +507,9 @@
 	} else if len(s.asked.Tried) > 0 || len(s.asked.Silent) > 0 {
 		e.counters.resumed.Inc()
 	}
-	e.searches.RecordSent(now, flow, agent.ID, s.known.Overdue)
+	e.searches.RecordSent(now, flow, agent.ID, s.wantsProgress)
 	at := s.table.PositionOrZero()
-	fp := &fleet.ForwardedPacket{Routes: at, WantsOwner: true, WantsProgress: s.known.Overdue, Packet: p}
+	fp := &fleet.ForwardedPacket{Routes: at, WantsOwner: true, WantsProgress: s.wantsProgress, Packet: p}
 	if s.table != nil {
 		fp.Service = cmp.Or(agent.Service, s.services[0])
 	}
--- a/policy/steering/search.go
+++ b/policy/steering/search.go
@@ -94,6 +94,17 @@
 	return -1, NotFound
 }
 
+// AwaitsReturn reports whether an agent that may hold a flow is being restarted. Its target keeps running, and no
+// search finds the flows there meanwhile.
+func AwaitsReturn(now time.Duration, agents []roster.Peer) bool {
+	for i := range agents {
+		if p := &agents[i]; p.Leaving && !p.Target.Ended && p.Health(now) != roster.Gone {
+			return true
+		}
+	}
+	return false
+}
+
 // SilentCandidates returns the agents that a search waits for, at most n, in their order: those that are
 // silent and may hold the flow.
 func SilentCandidates(now time.Duration, agents []roster.Peer, tried []ident.NodeID, n int) []*roster.Peer {
--- a/policy/steering/steering_test.go
+++ b/policy/steering/steering_test.go
@@ -525,3 +525,13 @@
 	}
 	assert.Equal(t, len(last), dataCentres-1)
 }
+
+func TestSearchesAwaitAgentsThatAreRestarted(t *testing.T) {
+	agents := pool(3)
+	assert.Assert(t, !steering.AwaitsReturn(0, agents))
+	agents[1].Leaving = true
+	assert.Assert(t, steering.AwaitsReturn(0, agents))
+	assert.Assert(t, !steering.AwaitsReturn(time.Minute, agents), "gone")
+	agents[1].Target.Ended = true
+	assert.Assert(t, !steering.AwaitsReturn(0, agents))
+}
