policy/flowsearch, node/packetentry: bound what searches cost when nobody holds the flows

- SearchCandidates copied all agents twice although only one service has any (MergeRanked);
- a retransmission starts the search of all agents again as soon as all are known not to hold the flow; now once a second at most, because the agent at which a search ends resets the flow, or holds it until the pool has capacity;
- each agent tells the entry its progress, and the entry sends overdue packets on; an entry now requests progress for 10 packets a second, 100 at once.

--- a/node/fleet/packets.go
+++ b/node/fleet/packets.go
@@ -91,23 +91,30 @@
 	return agents
 }
 
+// maxRankedServices is the number of services of a route up to which SearchCandidates allocates nothing.
+const maxRankedServices = 4
+
 // SearchCandidates returns the agents that may hold an open flow of a caller in the data centre origin, in
 // the order in which they are asked: those of services, all if a service is empty, and those to whose
 // service the flow's route has led before. It reuses buffer.
 func SearchCandidates(r *roster.Roster, buffer []roster.Peer, flow steering.Flow, origin ident.DataCentre,
 	services []string) []roster.Peer {
 	agents := buffer[:0]
-	var ends []int
+	ends := make([]int, 0, maxRankedServices)
+	rankFrom := func(begin int) {
+		if begin < len(agents) {
+			steering.Rank(flow.Hash(), origin, agents[begin:])
+			ends = append(ends, len(agents))
+		}
+	}
 	for _, service := range services {
-		ranked := len(agents)
+		begin := len(agents)
 		agents = r.Agents(agents, service)
-		steering.Rank(flow.Hash(), origin, agents[ranked:])
-		ends = append(ends, len(agents))
+		rankFrom(begin)
 	}
-	if ranked := len(agents); !slices.Contains(services, "") {
+	if begin := len(agents); !slices.Contains(services, "") {
 		agents = r.FormerAgents(agents, flow.Service(), services)
-		steering.Rank(flow.Hash(), origin, agents[ranked:])
-		ends = append(ends, len(agents))
+		rankFrom(begin)
 	}
 	steering.MergeRanked(agents, ends)
 	return agents
--- a/node/packetentry/entry.go
+++ b/node/packetentry/entry.go
@@ -22,6 +22,7 @@
 	"lacewinglever.dev/policy/flowsearch"
 	"lacewinglever.dev/policy/holding"
 	"lacewinglever.dev/policy/ident"
+	"lacewinglever.dev/policy/limit"
 	"lacewinglever.dev/policy/roster"
 	"lacewinglever.dev/policy/routes"
 	"lacewinglever.dev/policy/steering"
@@ -49,6 +50,10 @@
 	idleSlack = 5 * time.Second
 	// defaultIdleTimeout is the idle timeout until routes are known.
 	defaultIdleTimeout = 30 * time.Second
+	// progressPerSecond and progressBurst bound the packets of searches of which progress is requested. After the
+	// loss of all targets each search asks all agents, and their messages would add to the load.
+	progressPerSecond = 10
+	progressBurst     = 100
 )
 
 // Entry receives callers' packets and forwards them to agents.
@@ -67,8 +72,9 @@
 	held       *holding.Queue[platform.Packet]
 	unanswered *holding.Queue[platform.Packet] // sent in searches that are overdue
 
-	mu          sync.Mutex    // serialises the decisions about packets
-	agentBuffer []roster.Peer // used by rankedAgents and searchCandidates
+	mu             sync.Mutex         // serialises the decisions about packets
+	progressBudget *limit.TokenBucket // for packets of which progress is requested
+	agentBuffer    []roster.Peer      // used by rankedAgents and searchCandidates
 }
 
 type counters struct {
@@ -124,8 +130,10 @@
 		return nil, errors.Wrap(err, "callers")
 	}
 	e := &Entry{
-		settings: s, callerPort: address.Port(), flows: newFlowTable(), searches: flowsearch.New(), counters: newCounters(p.Metrics),
-		held: holding.NewQueue[platform.Packet](), unanswered: holding.NewQueue[platform.Packet](),
+		settings: s, callerPort: address.Port(), flows: newFlowTable(), searches: flowsearch.New(),
+		progressBudget: limit.NewTokenBucket(timeOf(fleet.Now()), progressPerSecond, progressBurst),
+		counters:       newCounters(p.Metrics),
+		held:           holding.NewQueue[platform.Packet](), unanswered: holding.NewQueue[platform.Packet](),
 		logs: p.NewDecisionLogs(),
 	}
 	p.Metrics.NewGauge("lacewing_flows", func() float64 { return float64(e.flows.size()) })
@@ -259,9 +267,11 @@
 			e.fleet.ProbeSilent(now, s.agents, s.asked.Tried)
 			e.hold(now, item, "agents unknown", table.PositionOrZero())
 		case s.result == steering.Continue && !s.restarted && !slices.Contains(s.asked.Silent, s.agents[s.index].ID):
-			e.counters.resent.Inc()
-			e.sendSearch(now, item, &s, "agent didn't answer")
-			e.unanswered.Put(now, *item)
+			if e.progressBudget.Has(timeOf(now), 1) {
+				e.counters.resent.Inc()
+				e.sendSearch(now, item, &s, "agent didn't answer")
+				e.unanswered.Put(now, *item)
+			}
 		}
 	}
 }
@@ -474,13 +484,16 @@
 	s := e.nextCandidate(now, flow, table, services)
 	switch s.result {
 	case steering.Continue:
+		if s.restarted && s.known.Recent {
+			e.counters.CountDrop("just searched everywhere")
+			return
+		}
 		e.counters.searched.Inc()
 		if s.known.Repeats > 0 {
 			e.counters.searchedAgain.Inc()
 		}
 		e.counters.Set.GetOrCreateCounter(`lacewing_searches_total{cause="` + cause + `"}`).Inc()
-		e.sendSearch(now, pending, &s, cause)
-		if s.known.Overdue {
+		if progress := e.sendSearch(now, pending, &s, cause); progress && s.known.Overdue {
 			item := *pending
 			item.Flow, item.Value = flow, platform.Packet(bytes.Clone(p))
 			item.Arrived = now
@@ -498,18 +511,22 @@
 	}
 }
 
-// sendSearch sends a packet to the next agent that may hold its flow.
-func (e *Entry) sendSearch(now time.Duration, pending *pendingPacket, s *searchStep, cause string) {
+// timeOf returns a time of the process's clock for a token bucket.
+func timeOf(now time.Duration) time.Time { return time.Unix(0, int64(now)) }
+
+// sendSearch sends a packet to the next agent that may hold its flow. It returns whether progress is requested.
+func (e *Entry) sendSearch(now time.Duration, pending *pendingPacket, s *searchStep, cause string) bool {
 	p := pending.Value
 	flow, agent := p.CallerFlow(), &s.agents[s.index]
 	if s.restarted {
-		e.searches.Restart(flow)
+		e.searches.Restart(now, flow)
 	} else if len(s.asked.Tried) > 0 || len(s.asked.Silent) > 0 {
 		e.counters.resumed.Inc()
 	}
-	e.searches.RecordSent(now, flow, agent.ID, s.wantsProgress)
+	progress := s.wantsProgress && e.progressBudget.Take(timeOf(now), 1)
+	e.searches.RecordSent(now, flow, agent.ID, progress)
 	at := s.table.PositionOrZero()
-	fp := &fleet.ForwardedPacket{Routes: at, WantsOwner: true, WantsProgress: s.wantsProgress, Packet: p}
+	fp := &fleet.ForwardedPacket{Routes: at, WantsOwner: true, WantsProgress: progress, Packet: p}
 	if s.table != nil {
 		fp.Service = cmp.Or(agent.Service, s.services[0])
 	}
@@ -522,6 +539,7 @@
 			"tried", len(s.asked.Tried), "silent", len(s.asked.Silent),
 			"agents", steering.DescribeCandidates(now, s.agents, s.asked.Tried))
 	}
+	return progress
 }
 
 // rankedAgents returns the agents of a service in the order in which they are tried for a new flow. The
--- a/policy/flowsearch/flowsearch.go
+++ b/policy/flowsearch/flowsearch.go
@@ -28,6 +28,9 @@
 	// forgetAfter is the time after the last packet at which a search without a result is forgotten. Callers send an
 	// unanswered packet again after 1.6 s at the latest.
 	forgetAfter = 5 * time.Second
+	// minRestartInterval is the least time between two searches of all agents for one flow. If nobody holds the
+	// flow, the agent at which a search ends resets it, at once or when the pool has capacity for the caller.
+	minRestartInterval = time.Second
 )
 
 // Knowledge is what the packets of a flow so far have shown of its owner.
@@ -36,6 +39,8 @@
 	Overdue bool           // the first of them should have led to the owner by now
 	Tried   []ident.NodeID // agents whose targets don't hold the flow
 	Silent  []ident.NodeID // agents that got a packet and haven't answered, the least recently asked first
+	// Recent is set if the search has begun, or was restarted, so recently that it isn't restarted yet.
+	Recent bool
 }
 
 // Table holds the searches without a result. Its methods are safe for concurrent use.
@@ -48,6 +53,7 @@
 
 type search struct {
 	started time.Duration // time of the first packet
+	begun   time.Duration // time of the first packet since the last restart
 	last    time.Duration // time of the last packet
 	packets int
 	tried   []ident.NodeID
@@ -80,7 +86,8 @@
 	if s == nil || now-s.last > forgetAfter {
 		return Knowledge{}
 	}
-	k := Knowledge{Repeats: s.packets, Overdue: now-s.started > AnswerTimeout, Tried: slices.Clone(s.tried)}
+	k := Knowledge{Repeats: s.packets, Overdue: now-s.started > AnswerTimeout, Tried: slices.Clone(s.tried),
+		Recent: now-s.begun < minRestartInterval}
 	slices.SortStableFunc(s.asked, func(a, b hop) int { return cmp.Compare(a.last, b.last) })
 	for _, h := range s.asked {
 		if now-h.first > AnswerTimeout {
@@ -100,7 +107,7 @@
 		if s == nil && len(sh.searches) >= maxSearches/shardCount {
 			return
 		}
-		s = &search{started: now}
+		s = &search{started: now, begun: now}
 		sh.searches[f] = s
 	}
 	s.last, s.held = now, false
@@ -168,12 +175,12 @@
 }
 
 // Restart forgets which agents were asked in the search for a flow's owner.
-func (t *Table) Restart(f steering.Flow) {
+func (t *Table) Restart(now time.Duration, f steering.Flow) {
 	sh := t.shard(f)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	if s := sh.searches[f]; s != nil {
-		s.tried, s.asked = nil, nil
+		s.tried, s.asked, s.begun = nil, nil, now
 	}
 }
 
--- a/policy/flowsearch/flowsearch_test.go
+++ b/policy/flowsearch/flowsearch_test.go
@@ -22,15 +22,15 @@
 	table := flowsearch.New()
 	assert.DeepEqual(t, table.Lookup(0, flow), flowsearch.Knowledge{})
 	table.RecordSent(0, flow, 1, false)
-	assert.DeepEqual(t, table.Lookup(50*ms, flow), flowsearch.Knowledge{Repeats: 1})
-	assert.DeepEqual(t, table.Lookup(200*ms, flow), flowsearch.Knowledge{Repeats: 1, Overdue: true})
+	assert.DeepEqual(t, table.Lookup(50*ms, flow), flowsearch.Knowledge{Repeats: 1, Recent: true})
+	assert.DeepEqual(t, table.Lookup(200*ms, flow), flowsearch.Knowledge{Repeats: 1, Overdue: true, Recent: true})
 	table.RecordSent(200*ms, flow, 1, true)
 	table.RecordProgress(202*ms, flow, 2, 3) // overtakes that of 1
 	table.RecordProgress(203*ms, flow, 1, 2)
 	assert.DeepEqual(t, table.Lookup(250*ms, flow),
-		flowsearch.Knowledge{Repeats: 2, Overdue: true, Tried: []ident.NodeID{2, 1}})
+		flowsearch.Knowledge{Repeats: 2, Overdue: true, Tried: []ident.NodeID{2, 1}, Recent: true})
 	assert.DeepEqual(t, table.Lookup(600*ms, flow),
-		flowsearch.Knowledge{Repeats: 2, Overdue: true, Tried: []ident.NodeID{2, 1}, Silent: []ident.NodeID{3}})
+		flowsearch.Knowledge{Repeats: 2, Overdue: true, Tried: []ident.NodeID{2, 1}, Silent: []ident.NodeID{3}, Recent: true})
 	table.RecordSent(600*ms, flow, 4, true)
 	table.RecordProgress(601*ms, flow, 4, 0)
 	table.RecordSent(602*ms, flow, 5, true)
@@ -38,8 +38,9 @@
 	assert.DeepEqual(t, table.Lookup(1000*ms, flow).Silent, []ident.NodeID{5, 3})
 	table.RecordProgress(1001*ms, flow, 3, 0) // late
 	assert.DeepEqual(t, table.Lookup(1001*ms, flow).Tried, []ident.NodeID{2, 1, 4, 3})
-	table.Restart(flow)
-	assert.DeepEqual(t, table.Lookup(1002*ms, flow), flowsearch.Knowledge{Repeats: 5, Overdue: true})
+	table.Restart(1001*ms, flow)
+	assert.DeepEqual(t, table.Lookup(1002*ms, flow), flowsearch.Knowledge{Repeats: 5, Overdue: true, Recent: true})
+	assert.DeepEqual(t, table.Lookup(2001*ms, flow), flowsearch.Knowledge{Repeats: 5, Overdue: true})
 	started, ok := table.End(flow)
 	assert.Assert(t, ok && started == 0)
 	_, ok = table.End(flow)
@@ -109,7 +110,7 @@
 		to := p.agents[index].ID
 		if from == 0 {
 			if asked.Remembered < len(known.Tried) {
-				p.table.Restart(flow)
+				p.table.Restart(now, flow)
 			}
 			p.table.RecordSent(now, flow, to, known.Overdue)
 		} else if progress && !p.lost() {
--- a/policy/limit/limit.go
+++ b/policy/limit/limit.go
@@ -198,13 +198,18 @@
 	return &TokenBucket{rate: rate, burst: burst, tokens: burst, last: now}
 }
 
-// Take takes n tokens. If there are fewer, it takes none and returns false.
-func (b *TokenBucket) Take(now time.Time, n float64) bool {
+// Has reports whether there are n tokens.
+func (b *TokenBucket) Has(now time.Time, n float64) bool {
 	if elapsed := now.Sub(b.last); elapsed > 0 {
 		b.tokens = min(b.burst, b.tokens+b.rate*elapsed.Seconds())
 		b.last = now
 	}
-	if b.tokens < n {
+	return b.tokens >= n
+}
+
+// Take takes n tokens. If there are fewer, it takes none and returns false.
+func (b *TokenBucket) Take(now time.Time, n float64) bool {
+	if !b.Has(now, n) {
 		return false
 	}
 	b.tokens -= n
