--- a/bench/flows/cluster.go
+++ b/bench/flows/cluster.go
@@ -430,13 +430,23 @@
 // SendHeartbeat sends a heartbeat of an agent to all other nodes, as from a process of it with the given incarnation.
 func (c *Cluster) SendHeartbeat(n *Node, incarnation time.Time) error {
 	t, service := c.Target(n)
-	b, err := proto.MarshalOptions{}.MarshalAppend([]byte{kindControl}, &fleetv1.Message{Heartbeat: &fleetv1.Heartbeat{
+	return c.sendToOthers(n, &fleetv1.Message{Heartbeat: &fleetv1.Heartbeat{
 		Sender: &fleetv1.Node{
 			Name: n.Name, Incarnation: uint64(incarnation.UnixMicro()), DataCentre: fmt.Sprint("dc-", n.Zone), Address: n.advertised,
 		},
 		Sequence: 1, Direct: true,
 		Target: &fleetv1.Target{Service: service, Id: n.targetOptions.ID, BornUnixMs: t.StartUnixMs(), Accepting: true, Slots: targetSlots},
 	}})
+}
+
+// SendOwner sends all nodes a message of an agent that its target holds a flow.
+func (c *Cluster) SendOwner(n *Node, f steering.Flow) error {
+	return c.sendToOthers(n, &fleetv1.Message{FlowOwner: &fleetv1.FlowOwner{Flow: f.Append(nil), Owner: n.Name}})
+}
+
+// sendToOthers sends a message to all nodes but one, from the address of that one.
+func (c *Cluster) sendToOthers(n *Node, m *fleetv1.Message) error {
+	b, err := proto.MarshalOptions{}.MarshalAppend([]byte{kindControl}, m)
 	if err != nil {
 		return err
 	}
--- a/bench/flows/search_test.go
+++ b/bench/flows/search_test.go
@@ -170,3 +170,21 @@
 		})
 	}
 }
+
+// Guards against retransmissions that all end at a crashed target because the entry's record names an agent whose
+// target doesn't hold the flow: the message that another one has accepted it was lost.
+func TestSearchBehindAWrongOwnerPassesACrashedTarget(t *testing.T) {
+	t.Parallel()
+	s := startSearchCase(t, 4, 8)
+	open := s.openFlows(t, 60)
+	crashed, recorded := s.Agents[0], s.Agents[4]
+	_, living := s.heldBy(crashed, open)
+	_, living = s.heldBy(recorded, living)
+	s.waitForReport(crashed)
+	for _, flow := range living {
+		assert.NilError(t, s.SendOwner(recorded, flow.ID))
+	}
+	target, _ := s.Target(crashed)
+	target.Crash()
+	s.requestAll(t, living)
+}
