--- a/node/fleet/probe_test.go
+++ b/node/fleet/probe_test.go
@@ -58,3 +58,26 @@
 		_ = listener.Close() // nothing listens there for the second node
 	}
 }
+
+// Guards against nodes that are taken for gone without a connection to their instance, because all connections that
+// are tried at once wait for instances that are lost.
+func TestNodesWithoutAConnectionStayUnconfirmed(t *testing.T) {
+	f := newStoreFleet(t, "n-1")
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = listener.Close() })
+	n := knownNode(f, "n-2")
+	n.Address = netip.MustParseAddrPort(listener.Addr().String())
+	f.Roster.RecordHeartbeat(Now(), n, roster.Heartbeat{Sequence: 100})
+	at := Now() + 3*time.Second
+	for range maxProbesAtOnce {
+		f.instanceProbes <- struct{}{}
+	}
+	for range 10 {
+		p, _ := f.Roster.Find(n.ID)
+		f.Probe(at, &p)
+		at += 50 * time.Millisecond
+	}
+	p, _ := f.Roster.Find(n.ID)
+	assert.Assert(t, p.Health(at) != roster.Gone || p.IsUnconfirmed(at), "gone without a connection")
+}
