node/packetagent, node/packetentry: an agent on record whose target bounces a packet says so

An entry sends packets of a flow to the agent on its record without a search, and so without memory of it. Cause of a wrong record: an agent passed an opening packet on and the message of the one that accepted it was lost.

An agent whose target doesn't hold the flow of a packet that came without a search now answers with SearchProgress and asks the next agents for it.

--- a/node/packetagent/agent.go
+++ b/node/packetagent/agent.go
@@ -674,6 +674,9 @@
 	fp, arrived := &pending.Value, pending.Arrived
 	p := platform.Packet(fp.Packet)
 	flow := p.CallerFlow()
+	if !fp.WantsOwner && len(fp.Tried) == 0 { // the entry has a record that this agent's target holds the flow
+		fp.WantsOwner, fp.WantsProgress = true, true
+	}
 	a.markTried(fp)
 	a.withSearchCandidates(flow, fp, func(agents []roster.Peer) {
 		index, result, asked := steering.Next(now, agents, fp.Asked(), a.knowsCandidates(now, fp))
--- a/node/packetentry/entry.go
+++ b/node/packetentry/entry.go
@@ -155,6 +155,9 @@
 // RecordProgress records that an agent has passed a packet of a flow on to the next agent, or holds it if next is 0.
 func (e *Entry) RecordProgress(now time.Duration, flow steering.Flow, agent, next ident.NodeID) {
 	e.counters.progress.Inc()
+	if e.flows.removeOwner(flow, agent) { // its target doesn't hold the flow
+		e.searches.RecordSent(now, flow, agent, true)
+	}
 	e.searches.RecordProgress(now, flow, agent, next)
 }
 
--- a/node/packetentry/flows.go
+++ b/node/packetentry/flows.go
@@ -57,6 +57,18 @@
 	s.flows[f] = flowRecord{owner, now}
 }
 
+// removeOwner removes the record of a flow if it names this owner, and reports whether it did.
+func (t *flowTable) removeOwner(f steering.Flow, owner ident.NodeID) bool {
+	s := t.shard(f)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if r, ok := s.flows[f]; !ok || r.owner != owner {
+		return false
+	}
+	delete(s.flows, f)
+	return true
+}
+
 func (t *flowTable) expire(now, idle time.Duration) {
 	for i := range t.shards {
 		s := &t.shards[i]
--- a/node/packetentry/search_test.go
+++ b/node/packetentry/search_test.go
@@ -113,3 +113,20 @@
 	assert.Equal(t, e.unanswered.Len(), 0, "all were asked")
 	assert.Equal(t, e.counters.resent.Get(), uint64(1))
 }
+
+// Guards against packets that all go to the agent on record although its target has bounced one.
+func TestRecordEndsWhenTheOwnersTargetHasBouncedAPacket(t *testing.T) {
+	e, _ := newTestEntry(t)
+	now, flow := fleet.Now(), make(platform.Packet, platform.HeaderSize).CallerFlow()
+	e.RecordOwner(flow, ident.NewNodeID("agent"))
+	e.RecordProgress(now, flow, ident.NewNodeID("other"), 77)
+	_, ok := e.flows.get(now, flow)
+	assert.Assert(t, ok, "the message is of another agent")
+	e.RecordProgress(now, flow, ident.NewNodeID("agent"), 77)
+	_, ok = e.flows.get(now, flow)
+	assert.Assert(t, !ok)
+	now += 2 * flowsearch.AnswerTimeout
+	known := e.searches.Lookup(now, flow)
+	assert.DeepEqual(t, known.Tried, []ident.NodeID{ident.NewNodeID("agent")})
+	assert.DeepEqual(t, known.Silent, []ident.NodeID{77})
+}
