node/fleet: a silent node isn't asked before a connection to its instance can be tried

Requests for a heartbeat were counted although no connection was tried because 32 others were waiting; after three of them the node counted as gone. Now a node is asked only with a free connection, and is unconfirmed until then. 128 connections are tried at once, so that confirming 200 lost nodes takes about a second (computed, not measured).

--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -146,7 +146,7 @@
 		conn: conn, started: Now(),
 		announceDue: make(chan struct{}, 1), announceLoadDue: make(chan struct{}, 1),
 		fetch: make(chan roster.Peer, 16), recordDue: make(chan struct{}, 1),
-		instanceProbes:  make(chan struct{}, maxProbesAtOnce),
+		instanceProbes:  make(chan struct{}, maxConnectionsAtOnce),
 		storeDependency: dependency{name: "store", logger: o.Logger},
 		nodeLog:         logging.NewDecisionsWithLimit(o.Logger, nodeLinesPerSecond),
 	}
--- a/node/fleet/probe.go
+++ b/node/fleet/probe.go
@@ -17,6 +17,10 @@
 // maxProbesAtOnce bounds the nodes that are asked for a heartbeat at once.
 const maxProbesAtOnce = 32
 
+// maxConnectionsAtOnce bounds the connections to silent instances that are tried at once. Each takes up to
+// roster.ProbeTimeout if the instance is lost.
+const maxConnectionsAtOnce = 128
+
 // ProbeSilent asks the agents that a search waits for, those in tried excepted, for a heartbeat.
 func (f *Fleet) ProbeSilent(now time.Duration, agents []roster.Peer, tried []ident.NodeID) {
 	for _, p := range steering.SilentCandidates(now, agents, tried, maxProbesAtOnce) {
@@ -26,10 +30,19 @@
 
 // Probe asks a silent node for a heartbeat, unless it was asked just now or has not answered several times.
 func (f *Fleet) Probe(now time.Duration, p *roster.Peer) {
+	select {
+	case f.instanceProbes <- struct{}{}:
+	default:
+		return // asked later: without a connection, its silence shows nothing
+	}
 	if !f.Roster.RecordProbe(now, p.ID) {
+		<-f.instanceProbes
 		return
 	}
-	go f.probeInstance(p.ID, p.Name, p.Address)
+	go func() {
+		defer func() { <-f.instanceProbes }()
+		f.probeInstance(p.ID, p.Name, p.Address)
+	}()
 	message := f.heartbeatMessage(now, f.receiverOutsidePlan(now, p.DataCentre, p.Address), false)
 	message.Heartbeat.Probe = true
 	f.sendMessage(p.Address, message)
@@ -39,12 +52,6 @@
 // probeInstance finds out whether the instance of a silent node runs. Its network stack answers for a process
 // that is stalled, by accepting the connection, and for one that is being restarted, by refusing it.
 func (f *Fleet) probeInstance(id ident.NodeID, name string, address netip.AddrPort) {
-	select {
-	case f.instanceProbes <- struct{}{}:
-		defer func() { <-f.instanceProbes }()
-	default:
-		return // the next probe tries again
-	}
 	conn, err := net.DialTimeout("tcp4", address.String(), roster.ProbeTimeout)
 	if err == nil {
 		_ = conn.Close() // nothing was sent
--- a/node/fleet/probe_test.go
+++ b/node/fleet/probe_test.go
@@ -70,7 +70,7 @@
 	n.Address = netip.MustParseAddrPort(listener.Addr().String())
 	f.Roster.RecordHeartbeat(Now(), n, roster.Heartbeat{Sequence: 100})
 	at := Now() + 3*time.Second
-	for range maxProbesAtOnce {
+	for range cap(f.instanceProbes) {
 		f.instanceProbes <- struct{}{}
 	}
 	for range 10 {
