--- a/node/packetagent/agent_test.go
+++ b/node/packetagent/agent_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -95,3 +98,24 @@
 		assert.Equal(t, len(records) == 0, left)
 	}
 }
+
+// Guards against a running target that is taken for ended, flows included, because the last call of an earlier process
+// with the same id was read after its first report.
+func TestLeaveOfAnEarlierProcessIsIgnored(t *testing.T) {
+	store, err := platformtest.NewStore("127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(store.Close)
+	a := newTestAgent(t, store)
+	for start := range int64(2) {
+		assert.NilError(t, a.HandleHeartbeat(targetstate.Report{ID: "t", Service: "a", StartUnixMs: 1000 + start, Sequence: 1, Slots: 1},
+			targetAddress))
+	}
+	leave := func(body string) string {
+		w := httptest.NewRecorder()
+		platform.TargetHandler(a).ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/Backends.Deregister/t", strings.NewReader(body)))
+		assert.Equal(t, w.Code, http.StatusOK)
+		return a.targetState.Status(fleet.Now()).Reason
+	}
+	assert.Equal(t, leave(`{"born":1000}`), "")
+	assert.Equal(t, leave(`{"born":1001}`), "left")
+}
