--- a/node/packetagent/agent.go
+++ b/node/packetagent/agent.go
@@ -214,8 +214,8 @@
 }
 
 // HandleLeave handles the target's call that it is ending.
-func (a *Agent) HandleLeave(id string) {
-	a.announceCall("leave "+string(a.targetState.RecordLeave(id)), &targetstate.Report{ID: id})
+func (a *Agent) HandleLeave(id string, startUnixMs int64) {
+	a.announceCall("leave "+string(a.targetState.RecordLeave(id, startUnixMs)), &targetstate.Report{ID: id, StartUnixMs: startUnixMs})
 }
 
 // onDrained marks the target as drained, because the node's record contains that it announced its
--- a/node/packetagent/agent_test.go
+++ b/node/packetagent/agent_test.go
@@ -90,7 +90,7 @@
 		assert.NilError(t, a.HandleHeartbeat(targetstate.Report{ID: "t", Service: "a", Sequence: 1, Draining: true, Slots: 1},
 			targetAddress))
 		if left {
-			a.HandleLeave("t")
+			a.HandleLeave("t", 0)
 		}
 		a.stop(ctx)
 		records, _, err := client.Nodes(ctx)
--- a/policy/targetstate/target.go
+++ b/policy/targetstate/target.go
@@ -185,11 +185,13 @@
 	return now-u.since >= t.confirmAfter
 }
 
-// RecordLeave records that the target has announced its end.
-func (t *Target) RecordLeave(id string) ReportResult {
+// RecordLeave records that the target has announced its end. startUnixMs is the start that the call names, 0 if it names
+// none: a target may have started again under the same id since.
+func (t *Target) RecordLeave(id string, startUnixMs int64) ReportResult {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.hasReported || t.report.ID != id {
+	if !t.hasReported || t.report.ID != id ||
+		startUnixMs != 0 && t.report.StartUnixMs != 0 && startUnixMs != t.report.StartUnixMs {
 		return NotCurrent
 	}
 	t.left = true
