--- a/policy/targetstate/target_test.go
+++ b/policy/targetstate/target_test.go
@@ -279,3 +279,19 @@
 	assert.Assert(t, !target.AwaitsFirstReport(7*second))
 	assert.Assert(t, target.MarkStopping(7*second), "a running target would have reported")
 }
+
+// Guards against a target that is taken for ended by an agent whose start takes long: it has read no report so far.
+func TestSlowStartEndsNoTarget(t *testing.T) {
+	for _, drained := range []bool{false, true} {
+		target := targetstate.New(second, targetstate.Options{Heartbeat: 800 * time.Millisecond})
+		if drained {
+			target.MarkDrained()
+		}
+		target.RecordRunning(5 * second)
+		assert.Assert(t, !target.Status(5*second).Ended, "drained: %v", drained)
+		for at := 5 * second; at < 8*second; at += 50 * time.Millisecond {
+			target.RecordRunning(at)
+		}
+		assert.Assert(t, target.Status(8*second).Ended, "drained: %v", drained)
+	}
+}
