--- a/policy/targetstate/target.go
+++ b/policy/targetstate/target.go
@@ -109,6 +109,7 @@
 	t := &Target{started: now, silentAfter: time.Duration(maxMissedBeforeSilent * float64(o.Heartbeat)),
 		endedAfter:   maxMissedBeforeEnded*o.Heartbeat + endedSlack,
 		confirmAfter: time.Duration(minConfirmation * float64(o.Heartbeat))}
+	t.listener.Record(now)
 	if o.AddressReuse > reuseMargin {
 		t.silentAfter = min(t.silentAfter, o.AddressReuse-reuseMargin)
 	}
