--- a/node/packetagent/agent.go
+++ b/node/packetagent/agent.go
@@ -214,8 +214,8 @@
 }
 
 // HandleLeave handles the target's call that it is ending.
-func (a *Agent) HandleLeave(id string) {
-	a.announceCall("leave "+string(a.targetState.RecordLeave(id)), &targetstate.Report{ID: id})
+func (a *Agent) HandleLeave(id string, startUnixMs int64) {
+	a.announceCall("leave "+string(a.targetState.RecordLeave(id, startUnixMs)), &targetstate.Report{ID: id, StartUnixMs: startUnixMs})
 }
 
 // onDrained marks the target as drained, because the node's record contains that it announced its
@@ -674,6 +674,9 @@
 	fp, arrived := &pending.Value, pending.Arrived
 	p := platform.Packet(fp.Packet)
 	flow := p.CallerFlow()
+	if !fp.WantsOwner && len(fp.Tried) == 0 { // the entry has a record that this agent's target holds the flow
+		fp.WantsOwner, fp.WantsProgress = true, true
+	}
 	a.markTried(fp)
 	a.withSearchCandidates(flow, fp, func(agents []roster.Peer) {
 		index, result, asked := steering.Next(now, agents, fp.Asked(), a.knowsCandidates(now, fp))
--- a/policy/targetstate/target_test.go
+++ b/policy/targetstate/target_test.go
@@ -96,7 +96,7 @@
 	assert.Equal(t, target.RecordReport(2200*time.Millisecond, report(5000, 2)), targetstate.Accepted)
 	assert.Equal(t, target.RecordReport(3300*time.Millisecond, report(10, 9)), targetstate.Stale, "the later process has reported")
 	assert.Equal(t, target.RecordReport(3400*time.Millisecond, report(5000, 3)), targetstate.Accepted)
-	target.RecordLeave("i-1")
+	target.RecordLeave("i-1", 0)
 	assert.Equal(t, target.RecordReport(5*second, report(10, 10)), targetstate.Stale, "a single one after the end")
 	assert.Equal(t, target.Status(5*second).Reason, "left")
 }
@@ -138,8 +138,9 @@
 func TestRestartUnderSameID(t *testing.T) {
 	target := newTarget()
 	target.RecordReport(second, report(10, 7))
-	assert.Equal(t, target.RecordLeave("i-1"), targetstate.Changed)
-	assert.Equal(t, target.RecordLeave("i-2"), targetstate.NotCurrent)
+	assert.Equal(t, target.RecordLeave("i-1", 9), targetstate.NotCurrent)
+	assert.Equal(t, target.RecordLeave("i-1", 0), targetstate.Changed)
+	assert.Equal(t, target.RecordLeave("i-2", 0), targetstate.NotCurrent)
 	assert.Equal(t, target.Status(second).Reason, "left")
 	assert.Equal(t, target.RecordReport(3*second, report(20, 1)), targetstate.Changed)
 	assert.Assert(t, target.Status(3*second).Accepting)
@@ -169,7 +170,7 @@
 	target.RecordOffer(3 * second)
 	assert.Assert(t, target.Status(3300*time.Millisecond).MayHaveEnded, "openings without an answer")
 	target.RecordSent(3300 * time.Millisecond)
-	target.RecordLeave("i-1")
+	target.RecordLeave("i-1", 0)
 	s := target.Status(3300 * time.Millisecond)
 	assert.Assert(t, s.MayHaveEnded && !s.Ended)
 	target.MarkStopping(3300 * time.Millisecond)
@@ -278,3 +279,19 @@
 	assert.Assert(t, !target.AwaitsFirstReport(7*second))
 	assert.Assert(t, target.MarkStopping(7*second), "a running target would have reported")
 }
+
+// Guards against a target that is taken for ended by an agent whose start takes long: it has read no report so far.
+func TestSlowStartEndsNoTarget(t *testing.T) {
+	for _, drained := range []bool{false, true} {
+		target := targetstate.New(second, targetstate.Options{Heartbeat: 800 * time.Millisecond})
+		if drained {
+			target.MarkDrained()
+		}
+		target.RecordRunning(5 * second)
+		assert.Assert(t, !target.Status(5*second).Ended, "drained: %v", drained)
+		for at := 5 * second; at < 8*second; at += 50 * time.Millisecond {
+			target.RecordRunning(at)
+		}
+		assert.Assert(t, target.Status(8*second).Ended, "drained: %v", drained)
+	}
+}
