--- a/Makefile
+++ b/Makefile
@@ -52,11 +52,11 @@
 clean:
 	rm -rf $(BIN) $(TOOLS) measure-out
 
-# Runs the fault soak manually: make soak RUNS=50 SEED=1
+# Runs the fault soak manually: make soak RUNS=50 SEED=1 SOAK_FLAGS="--churn --zones 4 --spacing 500ms"
 SEED := 0
 RUNS := 10
 soak: build
-	$(BIN)/flowsoak --bin $(BIN) --runs $(RUNS) --seed $(SEED)
+	$(BIN)/flowsoak --bin $(BIN) --runs $(RUNS) --seed $(SEED) $(SOAK_FLAGS)
 
 # Scores the sites listed in .ci/regress-sites with the users' bench: make regress BENCH=program SITES=directory
 regress:
