policy/roster, node/packetentry: shorter wait for refused connections, no progress in the largest pools

A refused connection shows an instance, not a process: such a node is now awaited for 4 s, a stalled one for 8 s as before.

--- a/node/fleet/probe.go
+++ b/node/fleet/probe.go
@@ -58,7 +58,7 @@
 	} else if !errors.Is(err, syscall.ECONNREFUSED) {
 		return
 	}
-	f.Roster.RecordInstanceRuns(id)
+	f.Roster.RecordInstanceRuns(id, err == nil)
 	if f.nodeLog.Allow() {
 		f.nodeLog.Log("silent node's instance runs", logging.KeyPeer, name, "process", err == nil)
 	}
--- a/node/packetentry/entry.go
+++ b/node/packetentry/entry.go
@@ -466,7 +466,7 @@
 		steering.Asked{Tried: s.known.Tried, Remembered: len(s.known.Tried), Silent: s.known.Silent},
 		table != nil && e.fleet.RosterComplete(now))
 	s.restarted = s.asked.Remembered < len(s.known.Tried)
-	s.wantsProgress = s.known.Overdue || steering.AwaitsReturn(now, s.agents)
+	s.wantsProgress = (s.known.Overdue || steering.AwaitsReturn(now, s.agents)) && len(s.agents) <= flowsearch.MaxTried
 	return s
 }
 
--- a/policy/roster/roster.go
+++ b/policy/roster/roster.go
@@ -56,9 +56,12 @@
 	// has most likely ended, and its record remained because the store was unavailable at that
 	// time.
 	drainedGoneAfter = 400 * time.Millisecond
-	// restartTimeout is how long a node that announced its stop, or whose instance runs without it, may take to
-	// return. Its target may keep running and hold its flows.
+	// restartTimeout is how long a node that announced its stop, or whose process is stalled, may take to return.
+	// Its target may keep running and hold its flows.
 	restartTimeout = 8 * time.Second
+	// crashTimeout is how long a node may take to return whose process has ended without an announcement while
+	// its instance runs. Its target may have ended too.
+	crashTimeout = 4 * time.Second
 	// ProbeTimeout is the time within which a running node answers the first of up to maxProbes requests for a
 	// heartbeat, which are sent probeInterval apart, and an instance a connection.
 	ProbeTimeout  = 200 * time.Millisecond
@@ -156,7 +159,7 @@
 	firstProbe      time.Duration  // time of the first of them
 	lastProbe       time.Duration  // time of the last one
 	listener        stall.Detector // of this node
-	instanceRuns    bool           // since its last heartbeat, the instance was seen to run without the process
+	awaitedFor      time.Duration  // since its last heartbeat, its instance was seen to run, and it is awaited that long
 }
 
 // RanBefore reports whether the peer has run for longer than d when a node of this uptime and incarnation
@@ -219,10 +222,7 @@
 
 // goneAfter returns the silence after which the peer is taken to hold no flow.
 func (p *Peer) goneAfter() time.Duration {
-	if p.instanceRuns {
-		return max(restartTimeout, p.goneAfterByHeartbeat())
-	}
-	return p.goneAfterByHeartbeat()
+	return max(p.awaitedFor, p.goneAfterByHeartbeat())
 }
 
 // goneAfterByHeartbeat returns that silence by the peer's last heartbeat, or by its record.
@@ -510,13 +510,18 @@
 	return true
 }
 
-// RecordInstanceRuns records that the network stack of a peer's instance answers. The process is then stalled or
-// being restarted rather than lost with its instance.
-func (r *Roster) RecordInstanceRuns(id ident.NodeID) {
+// RecordInstanceRuns records that the network stack of a peer's instance answers. The process is then stalled, or,
+// if it doesn't listen, being restarted rather than lost with its instance.
+func (r *Roster) RecordInstanceRuns(id ident.NodeID, listens bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if p, ok := r.peers[id]; ok {
-		p.instanceRuns = true
+	p, ok := r.peers[id]
+	switch {
+	case !ok:
+	case listens:
+		p.awaitedFor = restartTimeout
+	default:
+		p.awaitedFor = crashTimeout
 	}
 }
 
--- a/policy/roster/roster_test.go
+++ b/policy/roster/roster_test.go
@@ -330,13 +330,16 @@
 	}
 	r.RecordHeartbeat(0, node("a", 1), roster.Heartbeat{Sequence: 1})
 	assert.Equal(t, health(3*time.Second), roster.Gone)
-	r.RecordInstanceRuns(id)
+	r.RecordInstanceRuns(id, false)
 	assert.Equal(t, health(3*time.Second), roster.Suspect)
+	assert.Equal(t, health(5*time.Second), roster.Gone)
+	r.RecordInstanceRuns(id, true)
+	assert.Equal(t, health(5*time.Second), roster.Suspect)
 	assert.Equal(t, health(9*time.Second), roster.Gone)
 	r.RecordHeartbeat(9*time.Second, node("a", 1), roster.Heartbeat{Sequence: 2})
 	assert.Equal(t, health(12*time.Second), roster.Gone)
 	r.RecordHeartbeat(12*time.Second, node("a", 1), roster.Heartbeat{Sequence: 3, ViaDigest: true})
-	r.RecordInstanceRuns(id)
+	r.RecordInstanceRuns(id, true)
 	assert.Equal(t, health(23*time.Second), roster.Suspect) // no sooner than without
 }
 
