node/fleet, policy/roster, policy/steering: instances are asked only before their flows count as lost

Silent nodes were asked for a heartbeat, and their instances for a connection, while they were merely suspect: after a start of everything each node opened up to three connections to each other one, at the moment at which processor time is scarcest. Now only nodes are asked that are gone by their silence, without which a search would end.

--- a/node/fleet/probe.go
+++ b/node/fleet/probe.go
@@ -21,9 +21,9 @@
 // roster.ProbeTimeout if the instance is lost.
 const maxConnectionsAtOnce = 128
 
-// ProbeSilent asks the agents that a search waits for, those in tried excepted, for a heartbeat.
-func (f *Fleet) ProbeSilent(now time.Duration, agents []roster.Peer, tried []ident.NodeID) {
-	for _, p := range steering.SilentCandidates(now, agents, tried, maxProbesAtOnce) {
+// ProbeUnconfirmed asks the agents without which a search would end, those in tried excepted, for a heartbeat.
+func (f *Fleet) ProbeUnconfirmed(now time.Duration, agents []roster.Peer, tried []ident.NodeID) {
+	for _, p := range steering.UnconfirmedCandidates(now, agents, tried, maxProbesAtOnce) {
 		f.Probe(now, p)
 	}
 }
--- a/node/packetagent/agent.go
+++ b/node/packetagent/agent.go
@@ -691,7 +691,7 @@
 			}
 			a.forward(agents[index].Address, fp)
 		case steering.Unknown:
-			a.fleet.ProbeSilent(now, agents, fp.Tried)
+			a.fleet.ProbeUnconfirmed(now, agents, fp.Tried)
 			outcome = "held, agents unknown"
 			if index >= 0 {
 				outcome = "held for " + agents[index].Name
--- a/node/packetentry/entry.go
+++ b/node/packetentry/entry.go
@@ -267,7 +267,7 @@
 		s := e.nextCandidate(now, item.Flow, table, services)
 		switch {
 		case s.result == steering.Unknown:
-			e.fleet.ProbeSilent(now, s.agents, s.asked.Tried)
+			e.fleet.ProbeUnconfirmed(now, s.agents, s.asked.Tried)
 			e.hold(now, item, "agents unknown", table.PositionOrZero())
 		case s.result == steering.Continue && !s.restarted && !slices.Contains(s.asked.Silent, s.agents[s.index].ID):
 			if e.progressBudget.Has(timeOf(now), 1) {
@@ -488,7 +488,7 @@
 	switch s.result {
 	case steering.Continue:
 		if s.restarted && s.known.Recent {
-			e.counters.CountDrop("just searched everywhere")
+			e.counters.CountDrop("all agents were just searched")
 			return
 		}
 		e.counters.searched.Inc()
@@ -509,7 +509,7 @@
 		}
 		e.resetFlow(flow, p, "no target holds the flow", table)
 	case steering.Unknown:
-		e.fleet.ProbeSilent(now, s.agents, s.asked.Tried)
+		e.fleet.ProbeUnconfirmed(now, s.agents, s.asked.Tried)
 		e.hold(now, pending, "agents unknown", table.PositionOrZero())
 	}
 }
--- a/policy/roster/roster.go
+++ b/policy/roster/roster.go
@@ -491,7 +491,7 @@
 }
 
 // RecordProbe records that a peer is asked for a heartbeat, and reports whether it is to be asked now: it is
-// silent, and not too many requests were sent since its last heartbeat.
+// gone, and not too many requests were sent since its last heartbeat.
 func (r *Roster) RecordProbe(now time.Duration, id ident.NodeID) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -499,7 +499,7 @@
 	if !ok || p.probes >= maxProbes || p.probes > 0 && now-p.lastProbe < probeInterval {
 		return false
 	}
-	if v := r.view(p); v.Health(now) == Live {
+	if v := r.view(p); v.Health(now) != Gone {
 		return false
 	}
 	if p.probes == 0 {
--- a/policy/steering/search.go
+++ b/policy/steering/search.go
@@ -43,7 +43,7 @@
 // isn't complete. Targets that may have ended come last: an ended target doesn't bounce packets,
 // and the search would stop there. So do agents of which nothing was heard because digests of their
 // data centre stay away. An agent that is gone is left out once it has not answered a request for a
-// heartbeat; with Unknown, the caller sends these requests (SilentCandidates).
+// heartbeat; with Unknown, the caller sends these requests (UnconfirmedCandidates).
 func NextCandidate(now time.Duration, agents []roster.Peer, tried []ident.NodeID, complete bool) (int, SearchResult) {
 	return nextCandidate(now, agents, tried, nil, complete)
 }
@@ -105,20 +105,20 @@
 	return false
 }
 
-// SilentCandidates returns the agents that a search waits for, at most n, in their order: those that are
-// silent and may hold the flow.
-func SilentCandidates(now time.Duration, agents []roster.Peer, tried []ident.NodeID, n int) []*roster.Peer {
-	var silent []*roster.Peer
+// UnconfirmedCandidates returns the agents that may hold a flow, at most n, in their order, and are gone by
+// their silence alone.
+func UnconfirmedCandidates(now time.Duration, agents []roster.Peer, tried []ident.NodeID, n int) []*roster.Peer {
+	var unconfirmed []*roster.Peer
 	for i := range agents {
 		p := &agents[i]
-		if len(silent) >= n {
+		if len(unconfirmed) >= n {
 			break
 		}
-		if !slices.Contains(tried, p.ID) && !p.Target.Ended && (p.Health(now) == roster.Suspect || p.IsUnconfirmed(now)) {
-			silent = append(silent, p)
+		if !slices.Contains(tried, p.ID) && !p.Target.Ended && p.IsUnconfirmed(now) {
+			unconfirmed = append(unconfirmed, p)
 		}
 	}
-	return silent
+	return unconfirmed
 }
 
 // firstValid returns before unless it is -1, which stands for none, and else i.
