--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -593,7 +593,6 @@
 		return
 	}
 	f.addNode(now, node, service, false, source)
-	f.Roster.RecordListed(now, node)
 }
 
 // addAbsentNode records what another node knows of a node that is away.
--- a/policy/roster/roster.go
+++ b/policy/roster/roster.go
@@ -155,7 +155,6 @@
 	unansweredSince time.Duration  // time of the first flow placed there that no heartbeat has followed yet
 	silentSince     time.Duration  // time from which it was reported as Silent
 	lastDigest      time.Duration  // time of the last digest of its data centre if it is ViaDigest and not Silent, else 0
-	listedAt        time.Duration  // when another node has last listed it as running, 0 if none has
 	probes          int            // requests for a heartbeat since its last heartbeat
 	firstProbe      time.Duration  // time of the first of them
 	lastProbe       time.Duration  // time of the last one
@@ -272,12 +271,6 @@
 	return p.isReported() && p.HeartbeatSeen && !p.Leaving && !p.Unanswered() && p.Overdue(now) && p.Health(now) == Suspect
 }
 
-// IsListed reports whether the peer is suspect only because no heartbeat of it has arrived here yet, and
-// another node has listed it as running.
-func (p *Peer) IsListed(now time.Duration) bool {
-	return !p.HeartbeatSeen && p.listedAt != 0 && now-p.listedAt <= minGoneAfter && p.Health(now) == Suspect
-}
-
 // Overdue reports whether a heartbeat of the peer is late by so much that the peer gets no new
 // flows.
 func (p *Peer) Overdue(now time.Duration) bool { return p.silence(now) > p.suspectAfter() }
@@ -363,15 +356,6 @@
 	return true
 }
 
-// RecordListed records that another node lists an incarnation of a node as running.
-func (r *Roster) RecordListed(now time.Duration, n Node) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if p, ok := r.peers[n.ID]; ok && p.Incarnation == n.Incarnation {
-		p.listedAt = now
-	}
-}
-
 // RecordHeartbeat records a heartbeat that was received from its sender.
 func (r *Roster) RecordHeartbeat(now time.Duration, n Node, heartbeat Heartbeat) Change {
 	r.mu.Lock()
--- a/policy/steering/search.go
+++ b/policy/steering/search.go
@@ -42,7 +42,7 @@
 // With Unknown, the index is that of the agent to wait for, or -1 if there is none and the list
 // isn't complete. Targets that may have ended come last: an ended target doesn't bounce packets,
 // and the search would stop there. So do agents of which nothing was heard because digests of their
-// data centre stay away, or of which only another node has heard so far. An agent that is gone is left out once it has not answered a request for a
+// data centre stay away. An agent that is gone is left out once it has not answered a request for a
 // heartbeat; with Unknown, the caller sends these requests (UnconfirmedCandidates).
 func NextCandidate(now time.Duration, agents []roster.Peer, tried []ident.NodeID, complete bool) (int, SearchResult) {
 	return nextCandidate(now, agents, tried, nil, complete)
@@ -57,8 +57,8 @@
 		if slices.Contains(tried, p.ID) || p.Target.Ended {
 			continue
 		}
-		health, presumedLive := p.Health(now), p.AwaitsDigests(now) || p.IsListed(now)
-		if rank := slices.Index(silentAgents, p.ID); rank >= 0 && (health == roster.Live || presumedLive) {
+		health, awaitsDigests := p.Health(now), p.AwaitsDigests(now)
+		if rank := slices.Index(silentAgents, p.ID); rank >= 0 && (health == roster.Live || awaitsDigests) {
 			if rank < silentRank {
 				silent, silentRank = i, rank
 			}
@@ -69,7 +69,7 @@
 			return i, Continue
 		case health == roster.Live:
 			mayHaveEnded = firstValid(mayHaveEnded, i)
-		case presumedLive:
+		case awaitsDigests:
 			unreported = firstValid(unreported, i)
 		case health == roster.Suspect:
 			suspect = firstValid(suspect, i)
