--- a/node/fleet/convert.go
+++ b/node/fleet/convert.go
@@ -37,8 +37,7 @@
 )
 
 // latestIncarnation returns the latest incarnation that a node has by this node's clock if no clock is
-// wrong. It is read
-// once a message, because a digest describes many nodes.
+// wrong. It is read once a message, because a digest describes many nodes.
 func latestIncarnation() ident.Incarnation {
 	return ident.Incarnation(time.Now().Add(maxClockAhead).UnixMicro())
 }
--- a/node/fleet/probe.go
+++ b/node/fleet/probe.go
@@ -14,12 +14,13 @@
 	"lacewinglever.dev/policy/steering"
 )
 
-// maxProbesAtOnce bounds the nodes that are asked for a heartbeat at once.
-const maxProbesAtOnce = 32
-
-// maxConnectionsAtOnce bounds the connections to silent instances that are tried at once. Each takes up to
-// roster.ProbeTimeout if the instance is lost.
-const maxConnectionsAtOnce = 128
+const (
+	// maxProbesAtOnce bounds the nodes that one decision asks for a heartbeat.
+	maxProbesAtOnce = 32
+	// maxConnectionsAtOnce bounds the connections to silent instances that are tried at once. Each takes up to
+	// roster.ProbeTimeout if the instance is lost.
+	maxConnectionsAtOnce = 128
+)
 
 // ProbeUnconfirmed asks the agents without which a search would end, those in tried excepted, for a heartbeat.
 func (f *Fleet) ProbeUnconfirmed(now time.Duration, agents []roster.Peer, tried []ident.NodeID) {
