--- a/bench/flows/cluster.go
+++ b/bench/flows/cluster.go
@@ -96,9 +96,10 @@
 	Agents  []*Node // use Nodes while agents are added or retired
 
 	mu             sync.Mutex
-	probeMisses    map[*Node]int // consecutive failed readiness probes
-	targetsStarted int           // total, for unique target ids
-	agentsAdded    int           // total, for unique addresses
+	probeMisses    map[*Node]int       // consecutive failed readiness probes
+	lastReady      map[*Node]time.Time // when the last successful probe was sent
+	targetsStarted int                 // total, for unique target ids
+	agentsAdded    int                 // total, for unique addresses
 	hosts          map[netip.Addr]*Node
 	onRun          func(platformtest.Run)
 	onAltered      func()
@@ -111,7 +112,7 @@
 	if o.Heartbeat == 0 {
 		o.Heartbeat = defaultHeartbeat
 	}
-	c := &Cluster{options: o, probeMisses: map[*Node]int{}, hosts: map[netip.Addr]*Node{}, onRun: onRun,
+	c := &Cluster{options: o, probeMisses: map[*Node]int{}, lastReady: map[*Node]time.Time{}, hosts: map[netip.Addr]*Node{}, onRun: onRun,
 		onAltered: onAltered, stop: make(chan struct{})}
 	store, err := platformtest.NewStore(fmt.Sprintf("127.%d.250.1:%d", o.Subnet, portStore))
 	if err != nil {
@@ -369,6 +370,7 @@
 	client := &http.Client{Timeout: probeInterval, Transport: &http.Transport{DisableKeepAlives: true}}
 	for {
 		for _, n := range c.Entries {
+			sent := time.Now()
 			go func() {
 				ok := false
 				if r, err := client.Get("http://" + address(n.host, portReady) + "/ready"); err == nil {
@@ -378,7 +380,7 @@
 				c.mu.Lock()
 				defer c.mu.Unlock()
 				if ok {
-					c.probeMisses[n] = 0
+					c.probeMisses[n], c.lastReady[n] = 0, sent
 				} else {
 					c.probeMisses[n]++
 				}
@@ -466,5 +468,12 @@
 	return nil
 }
 
+// ReadySince reports whether a readiness probe of a node that was sent after a time has succeeded.
+func (c *Cluster) ReadySince(n *Node, at time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lastReady[n].After(at)
+}
+
 // ReportsAddress returns the address at which an agent accepts the reports of its target.
 func (c *Cluster) ReportsAddress(n *Node) string { return address(n.host, portReports) }
--- a/bench/flows/routes_test.go
+++ b/bench/flows/routes_test.go
@@ -66,12 +66,14 @@
 	f.Store.PutRoutes(4, []string{"a", "b"}, routesOf(idleRoute(9100)))
 	time.Sleep(routesBound)
 	open := f.openFlows(t, netip.MustParseAddrPort("198.18.0.3:9100"), 8)
+	removed := time.Now()
 	f.Store.PutRoutes(7, []string{"a", "b"}, routesOf())
 	for _, n := range f.Entries {
 		n.Kill()
 		assert.NilError(t, n.Launch())
 		f.waitUntilReady(t, n)
 	}
+	time.Sleep(time.Until(removed.Add(routesBound))) // until then, older routes may be in force
 	var requests sync.WaitGroup
 	for i, flow := range open {
 		requests.Go(func() {
