policy/inflight, node/packetagent: agents claim only flows that their target has served

Found by reading, while looking for the cost after the loss of everything. An agent tells of flows whose route has left its service by the flows of which packets were passed to its target. An entry without routes asks the agents of all services; a target that has crashed doesn't give the packet back, so that its agent would claim the flow for 20 s, and searches would be longer by that agent.

Only what the target has answered shows that it holds a flow. TestAddressesAreThoseOfServedFlows fails before.

--- a/policy/inflight/inflight.go
+++ b/policy/inflight/inflight.go
@@ -254,13 +254,16 @@
 	}
 }
 
-// ServiceAddresses returns the addresses to which callers have opened the flows, in no particular order.
+// ServiceAddresses returns the addresses to which callers have opened the flows that the target has served, in no
+// particular order. A packet that was passed to the target doesn't show that the target holds its flow.
 func (t *Table) ServiceAddresses() []netip.AddrPort {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	seen := map[netip.AddrPort]struct{}{}
-	for id := range t.flows {
-		seen[id.Service()] = struct{}{}
+	for id, f := range t.flows {
+		if f.served {
+			seen[id.Service()] = struct{}{}
+		}
 	}
 	return slices.Collect(maps.Keys(seen))
 }
--- a/policy/inflight/inflight_test.go
+++ b/policy/inflight/inflight_test.go
@@ -144,3 +144,16 @@
 	table.Clear()
 	assert.Assert(t, !table.Serves(flowA))
 }
+
+// Guards against agents that claim flows of which their target was only asked.
+func TestAddressesAreThoseOfServedFlows(t *testing.T) {
+	table := inflight.New()
+	table.RecordDelivered(0, flowA, data)
+	assert.Equal(t, len(table.ServiceAddresses()), 0)
+	table.RecordSent(0, flowA, inflight.Event{})
+	assert.Equal(t, len(table.ServiceAddresses()), 0, "acknowledged")
+	table.RecordSent(0, flowA, data)
+	assert.Equal(t, len(table.ServiceAddresses()), 1)
+	table.RecordBounced(0, flowA)
+	assert.Equal(t, len(table.ServiceAddresses()), 0)
+}
