policy/routes, platform, node/fleet: routes carry time limit, priority and repeatability

Cause: the operator's routes name a time limit, a priority and whether requests may be repeated, and services the requests that a cold target bears. Nothing read them, so no decision under load could use them.

No decision uses them yet.

--- a/node/fleet/convert.go
+++ b/node/fleet/convert.go
@@ -2,8 +2,10 @@
 
 import (
 	"encoding/binary"
+	"maps"
 	"math"
 	"net/netip"
+	"slices"
 	"time"
 	"unicode/utf8"
 
@@ -212,7 +214,8 @@
 	for i := range c.Routes {
 		route := &c.Routes[i].Route
 		r := &fleetv1.Route{Address: toAddress(c.Routes[i].Address), Name: route.Name,
-			ObjectiveMs: uint32(route.Objective.Milliseconds())}
+			ObjectiveMs: uint32(route.Objective.Milliseconds()), TimeoutMs: uint32(route.Timeout.Milliseconds()),
+			Priority: uint32(route.Priority), Idempotent: route.Idempotent}
 		for _, share := range route.Shares {
 			r.Shares = append(r.Shares, &fleetv1.Share{Service: share.Service, Weight: share.Weight})
 		}
@@ -221,6 +224,12 @@
 	for _, a := range c.RemovedRoutes {
 		m.Removed = append(m.Removed, toAddress(a))
 	}
+	for _, service := range slices.Sorted(maps.Keys(c.Limits)) {
+		limits := c.Limits[service]
+		m.ServiceLimits = append(m.ServiceLimits, &fleetv1.ServiceLimits{
+			Service: service, ColdPerSecond: float32(limits.ColdPerSecond), ColdStartMs: uint32(limits.ColdStart.Milliseconds()),
+		})
+	}
 	return m
 }
 
@@ -243,7 +252,11 @@
 		if err != nil {
 			return c, errors.Wrapf(err, "route %q", r.GetName())
 		}
-		route := routes.Route{Name: r.GetName(), Objective: time.Duration(r.GetObjectiveMs()) * time.Millisecond}
+		route := routes.Route{
+			Name: r.GetName(), Objective: time.Duration(r.GetObjectiveMs()) * time.Millisecond,
+			Timeout: time.Duration(r.GetTimeoutMs()) * time.Millisecond, Priority: int(r.GetPriority()),
+			Idempotent: r.GetIdempotent(),
+		}
 		for _, share := range r.GetShares() {
 			if !isAmount(share.GetWeight()) {
 				return c, errors.Errorf("route %q has weight %g", r.GetName(), share.GetWeight())
@@ -255,6 +268,17 @@
 		}
 		c.Routes = append(c.Routes, routes.AddressRoute{Address: address, Route: route})
 	}
+	for _, s := range m.GetServiceLimits() {
+		if !isAmount(float64(s.GetColdPerSecond())) {
+			return c, errors.Errorf("service %q has a limit of %g requests per second", s.GetService(), s.GetColdPerSecond())
+		}
+		if c.Limits == nil {
+			c.Limits = map[string]routes.ServiceLimits{}
+		}
+		c.Limits[s.GetService()] = routes.ServiceLimits{
+			ColdPerSecond: float64(s.GetColdPerSecond()), ColdStart: time.Duration(s.GetColdStartMs()) * time.Millisecond,
+		}
+	}
 	for _, b := range m.GetRemoved() {
 		address, err := fromAddress(b)
 		if err != nil {
--- a/node/fleet/routes_test.go
+++ b/node/fleet/routes_test.go
@@ -18,13 +18,14 @@
 func tableOf(revision uint64, n int, service string) *routes.Table {
 	t := &routes.Table{
 		Position: routes.Position{Version: int64(revision), Era: 1, Revision: revision}, IdleTimeout: 15 * time.Second,
+		Limits: map[string]routes.ServiceLimits{service: {ColdPerSecond: float64(n), ColdStart: 2500 * time.Millisecond}},
 		Routes: map[netip.AddrPort]routes.Route{}, Services: map[string]struct{}{service: {}},
 	}
 	for i := range n {
 		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, byte(i >> 8), byte(i)}), 8443)
 		t.Routes[address] = routes.Route{
 			Name: fmt.Sprint("r", i), Shares: []routes.Share{{Service: service, Weight: 0.9}, {Service: "z", Weight: 0.1}},
-			Objective: 150 * time.Millisecond,
+			Objective: 150 * time.Millisecond, Timeout: 2 * time.Second, Priority: i % 3, Idempotent: i%2 == 0,
 		}
 	}
 	return t
@@ -57,6 +58,7 @@
 			assert.DeepEqual(t, receiver.Load().Routes[address], r)
 		}
 		assert.DeepEqual(t, receiver.Load().Services, next.Services)
+		assert.DeepEqual(t, receiver.Load().Limits, next.Limits)
 	}
 	_, err := cache.get(&sender, receiver.Position())
 	assert.ErrorIs(t, err, errNoNewerRoutes)
--- a/policy/routes/change.go
+++ b/policy/routes/change.go
@@ -41,6 +41,7 @@
 	RemovedRoutes   []netip.AddrPort
 	Services        []string // added
 	RemovedServices []string
+	Limits          map[string]ServiceLimits // of all services of the later table that have limits
 }
 
 // size returns the memory that a change occupies, in routes.
@@ -48,7 +49,7 @@
 
 // Diff returns the change from one table to another. before may be nil.
 func Diff(before, after *Table) Change {
-	c := Change{Position: after.Position, IdleTimeout: after.IdleTimeout}
+	c := Change{Position: after.Position, IdleTimeout: after.IdleTimeout, Limits: after.Limits}
 	if before == nil {
 		before = &Table{}
 	}
@@ -80,7 +81,7 @@
 // Apply returns the table that results from applying the change to before, which may be nil if the
 // change is based on an empty table. It returns ErrBaseMismatch if the change has another base.
 func (c *Change) Apply(before *Table) (*Table, error) {
-	t := &Table{Position: c.Position, IdleTimeout: c.IdleTimeout}
+	t := &Table{Position: c.Position, IdleTimeout: c.IdleTimeout, Limits: c.Limits}
 	if c.Base.IsZero() {
 		before = &Table{}
 	}
--- a/policy/routes/routes.go
+++ b/policy/routes/routes.go
@@ -22,6 +22,20 @@
 	Shares []Share // at least one
 	// Objective is the latency objective, counted from the caller's first packet; 0 if none is set.
 	Objective time.Duration
+	// Timeout is the time limit of a request, counted from the caller's first packet; 0 if none is set.
+	Timeout time.Duration
+	// Priority orders the routes that compete for the targets of a service; 0 is the highest.
+	Priority int
+	// Idempotent is set if the requests may be repeated.
+	Idempotent bool
+}
+
+// ServiceLimits are the limits of one service's targets.
+type ServiceLimits struct {
+	// ColdPerSecond is the number of requests per second that a target bears while it is cold; 0 if there is no limit.
+	ColdPerSecond float64
+	// ColdStart is the time after its start for which a target is cold.
+	ColdStart time.Duration
 }
 
 // PickService returns the service at which a flow with this hash opens.
@@ -71,6 +85,7 @@
 	IdleTimeout time.Duration
 	Routes      map[netip.AddrPort]Route
 	Services    map[string]struct{}
+	Limits      map[string]ServiceLimits // of the services that have limits
 }
 
 // PositionOrZero returns the position of the table, the zero one if t is nil.
