policy/flowlist, node: searches wait for a restarting agent that has listed the flow

What callers saw: while the agent of an open flow's target was away for a planned restart, packets of the flow reached all other targets and none its own.

Cause: an entry without a record of the flow showed its packets to all other targets before it waited for the agent that was away. Each further entry to which the routers moved the flow, and each agent that had just started, did the same again.

Change: at its stop an agent sends fingerprints of the flows that its target has served to the nodes that may search for them. These hold packets of a listed flow while the agent is away, and send them to it first once it is back. Agents don't show such packets to their own targets. Nodes that start get the lists with the answers to their join requests; an agent gets that of its own process before, so that flows that were idle since are in its next list too. A list is never a proof: the search goes on if the target bounces the packet or has ended, or if the agent is gone or silent.

Evidence: TestFlowsOfARestartingAgentReachNoOtherTarget on the programs of before:

entries_without_a_record: 84 packets of 6 flows reached other targets an_entry_starts_meanwhile: 126 packets of 9 flows reached other targets flows_idle_since_an_earlier_restart: 126 packets of 9 flows reached other targets

With this change none does.

--- a/bench/flows/cluster.go
+++ b/bench/flows/cluster.go
@@ -477,3 +477,6 @@
 
 // ReportsAddress returns the address at which an agent accepts the reports of its target.
 func (c *Cluster) ReportsAddress(n *Node) string { return address(n.host, portReports) }
+
+// CallersAddress returns the address at which an entry receives callers' packets.
+func (c *Cluster) CallersAddress(n *Node) netip.AddrPort { return addressPort(n.host, portCallers) }
--- a/bench/flows/flows_test.go
+++ b/bench/flows/flows_test.go
@@ -18,6 +18,7 @@
 	"lacewinglever.dev/bench/flows"
 	"lacewinglever.dev/platform/platformtest"
 	"lacewinglever.dev/policy/ident"
+	"lacewinglever.dev/policy/steering"
 	"lacewinglever.dev/policy/storereader"
 )
 
@@ -45,6 +46,8 @@
 type fixture struct {
 	*flows.Cluster
 	caller *platformtest.Caller
+	// routing, if set, selects the entry for each packet of the caller in place of the fabric.
+	routing atomic.Pointer[func(steering.Flow) (netip.AddrPort, bool)]
 }
 
 func start(t *testing.T, targets map[string]int) *fixture {
@@ -63,10 +66,17 @@
 	assert.NilError(t, err)
 	t.Cleanup(c.Close)
 	c.Store.PutRoutes(1, []string{"a", "b"}, routesOf())
-	caller, err := platformtest.NewCaller(netip.MustParseAddrPort(fmt.Sprintf("127.%d.220.1:7500", n)), c.Route)
+	f := &fixture{Cluster: c}
+	caller, err := platformtest.NewCaller(netip.MustParseAddrPort(fmt.Sprintf("127.%d.220.1:7500", n)),
+		func(flow steering.Flow) (netip.AddrPort, bool) {
+			if routing := f.routing.Load(); routing != nil {
+				return (*routing)(flow)
+			}
+			return c.Route(flow)
+		})
 	assert.NilError(t, err)
 	t.Cleanup(caller.Close)
-	f := &fixture{c, caller}
+	f.caller = caller
 	for until := time.Now().Add(10 * time.Second); ; {
 		if flow := caller.Open(serviceA); flow != nil {
 			flow.Close()
--- a/bench/flows/search_test.go
+++ b/bench/flows/search_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"strings"
 	"sync"
 	"testing"
@@ -11,6 +12,7 @@
 
 	"lacewinglever.dev/bench/flows"
 	"lacewinglever.dev/platform/platformtest"
+	"lacewinglever.dev/policy/steering"
 )
 
 // searchCase is a cluster whose open flows are judged while entries search for them.
@@ -18,18 +20,26 @@
 	*fixture
 	mu          sync.Mutex
 	misdirected []string
+	bounced     map[steering.Flow]int // packets that reached targets which don't hold the flow
 }
 
 func startSearchCase(t *testing.T, zones, targets int) *searchCase {
 	t.Helper()
-	s := &searchCase{}
+	s := &searchCase{bounced: map[steering.Flow]int{}}
 	judge := flows.NewFlowJudge(func(m flows.Misdirection) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.misdirected = append(s.misdirected, m.String())
 	})
 	s.fixture = startWith(t, flows.Options{Zones: zones, Targets: map[string]int{"a": targets},
-		Heartbeat: 1200 * time.Millisecond, OnPacket: judge.RecordPacket})
+		Heartbeat: 1200 * time.Millisecond, OnPacket: func(p platformtest.ReceivedPacket) {
+			judge.RecordPacket(p)
+			if !p.Held {
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				s.bounced[p.Flow]++
+			}
+		}})
 	return s
 }
 
@@ -188,3 +198,87 @@
 	target.Crash()
 	s.requestAll(t, living)
 }
+
+// awayTime is the time for which agents are away in tests of restarts.
+const awayTime = 2 * time.Second
+
+// restart restarts a node and waits until it hears of all others.
+func (s *searchCase) restart(t *testing.T, n *flows.Node) {
+	t.Helper()
+	n.Stop()
+	assert.NilError(t, n.Launch())
+	if !n.Agent {
+		s.waitUntilReady(t, n)
+	}
+	time.Sleep(settledTime)
+}
+
+// routeInTurn sends the packets of each flow through the given entries in turn.
+func (s *searchCase) routeInTurn(entries ...*flows.Node) {
+	var mu sync.Mutex
+	packets := map[steering.Flow]int{}
+	routing := func(f steering.Flow) (netip.AddrPort, bool) {
+		mu.Lock()
+		defer mu.Unlock()
+		packets[f]++
+		return s.CallersAddress(entries[packets[f]%len(entries)]), true
+	}
+	s.routing.Store(&routing)
+}
+
+// Guards against packets that reach other targets while the agent of their own is being restarted: each entry without a
+// record of the flow asks all other targets before it waits for the agent.
+func TestFlowsOfARestartingAgentReachNoOtherTarget(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// lateEntry is whether one of the entries starts while the agent is away.
+		lateEntry bool
+		// idle is whether the agent was restarted before, and the flows were idle since.
+		idle bool
+	}{{name: "entries without a record"}, {name: "an entry starts meanwhile", lateEntry: true},
+		{name: "flows idle since an earlier restart", idle: true}} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			s := startSearchCase(t, 3, 8)
+			time.Sleep(settledTime) // until all targets have reported
+			open := s.fixture.openFlows(t, serviceA, 60)
+			away := s.Agents[1]
+			held, _ := s.heldBy(away, open)
+			assert.Assert(t, len(held) > 0)
+			first, second := s.Entries[0], s.Entries[1]
+			s.restart(t, first)
+			s.restart(t, second)
+			if c.idle {
+				s.restart(t, away)
+			}
+			if c.lateEntry {
+				second.Stop()
+			}
+			away.Stop()
+			back := awayTime
+			if c.lateEntry {
+				assert.NilError(t, second.Launch())
+				s.waitUntilReady(t, second)
+				back = awayTime / 2 // it took a while until the entry was ready
+			}
+			var restart sync.WaitGroup
+			defer restart.Wait()
+			restart.Go(func() {
+				time.Sleep(back)
+				assert.Check(t, away.Launch())
+			})
+			s.mu.Lock()
+			clear(s.bounced)
+			s.mu.Unlock()
+			s.routeInTurn(first, second)
+			s.requestAll(t, held)
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			packets := 0
+			for _, flow := range held {
+				packets += s.bounced[flow.ID]
+			}
+			assert.Check(t, packets == 0, "%d packets of %d flows reached other targets", packets, len(held))
+		})
+	}
+}
--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -97,6 +97,7 @@
 
 	storeListed     atomic.Bool // the store's node records have been read since the start
 	joined          atomic.Bool // a node has answered that knows all nodes that may hold flows
+	joining         atomic.Bool // the node requests nodes, or has done so
 	answered        atomic.Bool // any node has answered with the nodes of its roster
 	leaving         atomic.Bool
 	announceDue     chan struct{}    // receives when a heartbeat to all receivers of the plan is due
@@ -123,6 +124,7 @@
 	recordDue       chan struct{}                        // receives when this node's record may be out of date
 	recordObserver  stalerecords.Observer                // only used by the goroutine of maintainRecord
 	pendingChange   atomic.Pointer[fleetv1.RoutesChange] // sent with the next announcement
+	flowLists       flowLists
 	outgoing        outgoingState
 }
 
@@ -184,6 +186,7 @@
 	f.sendFailures = m.NewCounter("lacewing_fleet_send_failures_total")
 	f.probesSent = m.NewCounter("lacewing_fleet_probes_sent_total")
 	f.stalls = m.NewCounter("lacewing_stalls_total")
+	f.flowLists.awaiting = m.NewCounter("lacewing_searches_awaiting_agent_total")
 	m.NewGauge("lacewing_routes_revision", func() float64 { return float64(f.Routes.Position().Revision) })
 	m.NewGauge("lacewing_routes_version", func() float64 { return float64(f.Routes.Position().Version) })
 	m.NewGauge("lacewing_store_era", func() float64 { return float64(f.storeEra.Load()) })
@@ -378,6 +381,7 @@
 // join requests nodes from the seeds and a few known nodes until one has answered that knows all nodes
 // that may hold flows, or until those have sent a heartbeat and a node has answered.
 func (f *Fleet) join(ctx context.Context) {
+	f.joining.Store(true)
 	for timing.Sleep(ctx, joinInterval) {
 		now := Now()
 		if f.joined.Load() {
@@ -479,6 +483,9 @@
 	for _, n := range m.GetAbsent() {
 		f.addAbsentNode(now, latest, n)
 	}
+	if l := m.GetFlowList(); l != nil {
+		f.handleFlowList(now, l)
+	}
 	if len(m.GetNodes()) > 0 {
 		f.recordAnswer(now, m.GetSettled())
 	}
@@ -634,6 +641,7 @@
 // that the roster of the receiver isn't complete without them.
 func (f *Fleet) sendNodes(to roster.Node) {
 	now := Now()
+	f.sendKeptLists(now, to)
 	settled := f.RosterComplete(now)
 	self := toListedNode(f.self(), f.service())
 	absent := slices.Collect(slices.Chunk(f.Roster.Absent(now), digest.NodesPerDatagram-1)) // leaves room for this node
--- a/node/packetagent/agent.go
+++ b/node/packetagent/agent.go
@@ -23,6 +23,8 @@
 	"lacewinglever.dev/node/logging"
 	"lacewinglever.dev/node/timing"
 	"lacewinglever.dev/platform"
+	"lacewinglever.dev/policy/flowlist"
+	"lacewinglever.dev/policy/flowsearch"
 	"lacewinglever.dev/policy/holding"
 	"lacewinglever.dev/policy/ident"
 	"lacewinglever.dev/policy/inflight"
@@ -78,6 +80,7 @@
 	counters      counters
 	agentBuffers  sync.Pool // *[]roster.Peer
 	held          *holding.Queue[fleet.ForwardedPacket]
+	awaiting      *holding.Queue[fleet.ForwardedPacket] // of flows that other agents have listed
 	pacer         resetpacing.Pacer
 }
 
@@ -111,7 +114,7 @@
 		return err
 	}
 	return p.Run(ctx, a.stop,
-		a.fleet.Run, a.receive, a.retry, a.watchTarget,
+		a.fleet.Run, a.receive, a.retry, a.retryAwaiting, a.watchTarget,
 		fleet.Serve(settings.Reports, platform.TargetHandler(a)),
 		fleet.Serve(settings.Ready, platform.ReadyHandler(func() bool { return true })),
 		fleet.WatchSettings(p, a.fleet, path, settings, LoadSettings,
@@ -121,7 +124,7 @@
 
 func newAgent(s *Settings, p *fleet.Program) (*Agent, error) {
 	a := &Agent{
-		held:     holding.NewQueue[fleet.ForwardedPacket](),
+		held: holding.NewQueue[fleet.ForwardedPacket](), awaiting: holding.NewQueue[fleet.ForwardedPacket](),
 		settings: s, logger: p.Logger, counters: newCounters(p.Metrics), flows: inflight.New(),
 		targetState: targetstate.New(fleet.Now(), targetstate.Options{Heartbeat: s.Heartbeat, AddressReuse: s.AddressReuse}),
 		logs:        p.NewDecisionLogs(),
@@ -130,7 +133,7 @@
 	a.lastStatus.Store(&targetstate.Status{})
 	p.Metrics.NewGauge("lacewing_flows", func() float64 { return float64(a.flows.Load(fleet.Now()).Flows) })
 	p.Metrics.NewGauge("lacewing_requests_in_progress", func() float64 { return a.flows.Load(fleet.Now()).Busy })
-	p.Metrics.NewGauge("lacewing_packets_held", func() float64 { return float64(a.held.Len()) })
+	p.Metrics.NewGauge("lacewing_packets_held", func() float64 { return float64(a.held.Len() + a.awaiting.Len()) })
 	p.Metrics.NewGauge("lacewing_requests_broken_off_share", func() float64 { return a.flows.Load(fleet.Now()).Failing })
 	callers, err := netip.ParseAddrPort(s.CallersAddress)
 	if err != nil {
@@ -207,6 +210,9 @@
 		if before.StartUnixMs != r.StartUnixMs {
 			a.flows.Clear()
 		}
+		if before.StartUnixMs != 0 && before.StartUnixMs != r.StartUnixMs {
+			a.fleet.OwnFlows().Clear()
+		}
 		a.fleet.RecordTargetReport(a.targetState.Draining())
 	}
 	a.announceCall("report "+string(result), &r)
@@ -257,7 +263,7 @@
 			a.checkFormerRoutes(now, table)
 		}
 		if expires {
-			a.flows.Expire(now, flowIdleTimeout)
+			a.fleet.OwnFlows().Record(now, flowlist.ListOf(a.flows.Expire(now, flowIdleTimeout)))
 		}
 		a.checkTarget(now)
 	})
@@ -289,6 +295,7 @@
 	}
 	if s.Ended && !before.Ended {
 		a.flows.Clear()
+		a.fleet.OwnFlows().Clear()
 	}
 	_ = level.Info(a.logger).Log(
 		logging.KeyMessage, "target state", logging.KeyTarget, s.ID, logging.KeyService, s.Service,
@@ -313,8 +320,13 @@
 	a.fleet.Leave()
 	if ended {
 		a.deregister(bounded)
+		timing.Sleep(ctx, stopGrace)
+		return
 	}
-	timing.Sleep(ctx, stopGrace)
+	a.fleet.SendFlowList(a.flows.Served())
+	timing.Sleep(ctx, stopGrace/2)
+	a.fleet.SendFlowList(a.flows.Served()) // datagrams may be lost, and more flows have been served
+	timing.Sleep(ctx, stopGrace/2)
 }
 
 // deregister deletes the node's record. It retries while the store is unavailable, until the context
@@ -384,6 +396,12 @@
 	return fleet.Retry(ctx, a.held, func(item *pendingPacket) { a.retryPacket(fleet.Now(), item) })
 }
 
+// retryAwaiting decides again about packets that wait for another agent, until the context ends. Those of flows that it
+// doesn't hold after all go to the target.
+func (a *Agent) retryAwaiting(ctx context.Context) error {
+	return fleet.Retry(ctx, a.awaiting, func(item *pendingPacket) { a.handleCallerPacket(fleet.Now(), item) })
+}
+
 // retryPacket decides again about a held packet. A new flow may be accepted by any target by now,
 // so the list of tried agents is cleared. An open flow keeps it: targets that bounced its packet do
 // not hold the flow.
@@ -399,6 +417,11 @@
 // hold queues a packet until a decision is possible, and returns whether it was queued. If not, the
 // packet is dropped, and the caller's retransmission replaces it.
 func (a *Agent) hold(now time.Duration, pending *pendingPacket, reason string) bool {
+	return a.holdIn(a.held, now, pending, reason)
+}
+
+// holdIn is hold with the given queue.
+func (a *Agent) holdIn(q *holding.Queue[fleet.ForwardedPacket], now time.Duration, pending *pendingPacket, reason string) bool {
 	item, fp := *pending, &pending.Value
 	p := platform.Packet(fp.Packet)
 	item.Flow = p.CallerFlow()
@@ -410,7 +433,7 @@
 		item.Value.Tried = slices.Clone(fp.Tried)
 		item.Value.Silent = slices.Clone(fp.Silent)
 	}
-	kept := a.held.Put(now, item)
+	kept := q.Put(now, item)
 	if !kept {
 		a.counters.CountDrop(reason)
 	}
@@ -455,6 +478,8 @@
 		}
 		a.forwardToNextAgent(now, pending)
 		return
+	} else if a.passToListed(now, pending) {
+		return
 	} else if fp.WantsOwner && a.logs.Unusual.Allow() {
 		a.logs.Unusual.Log("search asks the target", logging.KeyFlow, p.CallerFlow(), "sequence", p.Sequence(),
 			logging.KeyTarget, s.ID, "doubtful", s.MayHaveEnded, "tried", len(fp.Tried), logging.KeyAge, s.Age)
@@ -473,6 +498,48 @@
 	return ""
 }
 
+// passToListed forwards a packet of a search to the agent that has listed its flow, or holds it while that agent is away.
+// It returns false if there is none, or if the target of this agent has served the flow since.
+func (a *Agent) passToListed(now time.Duration, pending *pendingPacket) bool {
+	fp := &pending.Value
+	p := platform.Packet(fp.Packet)
+	flow := p.CallerFlow()
+	if !fp.WantsOwner || !a.fleet.IsListed(now, flow) || a.flows.Serves(flow) {
+		return false
+	}
+	passed := false
+	a.withSearchCandidates(flow, fp, func(agents []roster.Peer) {
+		index, result, _, listed := a.fleet.NextCandidate(now, flow, agents, fp.Asked(), a.knowsCandidates(now, fp))
+		outcome := ""
+		switch {
+		case !listed || result == steering.Continue && len(fp.Silent) >= flowsearch.MaxSilent:
+			return
+		case result == steering.Continue:
+			// This target is asked last, not left out: the list may be wrong. As a silent one, no list leads the packet
+			// back here.
+			if !slices.Contains(fp.Silent, a.fleet.Self.ID) {
+				fp.Silent = append(fp.Silent, a.fleet.Self.ID)
+			}
+			outcome = "forwarded to " + agents[index].Name
+			a.forwardSearch(&agents[index], fp)
+		default:
+			outcome = "held for " + agents[index].Name
+			if pending.Arrived == now {
+				a.fleet.CountAwaiting()
+			}
+			if !a.holdIn(a.awaiting, now, pending, "listed by another agent") {
+				outcome = "dropped, listed by " + agents[index].Name
+			}
+		}
+		passed = true
+		if (result == steering.Continue || pending.Arrived == now) && a.logs.Unusual.Allow() {
+			a.logs.Unusual.Log("flow listed by another agent", logging.KeyFlow, flow, "sequence", p.Sequence(),
+				logging.KeyService, fp.Service, "outcome", outcome, "tried", len(fp.Tried), "silent", len(fp.Silent))
+		}
+	})
+	return passed
+}
+
 // waitForCapacity handles a new flow for which the target has no capacity. It offers the flow to
 // another agent, unless the flow has waited here before or has been offered to maxOffersWhenFull
 // agents; the flow then waits here.
@@ -532,6 +599,7 @@
 	flow := p.CallerFlow()
 	a.counters.bounced.Inc()
 	a.flows.RecordBounced(now, flow)
+	a.fleet.OwnFlows().Remove(flow)
 	fp, ok := a.offers.take(p.Token(), flow)
 	if !ok {
 		a.counters.CountDrop("given back without an offer")
@@ -597,6 +665,15 @@
 	}
 }
 
+// forwardSearch sends a packet of a search to another agent, which may be of another service of the flow's route.
+func (a *Agent) forwardSearch(to *roster.Peer, fp *fleet.ForwardedPacket) {
+	a.counters.forwarded.Inc()
+	if fp.Service != "" && to.Service != "" {
+		fp.Service = to.Service
+	}
+	a.forward(to.Address, fp)
+}
+
 // resetFlow resets a flow that no target holds, at the rate at which the pool can serve callers
 // that return with a new flow. It returns the outcome for the log.
 func (a *Agent) resetFlow(now time.Duration, pending *pendingPacket, load float64) string {
@@ -679,18 +756,17 @@
 	}
 	a.markTried(fp)
 	a.withSearchCandidates(flow, fp, func(agents []roster.Peer) {
-		index, result, asked := steering.Next(now, agents, fp.Asked(), a.knowsCandidates(now, fp))
+		index, result, asked, listed := a.fleet.NextCandidate(now, flow, agents, fp.Asked(), a.knowsCandidates(now, fp))
 		fp.SetAsked(asked)
 		outcome, next := "", ident.NodeID(0)
 		switch result {
 		case steering.Continue:
 			outcome, next = "forwarded to "+agents[index].Name, agents[index].ID
-			a.counters.forwarded.Inc()
-			if fp.Service != "" && agents[index].Service != "" {
-				fp.Service = agents[index].Service
-			}
-			a.forward(agents[index].Address, fp)
+			a.forwardSearch(&agents[index], fp)
 		case steering.Unknown:
+			if listed && arrived == now {
+				a.fleet.CountAwaiting()
+			}
 			a.fleet.ProbeUnconfirmed(now, agents, fp.Tried)
 			outcome = "held, agents unknown"
 			if index >= 0 {
--- a/node/packetentry/entry.go
+++ b/node/packetentry/entry.go
@@ -441,6 +441,7 @@
 	index     int // of the next agent
 	result    steering.SearchResult
 	restarted bool // nobody was left to ask, and the search starts again
+	listed    bool // the agent has listed the flow at its stop
 	// wantsProgress is set if agents are to tell who has bounced the packet: it may not arrive, and must not go the
 	// same way again.
 	wantsProgress bool
@@ -462,7 +463,7 @@
 // nextCandidate returns the next step of the search for the owner of a flow.
 func (e *Entry) nextCandidate(now time.Duration, flow steering.Flow, table *routes.Table, services []string) searchStep {
 	s := searchStep{table: table, services: services, agents: e.searchCandidates(flow, services), known: e.searches.Lookup(now, flow)}
-	s.index, s.result, s.asked = steering.Next(now, s.agents,
+	s.index, s.result, s.asked, s.listed = e.fleet.NextCandidate(now, flow, s.agents,
 		steering.Asked{Tried: s.known.Tried, Remembered: len(s.known.Tried), Silent: s.known.Silent},
 		table != nil && e.fleet.RosterComplete(now))
 	s.restarted = s.asked.Remembered < len(s.known.Tried)
@@ -484,6 +485,10 @@
 		e.resetFlow(flow, p, "route removed", table)
 		return
 	}
+	if e.fleet.AwaitsLists(now) {
+		e.hold(now, pending, "flow lists unknown", table.PositionOrZero())
+		return
+	}
 	s := e.nextCandidate(now, flow, table, services)
 	switch s.result {
 	case steering.Continue:
@@ -509,8 +514,14 @@
 		}
 		e.resetFlow(flow, p, "no target holds the flow", table)
 	case steering.Unknown:
+		reason := "agents unknown"
+		if s.listed {
+			if reason = "listed by " + s.agents[s.index].Name; pending.Arrived == now {
+				e.fleet.CountAwaiting()
+			}
+		}
 		e.fleet.ProbeUnconfirmed(now, s.agents, s.asked.Tried)
-		e.hold(now, pending, "agents unknown", table.PositionOrZero())
+		e.hold(now, pending, reason, table.PositionOrZero())
 	}
 }
 
--- a/policy/inflight/inflight.go
+++ b/policy/inflight/inflight.go
@@ -4,6 +4,7 @@
 package inflight
 
 import (
+	"cmp"
 	"maps"
 	"math"
 	"net/netip"
@@ -239,19 +240,23 @@
 }
 
 // Expire removes flows that were idle for longer than the timeout, and ends requests that have had
-// no answer for maxRequestTime.
-func (t *Table) Expire(now, timeout time.Duration) {
+// no answer for maxRequestTime. It returns the removed flows that the target has served: it may still hold them.
+func (t *Table) Expire(now, timeout time.Duration) (served []steering.Flow) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.updateSmoothedBusy(now)
 	for id, f := range t.flows {
 		switch {
 		case now-f.lastPacket > timeout:
+			if f.served {
+				served = append(served, id)
+			}
 			t.remove(id, f)
 		case f.inProgress && now-f.requestStart > maxRequestTime:
 			t.endRequest(f)
 		}
 	}
+	return served
 }
 
 // ServiceAddresses returns the addresses to which callers have opened the flows that the target has served, in no
@@ -268,6 +273,22 @@
 	return slices.Collect(maps.Keys(seen))
 }
 
+// Served returns the flows that the target has served, the one with the latest packet first.
+func (t *Table) Served() []steering.Flow {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var served []steering.Flow
+	for id, f := range t.flows {
+		if f.served {
+			served = append(served, id)
+		}
+	}
+	slices.SortFunc(served, func(a, b steering.Flow) int {
+		return cmp.Compare(t.flows[b].lastPacket, t.flows[a].lastPacket)
+	})
+	return served
+}
+
 // Clear removes all flows, for when the target has ended.
 func (t *Table) Clear() {
 	t.mu.Lock()
--- a/policy/inflight/inflight_test.go
+++ b/policy/inflight/inflight_test.go
@@ -157,3 +157,16 @@
 	table.RecordBounced(0, flowA)
 	assert.Equal(t, len(table.ServiceAddresses()), 0)
 }
+
+// Guards against lists of flows that the target doesn't hold, and against lists that leave out the latest flows.
+func TestServedFlowsAreListedLatestFirst(t *testing.T) {
+	table := inflight.New()
+	table.RecordDelivered(0, steering.Flow{CallerPort: 3}, data)
+	table.RecordSent(1, flowA, data)
+	table.RecordSent(2, flowB, data)
+	assert.DeepEqual(t, table.Served(), []steering.Flow{flowB, flowA})
+	table.RecordDelivered(3, flowA, data)
+	table.RecordSent(4, flowB, inflight.Event{Resets: true})
+	assert.DeepEqual(t, table.Served(), []steering.Flow{flowA})
+	assert.DeepEqual(t, table.Expire(time.Minute, time.Second), []steering.Flow{flowA})
+}
--- a/policy/roster/roster.go
+++ b/policy/roster/roster.go
@@ -56,9 +56,9 @@
 	// has most likely ended, and its record remained because the store was unavailable at that
 	// time.
 	drainedGoneAfter = 400 * time.Millisecond
-	// restartTimeout is how long a node that announced its stop, or whose process is stalled, may take to return.
+	// RestartTimeout is how long a node that announced its stop, or whose process is stalled, may take to return.
 	// Its target may keep running and hold its flows.
-	restartTimeout = 8 * time.Second
+	RestartTimeout = 8 * time.Second
 	// crashTimeout is how long a node may take to return whose process has ended without an announcement while
 	// its instance runs. Its target may have ended too.
 	crashTimeout = 4 * time.Second
@@ -229,7 +229,7 @@
 func (p *Peer) goneAfterByHeartbeat() time.Duration {
 	switch {
 	case p.Leaving:
-		return restartTimeout
+		return RestartTimeout
 	case !p.HeartbeatSeen && p.Drained:
 		return drainedGoneAfter
 	case p.ViaDigest && !p.Silent:
@@ -519,7 +519,7 @@
 	switch {
 	case !ok:
 	case listens:
-		p.awaitedFor = restartTimeout
+		p.awaitedFor = RestartTimeout
 	default:
 		p.awaitedFor = crashTimeout
 	}
--- a/policy/steering/search.go
+++ b/policy/steering/search.go
@@ -37,6 +37,54 @@
 	return index, result, asked
 }
 
+// Listing says that an agent, at its stop, has listed a flow as one that its target has served.
+type Listing struct {
+	Agent       ident.NodeID
+	Incarnation ident.Incarnation // that has stopped
+}
+
+// NextListed is Next for a flow that agents have listed, the latest listing first. The packet waits for an agent that is
+// away, and goes to it first once it is back. Other targets are asked only if the agent is gone or has ended, or if its
+// target has bounced the packet or doesn't answer. listed is whether the result is due to a listing.
+func NextListed(now time.Duration, agents []roster.Peer, asked Asked, complete bool, listings []Listing,
+) (index int, result SearchResult, next Asked, listed bool) {
+	if index, result := listedCandidate(now, agents, asked, listings); result != NotFound {
+		return index, result, asked, true
+	}
+	index, result, next = Next(now, agents, asked, complete)
+	return index, result, next, false
+}
+
+// listedCandidate returns the index of the agent to which a listed flow goes, with Continue if it is back and Unknown if
+// it is awaited. It returns NotFound if no listing applies.
+func listedCandidate(now time.Duration, agents []roster.Peer, asked Asked, listings []Listing) (int, SearchResult) {
+	awaited := -1
+	for _, l := range listings {
+		i := slices.IndexFunc(agents, func(p roster.Peer) bool { return p.ID == l.Agent })
+		if i < 0 || agents[i].Target.Ended || slices.Contains(asked.Tried, l.Agent) {
+			continue
+		}
+		p := &agents[i]
+		health := p.Health(now)
+		switch {
+		case p.Incarnation <= l.Incarnation: // it has stopped, even if its last heartbeat doesn't say so
+			if !p.Leaving || health != roster.Gone {
+				awaited = firstValid(awaited, i)
+			}
+		case health == roster.Live:
+			if !p.Target.MayHaveEnded && !slices.Contains(asked.Silent, l.Agent) {
+				return i, Continue
+			}
+		case health == roster.Suspect && (p.Leaving || !p.HeartbeatSeen): // is restarted again, or has just started
+			awaited = firstValid(awaited, i)
+		}
+	}
+	if awaited >= 0 {
+		return awaited, Unknown
+	}
+	return -1, NotFound
+}
+
 // NextCandidate returns the index of the next agent that may hold a flow. agents must be ranked;
 // those in tried have bounced the flow's packet. complete means that agents is the complete list.
 // With Unknown, the index is that of the agent to wait for, or -1 if there is none and the list
