bench/flows: the route check of the soak needs an entry that answers

The logs show that the route was in force at all three entries within 1 ms. The check opened its flow 3 s later, from 4.52 to 5.92 s, through the entry of the caller's zone: that process was away from 3.94 to 6.49 s, the second one until 5.11 s and the third was stopping, all for planned restarts that overlapped. No flow could open, whatever the routes.

The check now opens a flow on a permanent route to the same service through the same entry at the same time. A route that doesn't open while that one does is a violation, at the same bound as before. If neither opens, the check is repeated until an entry answers; 15 s without one are a violation. A removed route counts as removed only while an entry answers, which was not required before.

--- a/bench/flows/soak.go
+++ b/bench/flows/soak.go
@@ -36,6 +36,8 @@
 	// servedWindow is the time after recoveryTime in which the share of served requests is
 	// measured.
 	servedWindow = 2 * time.Second
+	// maxEntriesAway is more than the time for which overlapping restarts take all entries away.
+	maxEntriesAway = 15 * time.Second
 	// minServedShare is the share of requests that must be answered in servedWindow. By then
 	// crashed targets are replaced and no fault is active.
 	minServedShare = 0.99
@@ -451,19 +453,40 @@
 	s.runAfter(routesBound, func() { s.checkRoute(route, added) })
 }
 
-// checkRoute opens a flow on a route that was added or removed. The bound is checked only while the
-// instances are undisturbed.
+// checkRoute opens a flow on a route that was added or removed. The bound is checked only while the instances are
+// undisturbed. Planned restarts may take all entries away at once, and then no flow opens whatever the routes are. The check
+// therefore opens a flow on a permanent route to the same service at the same time, and is repeated until that one opens.
 func (s *soak) checkRoute(r platformtest.Route, added bool) {
-	if !s.load.Undisturbed() || !s.isCurrent(r, added) {
-		return
-	}
-	flow := s.load.callers[0].Open(netip.AddrPortFrom(netip.MustParseAddr(r.Host), uint16(r.Port)))
-	if (flow != nil) != added && s.load.Undisturbed() && s.isCurrent(r, added) {
-		s.load.RecordViolation("route %s, added %v, is not in force after %v", r.Name, added, routesBound)
+	for until := time.Now().Add(maxEntriesAway); s.load.Undisturbed() && s.isCurrent(r, added); {
+		var isServed bool
+		var control sync.WaitGroup
+		control.Go(func() { isServed = s.opens(addressB) })
+		opened := s.opens(netip.AddrPortFrom(netip.MustParseAddr(r.Host), uint16(r.Port)))
+		control.Wait()
+		switch {
+		case !s.load.Undisturbed() || !s.isCurrent(r, added):
+			return
+		case opened && added:
+			return
+		case opened || isServed && added:
+			s.load.RecordViolation("route %s, added %v, is not in force after %v", r.Name, added, routesBound)
+			return
+		case isServed:
+			return
+		case time.Now().After(until):
+			s.load.RecordViolation("route %s, added %v, can't be checked: no flow opens for %v", r.Name, added, maxEntriesAway)
+			return
+		}
 	}
+}
+
+// opens reports whether a flow to an address opens.
+func (s *soak) opens(to netip.AddrPort) bool {
+	flow := s.load.callers[0].Open(to)
 	if flow != nil {
 		flow.Close()
 	}
+	return flow != nil
 }
 
 // isCurrent reports whether no later change has undone this one.
