policy/ownerquery, node: owners of flows in large pools are asked for, not searched by packets

Cause: thousands of callers retransmit packets of flows that nobody holds, and each packet visited each agent of its pool, with a ranking of the whole pool at each step. The agents' processor time went into that; answers of targets waited in their sockets, agents took the requests for being in progress, and placement took the targets for full.

Change: entries ask agents which flows their targets hold, up to 64 flows a datagram, the first agents in rank before all others, and hold the packet meanwhile. An agent that has listened since its target's start, or for longer than the idle timeout, knows all flows of the target and can deny one. What the answers show is kept for 3 s, so retransmissions ask nobody. A flow that nobody holds is reset by the entry, at its share of the rate that the pool can serve. Pools below 12 agents, programs that don't answer and agents that don't know are searched by packets, as before.

inflight: a flow ends only when both ends have finished, not when one has finished twice: a repeated last packet of the target made its flow unknown.

Tests: policy/ownerquery (2,200 lost flows in a pool of 42), node/packetentry TestOwnersInLargePoolsAreAskedFor, TestRepeatedEndOfOneSide (failed before), TestAgentsThatHaveSeenAllFlowsOfTheirTarget.

--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -29,6 +29,7 @@
 	"lacewinglever.dev/policy/digest"
 	"lacewinglever.dev/policy/heartbeat"
 	"lacewinglever.dev/policy/ident"
+	"lacewinglever.dev/policy/ownerquery"
 	"lacewinglever.dev/policy/roster"
 	"lacewinglever.dev/policy/routes"
 	"lacewinglever.dev/policy/stalerecords"
@@ -66,6 +67,10 @@
 	// RecordProgress handles an agent's message that it has passed a packet of a flow on to the next agent, or holds it
 	// if next is 0.
 	RecordProgress(now time.Duration, flow steering.Flow, agent, next ident.NodeID)
+	// AnswerOwnerQuery returns, for each of the flows, whether the target of this node holds it.
+	AnswerOwnerQuery(now time.Duration, flows []steering.Flow) []ownerquery.Verdict
+	// RecordOwnerAnswer handles an agent's answer to a query of this node.
+	RecordOwnerAnswer(now time.Duration, agent ident.NodeID, id uint32, verdicts []ownerquery.Verdict)
 	// FillHeartbeat fills in the fields of this node's heartbeat that the data path owns.
 	FillHeartbeat(now time.Duration, hb *roster.Heartbeat)
 }
@@ -498,6 +503,7 @@
 		}
 		f.options.Handler.RecordProgress(now, flow, ident.NodeID(p.GetAgent()), ident.NodeID(p.GetNext()))
 	}
+	f.handleOwnerMessages(now, &m)
 }
 
 // checkStart returns an error if another node, or a record, describes a node with a start in the future
--- a/node/packetagent/agent.go
+++ b/node/packetagent/agent.go
@@ -26,6 +26,7 @@
 	"lacewinglever.dev/policy/holding"
 	"lacewinglever.dev/policy/ident"
 	"lacewinglever.dev/policy/inflight"
+	"lacewinglever.dev/policy/ownerquery"
 	"lacewinglever.dev/policy/resetpacing"
 	"lacewinglever.dev/policy/roster"
 	"lacewinglever.dev/policy/routes"
@@ -55,8 +56,10 @@
 	// one holds it until its target has capacity: after the loss of many targets, all others are
 	// full.
 	maxOffersWhenFull = 2
-	// flowIdleTimeout is the idle time after which a flow no longer counts as load.
+	// flowIdleTimeout is the idle time after which a flow no longer counts as load, unless the routes have a longer one.
 	flowIdleTimeout = 20 * time.Second
+	// idleSlack is added to the idle timeout of the routes: a flow that may still be used has to be known.
+	idleSlack = 5 * time.Second
 )
 
 // Agent forwards packets between callers and the target beside it.
@@ -67,6 +70,7 @@
 	conn          *net.UDPConn // sends to the target and to callers, receives from the target
 	target        netip.AddrPort
 	callerPort    uint16 // port of the address to which callers' packets are sent
+	started       time.Duration
 	targetState   *targetstate.Target
 	flows         *inflight.Table
 	offers        offers
@@ -87,6 +91,8 @@
 	bounced   *metrics.Counter
 	toCallers *metrics.Counter
 	forwarded *metrics.Counter
+	// flowsAsked counts the flows for whose owner entries have asked.
+	flowsAsked *metrics.Counter
 }
 
 func newCounters(set *metrics.Set) counters {
@@ -96,6 +102,7 @@
 		bounced:      set.NewCounter("lacewing_packets_given_back_total"),
 		toCallers:    set.NewCounter("lacewing_packets_to_callers_total"),
 		forwarded:    set.NewCounter("lacewing_packets_passed_on_total"),
+		flowsAsked:   set.NewCounter("lacewing_owner_queries_flows_total"),
 	}
 }
 
@@ -122,6 +129,7 @@
 func newAgent(s *Settings, p *fleet.Program) (*Agent, error) {
 	a := &Agent{
 		held:     holding.NewQueue[fleet.ForwardedPacket](),
+		started:  fleet.Now(),
 		settings: s, logger: p.Logger, counters: newCounters(p.Metrics), flows: inflight.New(),
 		targetState: targetstate.New(fleet.Now(), targetstate.Options{Heartbeat: s.Heartbeat, AddressReuse: s.AddressReuse}),
 		logs:        p.NewDecisionLogs(),
@@ -257,12 +265,50 @@
 			a.checkFormerRoutes(now, table)
 		}
 		if expires {
-			a.flows.Expire(now, flowIdleTimeout)
+			a.flows.Expire(now, a.idleTimeout())
 		}
 		a.checkTarget(now)
 	})
 }
 
+// idleTimeout returns the idle time after which a flow is forgotten.
+func (a *Agent) idleTimeout() time.Duration {
+	if t := a.fleet.Routes.Load(); t != nil && t.IdleTimeout > 0 {
+		return max(flowIdleTimeout, t.IdleTimeout+idleSlack)
+	}
+	return flowIdleTimeout
+}
+
+// knowsAllFlows reports whether the table of flows has all flows that the target holds and callers may still use: all of
+// their packets have passed this process, or each has had the time to pass one.
+func (a *Agent) knowsAllFlows(now time.Duration) bool {
+	return a.targetState.SeenSinceStart() || now-a.started > a.idleTimeout()
+}
+
+// AnswerOwnerQuery returns, for each of the flows, whether the target holds it.
+func (a *Agent) AnswerOwnerQuery(now time.Duration, flows []steering.Flow) []ownerquery.Verdict {
+	verdicts := make([]ownerquery.Verdict, len(flows))
+	ended := a.targetState.Status(now).Ended
+	complete := a.knowsAllFlows(now)
+	for i, flow := range flows {
+		switch {
+		case ended:
+			verdicts[i] = ownerquery.NotHeld
+		case a.flows.Serves(flow):
+			verdicts[i] = ownerquery.Held
+		case complete && !a.flows.MayHold(flow):
+			verdicts[i] = ownerquery.NotHeld
+		}
+	}
+	a.counters.flowsAsked.Add(len(flows))
+	return verdicts
+}
+
+// RecordOwnerAnswer counts a message that was sent to an agent by mistake.
+func (a *Agent) RecordOwnerAnswer(time.Duration, ident.NodeID, uint32, []ownerquery.Verdict) {
+	a.counters.CountDrop("owner answer sent to an agent")
+}
+
 // checkFormerRoutes announces a change of the addresses of open flows whose route doesn't lead to the service
 // of the target any more. Nodes that start later find these flows only by them.
 func (a *Agent) checkFormerRoutes(now time.Duration, table *routes.Table) {
--- a/node/packetentry/entry.go
+++ b/node/packetentry/entry.go
@@ -23,6 +23,7 @@
 	"lacewinglever.dev/policy/holding"
 	"lacewinglever.dev/policy/ident"
 	"lacewinglever.dev/policy/limit"
+	"lacewinglever.dev/policy/ownerquery"
 	"lacewinglever.dev/policy/roster"
 	"lacewinglever.dev/policy/routes"
 	"lacewinglever.dev/policy/steering"
@@ -65,6 +66,7 @@
 	flows      *flowTable
 	unrouted   steering.UnroutedFlows
 	searches   *flowsearch.Table // for the owners of flows that aren't in flows
+	owners     *ownerquery.Table // the same, in large pools
 	stopping   atomic.Bool
 	wasReady   atomic.Bool // ready has returned true
 	logs       fleet.DecisionLogs
@@ -75,6 +77,7 @@
 	mu             sync.Mutex         // serialises the decisions about packets
 	progressBudget *limit.TokenBucket // for packets of which progress is requested
 	agentBuffer    []roster.Peer      // used by rankedAgents and searchCandidates
+	pools          map[string]*pool   // by service
 }
 
 type counters struct {
@@ -85,6 +88,7 @@
 	searchedAgain  *metrics.Counter   // searches of flows whose last search has had no result
 	resumed        *metrics.Counter   // of these, those that continue with what was known
 	resent         *metrics.Counter   // packets of searches that were sent past an agent that didn't answer
+	ownerQueries   *metrics.Counter   // queries for the owners of flows that were sent
 	progress       *metrics.Counter   // messages of agents that have passed on a packet of a search
 	searchSeconds  *metrics.Histogram // from the first search of a flow until its owner is known
 	forwardSeconds *metrics.Histogram
@@ -99,6 +103,7 @@
 		searchedAgain:  set.NewCounter("lacewing_searches_repeated_total"),
 		resumed:        set.NewCounter("lacewing_searches_resumed_total"),
 		resent:         set.NewCounter("lacewing_search_packets_resent_total"),
+		ownerQueries:   set.NewCounter("lacewing_owner_queries_total"),
 		progress:       set.NewCounter("lacewing_search_progress_received_total"),
 		searchSeconds:  set.NewHistogram("lacewing_search_seconds"),
 		forwardSeconds: set.NewHistogram("lacewing_forward_seconds"),
@@ -117,7 +122,7 @@
 		return err
 	}
 	return p.Run(ctx, e.stop,
-		e.fleet.Run, e.receive, e.retry, e.resend, e.expire,
+		e.fleet.Run, e.receive, e.retry, e.resend, e.askOwners, e.expire,
 		fleet.Serve(settings.Ready, platform.ReadyHandler(e.ready)),
 		fleet.WatchSettings(p, e.fleet, path, settings, LoadSettings,
 			func(s *Settings) *fleet.Settings { return &s.Settings }),
@@ -131,6 +136,7 @@
 	}
 	e := &Entry{
 		settings: s, callerPort: address.Port(), flows: newFlowTable(), searches: flowsearch.New(),
+		owners: ownerquery.New(), pools: map[string]*pool{},
 		progressBudget: limit.NewTokenBucket(timeOf(fleet.Now()), progressPerSecond, progressBurst),
 		counters:       newCounters(p.Metrics),
 		held:           holding.NewQueue[platform.Packet](), unanswered: holding.NewQueue[platform.Packet](),
@@ -138,6 +144,7 @@
 	}
 	p.Metrics.NewGauge("lacewing_flows", func() float64 { return float64(e.flows.size()) })
 	p.Metrics.NewGauge("lacewing_packets_held", func() float64 { return float64(e.held.Len()) })
+	p.Metrics.NewGauge("lacewing_owners_asked", func() float64 { return float64(e.owners.Len()) })
 	if e.conn, err = fleet.ListenUDP(s.Callers); err != nil {
 		return nil, err
 	}
@@ -157,6 +164,7 @@
 	if since, ok := e.searches.End(flow); ok {
 		e.counters.searchSeconds.Update((now - since).Seconds())
 	}
+	e.owners.End(flow)
 	e.flows.put(now, flow, owner)
 }
 
@@ -225,6 +233,7 @@
 		e.flows.expire(now, idle+idleSlack)
 		e.unrouted.Expire(now)
 		e.searches.Expire(now)
+		e.owners.Expire(now)
 	})
 }
 
@@ -266,6 +275,8 @@
 		}
 		s := e.nextCandidate(now, item.Flow, table, services)
 		switch {
+		case s.waiting:
+			e.unanswered.Put(now, *item)
 		case s.result == steering.Unknown:
 			e.fleet.ProbeUnconfirmed(now, s.agents, s.asked.Tried)
 			e.hold(now, item, "agents unknown", table.PositionOrZero())
@@ -328,6 +339,7 @@
 	agent := &agents[index]
 	e.flows.put(now, flow, agent.ID)
 	e.searches.End(flow)
+	e.owners.End(flow)
 	e.fleet.Roster.RecordPlacement(now, agent.ID)
 	e.counters.flowsOpened.Inc()
 	e.send(agent, &fleet.ForwardedPacket{Service: service, Routes: table.Position, Tried: tried, Packet: p})
@@ -441,6 +453,7 @@
 	index     int // of the next agent
 	result    steering.SearchResult
 	restarted bool // nobody was left to ask, and the search starts again
+	waiting   bool // agents were asked for the owner and may still answer
 	// wantsProgress is set if agents are to tell who has bounced the packet: it may not arrive, and must not go the
 	// same way again.
 	wantsProgress bool
@@ -462,10 +475,17 @@
 // nextCandidate returns the next step of the search for the owner of a flow.
 func (e *Entry) nextCandidate(now time.Duration, flow steering.Flow, table *routes.Table, services []string) searchStep {
 	s := searchStep{table: table, services: services, agents: e.searchCandidates(flow, services), known: e.searches.Lookup(now, flow)}
+	answers, _ := e.owners.Ask(now, flow, s.agents)
+	if s.waiting = answers.Waiting; s.waiting {
+		return s
+	}
+	// What earlier packets have shown doesn't end a search, but an agent's answer does.
+	tried := slices.DeleteFunc(s.known.Tried, func(id ident.NodeID) bool { return slices.Contains(answers.Absent, id) })
+	remembered := len(tried)
 	s.index, s.result, s.asked = steering.Next(now, s.agents,
-		steering.Asked{Tried: s.known.Tried, Remembered: len(s.known.Tried), Silent: s.known.Silent},
+		steering.Asked{Tried: append(tried, answers.Absent...), Remembered: remembered, Silent: s.known.Silent},
 		table != nil && e.fleet.RosterComplete(now))
-	s.restarted = s.asked.Remembered < len(s.known.Tried)
+	s.restarted = s.asked.Remembered < remembered
 	s.wantsProgress = (s.known.Overdue || steering.AwaitsReturn(now, s.agents)) && len(s.agents) <= flowsearch.MaxTried
 	return s
 }
@@ -484,7 +504,19 @@
 		e.resetFlow(flow, p, "route removed", table)
 		return
 	}
+	switch e.owners.Lookup(now, flow) {
+	case ownerquery.Awaited:
+		e.hold(now, pending, "owner asked for", table.PositionOrZero())
+		return
+	case ownerquery.Absent:
+		e.resetUnowned(now, pending, flow, table, services[0])
+		return
+	}
 	s := e.nextCandidate(now, flow, table, services)
+	if s.waiting {
+		e.hold(now, pending, "owner asked for", table.PositionOrZero())
+		return
+	}
 	switch s.result {
 	case steering.Continue:
 		if s.restarted && s.known.Recent {
@@ -507,7 +539,8 @@
 			e.logs.Unusual.Log("search ended", logging.KeyFlow, flow, logging.KeyReason, cause,
 				"agents", steering.DescribeCandidates(now, s.agents, nil))
 		}
-		e.resetFlow(flow, p, "no target holds the flow", table)
+		e.owners.MarkAbsent(flow)
+		e.resetUnowned(now, pending, flow, table, services[0])
 	case steering.Unknown:
 		e.fleet.ProbeUnconfirmed(now, s.agents, s.asked.Tried)
 		e.hold(now, pending, "agents unknown", table.PositionOrZero())
--- a/policy/holding/holding.go
+++ b/policy/holding/holding.go
@@ -104,6 +104,15 @@
 	return len(q.items)
 }
 
+// TakeFlow removes and returns the packet of a flow, for a decision before the next retry.
+func (q *Queue[T]) TakeFlow(flow steering.Flow) (Item[T], bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	item, ok := q.items[flow]
+	delete(q.items, flow)
+	return item, ok
+}
+
 // Take removes and returns all packets, the latest first, because the oldest are late in any case.
 func (q *Queue[T]) Take() []Item[T] {
 	q.mu.Lock()
--- a/policy/inflight/inflight.go
+++ b/policy/inflight/inflight.go
@@ -49,7 +49,8 @@
 	requestStart time.Duration // when the request in progress arrived
 	sequence     uint32        // of the latest bytes from the caller
 	inProgress   bool          // the target has not answered the caller's latest bytes
-	halfClosed   bool          // one end has finished
+	callerEnded  bool          // the caller has finished
+	targetEnded  bool          // the target has finished
 	served       bool          // the target has sent bytes of the connection
 }
 
@@ -81,9 +82,12 @@
 
 // Table holds the flows of one target. Its methods are safe for concurrent use.
 type Table struct {
-	mu           sync.Mutex
-	flows        map[steering.Flow]*flow
-	opening      map[steering.Flow]time.Duration // time of the first opening packet, until a request arrives
+	mu      sync.Mutex
+	flows   map[steering.Flow]*flow
+	opening map[steering.Flow]time.Duration // time of the first opening packet, until a request arrives
+	// offered holds the time of the last opening packet of the flows that the target may have accepted. A flow without
+	// bytes of the connection isn't in flows yet.
+	offered      map[steering.Flow]time.Duration
 	busy         int
 	smoothedBusy float64
 	updated      time.Duration
@@ -94,13 +98,17 @@
 
 // New returns an empty table.
 func New() *Table {
-	return &Table{flows: map[steering.Flow]*flow{}, opening: map[steering.Flow]time.Duration{}}
+	return &Table{
+		flows: map[steering.Flow]*flow{}, opening: map[steering.Flow]time.Duration{},
+		offered: map[steering.Flow]time.Duration{},
+	}
 }
 
 // RecordOpening records an opening packet that was passed to the target.
 func (t *Table) RecordOpening(now time.Duration, id steering.Flow) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.offered[id] = now
 	if _, ok := t.opening[id]; !ok && t.flows[id] == nil {
 		t.opening[id] = now
 	}
@@ -148,7 +156,8 @@
 			t.started.add(now)
 		}
 	}
-	t.recordFinish(id, f, e)
+	f.callerEnded = f.callerEnded || e.Finishes
+	t.removeFinished(id, f)
 }
 
 // RecordSent records a packet that the target sent.
@@ -173,7 +182,17 @@
 		t.remove(id, f)
 		return
 	}
-	t.recordFinish(id, f, e)
+	f.targetEnded = f.targetEnded || e.Finishes
+	t.removeFinished(id, f)
+}
+
+// MayHold reports whether the target may hold a flow: packets of it have passed the agent, and none of them shows that the
+// flow has ended or was never accepted. Flows whose packets have not passed the agent are not considered.
+func (t *Table) MayHold(id steering.Flow) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_, offered := t.offered[id]
+	return offered || t.flows[id] != nil
 }
 
 // Serves reports whether the target has served an open flow, and so holds it. It may hold others too: those that it served
@@ -209,6 +228,7 @@
 	defer t.mu.Unlock()
 	t.updateSmoothedBusy(now)
 	delete(t.opening, id)
+	delete(t.offered, id)
 	if f := t.flows[id]; f != nil {
 		t.remove(id, f)
 	}
@@ -221,21 +241,18 @@
 	}
 }
 
-// recordFinish removes a flow once both ends have finished.
-func (t *Table) recordFinish(id steering.Flow, f *flow, e Event) {
-	if !e.Finishes {
-		return
-	}
-	if f.halfClosed {
+// removeFinished removes a flow once both ends have finished. One end may finish several times: it sends its last packet
+// again if the other's acknowledgement is lost.
+func (t *Table) removeFinished(id steering.Flow, f *flow) {
+	if f.callerEnded && f.targetEnded {
 		t.remove(id, f)
-		return
 	}
-	f.halfClosed = true
 }
 
 func (t *Table) remove(id steering.Flow, f *flow) {
 	t.endRequest(f)
 	delete(t.flows, id)
+	delete(t.offered, id)
 }
 
 // Expire removes flows that were idle for longer than the timeout, and ends requests that have had
@@ -252,6 +269,11 @@
 			t.endRequest(f)
 		}
 	}
+	for id, at := range t.offered {
+		if now-at > timeout {
+			delete(t.offered, id)
+		}
+	}
 }
 
 // ServiceAddresses returns the addresses to which callers have opened the flows that the target has served, in no
@@ -274,6 +296,7 @@
 	defer t.mu.Unlock()
 	clear(t.flows)
 	clear(t.opening)
+	clear(t.offered)
 	t.busy, t.smoothedBusy = 0, 0
 	t.started, t.ended, t.brokenOff = decayingCount{}, decayingCount{}, decayingCount{}
 }
--- a/policy/inflight/inflight_test.go
+++ b/policy/inflight/inflight_test.go
@@ -157,3 +157,32 @@
 	table.RecordBounced(0, flowA)
 	assert.Equal(t, len(table.ServiceAddresses()), 0)
 }
+
+// Guards against a flow that counts as ended while its target still answers: one end sends its last packet again when the
+// other's acknowledgement is lost.
+func TestRepeatedEndOfOneSide(t *testing.T) {
+	table := inflight.New()
+	table.RecordDelivered(0, flowA, data)
+	table.RecordSent(time.Millisecond, flowA, inflight.Event{Data: true, Finishes: true})
+	table.RecordSent(200*time.Millisecond, flowA, inflight.Event{Data: true, Finishes: true})
+	assert.Assert(t, table.Serves(flowA))
+	table.RecordDelivered(300*time.Millisecond, flowA, inflight.Event{Finishes: true})
+	assert.Assert(t, !table.MayHold(flowA))
+}
+
+// Guards against a flow that is taken for absent between its opening packet and its first bytes.
+func TestOfferedFlowsMayBeHeld(t *testing.T) {
+	table := inflight.New()
+	assert.Assert(t, !table.MayHold(flowA))
+	table.RecordOpening(0, flowA)
+	table.Outstanding(time.Second) // forgets the request to come
+	assert.Assert(t, table.MayHold(flowA) && !table.Serves(flowA))
+	table.RecordDelivered(time.Second, flowA, data)
+	table.RecordSent(time.Second, flowA, data)
+	assert.Assert(t, table.Serves(flowA))
+	table.RecordBounced(2*time.Second, flowA)
+	assert.Assert(t, !table.MayHold(flowA))
+	table.RecordOpening(2*time.Second, flowB)
+	table.Expire(30*time.Second, 20*time.Second)
+	assert.Assert(t, !table.MayHold(flowB))
+}
--- a/policy/targetstate/target.go
+++ b/policy/targetstate/target.go
@@ -16,10 +16,12 @@
 	Version     string // of the target's software
 	StartUnixMs int64  // start of the target, Unix milliseconds
 	StartsAhead bool   // the start is further in the future than clocks usually differ
-	Sequence    uint64 // increases with each report of a target process
-	Draining    bool
-	WarmUpLeft  time.Duration // how much longer the target is slow after its start
-	Slots       int
+	// Age is the time since the start by the clock of the instance when the report arrived; negative if unknown.
+	Age        time.Duration
+	Sequence   uint64 // increases with each report of a target process
+	Draining   bool
+	WarmUpLeft time.Duration // how much longer the target is slow after its start
+	Slots      int
 }
 
 // ReportResult is the outcome of recording a report or an announced end.
@@ -54,6 +56,10 @@
 	// reuseMargin is the least time between the end of new flows to a silent target and the
 	// earliest reuse of its address.
 	reuseMargin = 100 * time.Millisecond
+	// maxUnseenTime is the time before an agent's start in which no earlier process of the agent can have passed a flow to
+	// a target that has started since: it would have had to start, learn of the target and stop, and the platform takes
+	// longer to start the next process.
+	maxUnseenTime = 300 * time.Millisecond
 	// minConfirmation is the least time between the reports that confirm a start, as a part of their
 	// interval. Reports that were delayed together arrive together.
 	minConfirmation = 0.5
@@ -101,6 +107,7 @@
 	lastPacket         time.Duration // time of the last packet that only a running target sends
 	unansweredOpenings int           // opening packets since any packet or report of the target
 	firstUnanswered    time.Duration // time of the first of them
+	seenSinceStart     bool          // the agent has listened since the target's start
 	lastBounce         time.Duration // time of the last opening packet that the target bounced
 }
 
@@ -134,6 +141,7 @@
 		r.Service != t.report.Service || r.Draining != t.report.Draining
 	if !t.hasReported || r.StartUnixMs != t.report.StartUnixMs {
 		t.left, t.endedAtStop, t.drainedBeforeStart = false, false, false
+		t.seenSinceStart = t.hasReported || r.Age >= 0 && r.Age <= now-t.started+maxUnseenTime
 	}
 	t.report, t.hasReported, t.lastReport = r, true, now
 	t.latestStart, t.unconfirmed = max(t.latestStart, r.StartUnixMs), nil
@@ -278,6 +286,14 @@
 	return ""
 }
 
+// SeenSinceStart reports whether the agent has listened since the target's start, so that all packets of the target's flows
+// have passed it. It isn't reported if the clock of the instance was set meanwhile.
+func (t *Target) SeenSinceStart() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.hasReported && t.seenSinceStart
+}
+
 // MarkDrained records that the target had announced its end before the agent started. It has no
 // effect once the target has reported.
 func (t *Target) MarkDrained() {
--- a/policy/targetstate/target_test.go
+++ b/policy/targetstate/target_test.go
@@ -295,3 +295,33 @@
 		assert.Assert(t, target.Status(8*second).Ended, "drained: %v", drained)
 	}
 }
+
+// Guards against an agent that takes its table of flows for complete although an earlier process of the agent has passed
+// flows to the target, and against one that never does after the loss of all instances, when both start together.
+func TestAgentsThatHaveSeenAllFlowsOfTheirTarget(t *testing.T) {
+	ms := time.Millisecond
+	for _, c := range []struct {
+		name     string
+		age      time.Duration // of the target at its first report, 400 ms after the start of the agent
+		complete bool
+	}{
+		{"started together", 450 * ms, true},
+		{"started later", 100 * ms, true},
+		{"started long before", 1500 * ms, false},
+		{"unknown, or the clock was set", -1, false},
+	} {
+		target := newTarget()
+		assert.Assert(t, !target.SeenSinceStart(), c.name)
+		r := report(10, 2)
+		r.Age = c.age
+		target.RecordReport(400*ms, r)
+		assert.Equal(t, target.SeenSinceStart(), c.complete, c.name)
+		r.Sequence, r.Age = 3, c.age+second
+		target.RecordReport(400*ms+second, r)
+		assert.Equal(t, target.SeenSinceStart(), c.complete, c.name)
+		restarted := report(5000, 1)
+		restarted.Age = 50 * ms
+		target.RecordReport(3*second, restarted)
+		assert.Assert(t, target.SeenSinceStart(), "%s, a target that starts beside a running agent", c.name)
+	}
+}
