node/packetentry: searches log how many agents have denied a flow, and how many haven't answered

Cause: the log of a search in a large pool didn't tell why agents were left to be asked by packets. Change: two fields.

--- a/node/packetentry/entry.go
+++ b/node/packetentry/entry.go
@@ -275,7 +275,7 @@
 		}
 		s := e.nextCandidate(now, item.Flow, table, services)
 		switch {
-		case s.waiting:
+		case s.answers.Waiting:
 			e.unanswered.Put(now, *item)
 		case s.result == steering.Unknown:
 			e.fleet.ProbeUnconfirmed(now, s.agents, s.asked.Tried)
@@ -452,8 +452,8 @@
 	asked     steering.Asked
 	index     int // of the next agent
 	result    steering.SearchResult
-	restarted bool // nobody was left to ask, and the search starts again
-	waiting   bool // agents were asked for the owner and may still answer
+	restarted bool              // nobody was left to ask, and the search starts again
+	answers   ownerquery.Result // of the agents that were asked for the owner
 	// wantsProgress is set if agents are to tell who has bounced the packet: it may not arrive, and must not go the
 	// same way again.
 	wantsProgress bool
@@ -475,15 +475,14 @@
 // nextCandidate returns the next step of the search for the owner of a flow.
 func (e *Entry) nextCandidate(now time.Duration, flow steering.Flow, table *routes.Table, services []string) searchStep {
 	s := searchStep{table: table, services: services, agents: e.searchCandidates(flow, services), known: e.searches.Lookup(now, flow)}
-	answers, _ := e.owners.Ask(now, flow, s.agents)
-	if s.waiting = answers.Waiting; s.waiting {
+	if s.answers, _ = e.owners.Ask(now, flow, s.agents); s.answers.Waiting {
 		return s
 	}
 	// What earlier packets have shown doesn't end a search, but an agent's answer does.
-	tried := slices.DeleteFunc(s.known.Tried, func(id ident.NodeID) bool { return slices.Contains(answers.Absent, id) })
+	tried := slices.DeleteFunc(s.known.Tried, func(id ident.NodeID) bool { return slices.Contains(s.answers.Absent, id) })
 	remembered := len(tried)
 	s.index, s.result, s.asked = steering.Next(now, s.agents,
-		steering.Asked{Tried: append(tried, answers.Absent...), Remembered: remembered, Silent: s.known.Silent},
+		steering.Asked{Tried: append(tried, s.answers.Absent...), Remembered: remembered, Silent: s.known.Silent},
 		table != nil && e.fleet.RosterComplete(now))
 	s.restarted = s.asked.Remembered < remembered
 	s.wantsProgress = (s.known.Overdue || steering.AwaitsReturn(now, s.agents)) && len(s.agents) <= flowsearch.MaxTried
@@ -513,7 +512,7 @@
 		return
 	}
 	s := e.nextCandidate(now, flow, table, services)
-	if s.waiting {
+	if s.answers.Waiting {
 		e.hold(now, pending, "owner asked for", table.PositionOrZero())
 		return
 	}
@@ -572,7 +571,7 @@
 		e.logs.Unusual.Log("flow searched", logging.KeyFlow, flow, "sequence", p.Sequence(),
 			logging.KeyService, fp.Service, logging.KeyRevision, at.Revision, logging.KeyVersion, at.Version,
 			logging.KeyPeer, agent.Name, "candidates", len(s.agents), logging.KeyReason, cause, "repeat", s.known.Repeats,
-			"tried", len(s.asked.Tried), "silent", len(s.asked.Silent),
+			"tried", len(s.asked.Tried), "silent", len(s.asked.Silent), "denied", len(s.answers.Absent), "unanswered", s.answers.Silent,
 			"agents", steering.DescribeCandidates(now, s.agents, s.asked.Tried))
 	}
 	return progress
--- a/policy/ownerquery/ownerquery.go
+++ b/policy/ownerquery/ownerquery.go
@@ -64,6 +64,7 @@
 type Result struct {
 	Waiting bool           // agents were asked and may still answer
 	Absent  []ident.NodeID // agents whose targets don't hold the flow
+	Silent  int            // number of agents that have not answered in time
 }
 
 type asked struct {
@@ -204,6 +205,8 @@
 			t.enqueue(p.ID, flow)
 			r.Waiting = true
 			s.waitUntil = max(s.waitUntil, now+AnswerTimeout)
+		default:
+			r.Silent++
 		}
 	}
 	return r, true
