--- a/policy/inflight/inflight_test.go
+++ b/policy/inflight/inflight_test.go
@@ -170,3 +170,32 @@
 	assert.DeepEqual(t, table.Served(), []steering.Flow{flowA})
 	assert.DeepEqual(t, table.Expire(time.Minute, time.Second), []steering.Flow{flowA})
 }
+
+// Guards against a flow that counts as ended while its target still answers: one end sends its last packet again when the
+// other's acknowledgement is lost.
+func TestRepeatedEndOfOneSide(t *testing.T) {
+	table := inflight.New()
+	table.RecordDelivered(0, flowA, data)
+	table.RecordSent(time.Millisecond, flowA, inflight.Event{Data: true, Finishes: true})
+	table.RecordSent(200*time.Millisecond, flowA, inflight.Event{Data: true, Finishes: true})
+	assert.Assert(t, table.Serves(flowA))
+	table.RecordDelivered(300*time.Millisecond, flowA, inflight.Event{Finishes: true})
+	assert.Assert(t, !table.MayHold(flowA))
+}
+
+// Guards against a flow that is taken for absent between its opening packet and its first bytes.
+func TestOfferedFlowsMayBeHeld(t *testing.T) {
+	table := inflight.New()
+	assert.Assert(t, !table.MayHold(flowA))
+	table.RecordOpening(0, flowA)
+	table.Outstanding(time.Second) // forgets the request to come
+	assert.Assert(t, table.MayHold(flowA) && !table.Serves(flowA))
+	table.RecordDelivered(time.Second, flowA, data)
+	table.RecordSent(time.Second, flowA, data)
+	assert.Assert(t, table.Serves(flowA))
+	table.RecordBounced(2*time.Second, flowA)
+	assert.Assert(t, !table.MayHold(flowA))
+	table.RecordOpening(2*time.Second, flowB)
+	table.Expire(30*time.Second, 20*time.Second)
+	assert.Assert(t, !table.MayHold(flowB))
+}
