node: no new flow opens in an evacuated data centre

Cause: a data centre could only be emptied target by target.

Change: with the setting evacuate_within, the store readers list and watch the requests, and heartbeats and digests carry the newest set with its position. Agents of an evacuated data centre refuse new flows by themselves and forward them; entries and other agents leave its targets out. A new flow whose targets are all in evacuated data centres is reset, unless an agent may have offered it to a target. A starting agent refuses new flows until it knows the set. Without the setting nothing is read and the bytes on the wire are those of before.

--- a/node/fleet/convert.go
+++ b/node/fleet/convert.go
@@ -13,6 +13,7 @@
 
 	fleetv1 "lacewinglever.dev/node/gen/lacewing/fleet/v1"
 	"lacewinglever.dev/policy/digest"
+	"lacewinglever.dev/policy/evacuation"
 	"lacewinglever.dev/policy/ident"
 	"lacewinglever.dev/policy/roster"
 	"lacewinglever.dev/policy/routes"
@@ -36,6 +37,8 @@
 	// maxStoreEra is more than the number of times that a store is restored. Nodes keep the highest era that
 	// they hear of, and pass it on.
 	maxStoreEra = 1 << 32
+	// maxStoreRevision is more than the number of writes to a store.
+	maxStoreRevision = 1 << 53
 )
 
 // latestIncarnation returns the latest incarnation that a node has by this node's clock if no clock is
@@ -168,6 +171,26 @@
 	return n, hb, checkHeartbeat(latest, &n, &hb)
 }
 
+// toEvacuations returns the message for a set of evacuated data centres, nil if none is known.
+func toEvacuations(s *evacuation.Set) *fleetv1.Evacuations {
+	if s == nil {
+		return nil
+	}
+	m := &fleetv1.Evacuations{Era: s.Era, Revision: s.Revision}
+	for _, dc := range s.DataCentres {
+		m.DataCentres = append(m.DataCentres, string(dc))
+	}
+	return m
+}
+
+// fromEvacuations returns the set that a heartbeat carries.
+func fromEvacuations(m *fleetv1.Evacuations) (*evacuation.Set, error) {
+	if m.GetEra() > maxStoreEra || m.GetRevision() > maxStoreRevision {
+		return nil, errors.Errorf("evacuations of era %d, revision %d", m.GetEra(), m.GetRevision())
+	}
+	return evacuation.NewSet(evacuation.Position{Era: m.GetEra(), Revision: m.GetRevision()}, m.GetDataCentres()), nil
+}
+
 // toDigest returns the message for digest items of nodes of the data centre dc. passOn requests
 // that the receiver forwards it within its own data centre.
 func toDigest(dc ident.DataCentre, items []digest.NodeUpdate, passOn bool) *fleetv1.Digest {
--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -124,6 +124,7 @@
 	recordObserver  stalerecords.Observer                // only used by the goroutine of maintainRecord
 	pendingChange   atomic.Pointer[fleetv1.RoutesChange] // sent with the next announcement
 	outgoing        outgoingState
+	evacuations     evacuationState
 }
 
 // New opens the node's socket. Nothing is sent before Run.
@@ -149,6 +150,7 @@
 		instanceProbes:  make(chan struct{}, maxConnectionsAtOnce),
 		storeDependency: dependency{name: "store", logger: o.Logger},
 		nodeLog:         logging.NewDecisionsWithLimit(o.Logger, nodeLinesPerSecond),
+		evacuations:     evacuationState{unknown: map[ident.DataCentre]struct{}{}},
 	}
 	f.incarnation.Store(uint64(f.Self.Incarnation))
 	f.setSeeds(o.Settings.Seeds)
@@ -209,6 +211,10 @@
 	g.Go(func() error { f.maintainRecord(ctx); return nil })
 	g.Go(func() error { f.readRoutes(ctx); return nil })
 	g.Go(func() error { f.fetchRoutes(ctx); return nil })
+	if f.readsEvacuations() {
+		g.Go(func() error { f.readEvacuations(ctx); return nil })
+		g.Go(func() error { return f.watchEvacuations(ctx) })
+	}
 	g.Go(func() error { return f.serveRoutes(ctx) })
 	return g.Wait()
 }
@@ -468,6 +474,7 @@
 		f.handleRoutesChange(m.GetRoutes(), m.GetHeartbeat().GetSender().GetName())
 	}
 	if h := m.GetHeartbeat(); h != nil {
+		f.receiveEvacuations(now, h)
 		f.handleHeartbeat(now, latest, h)
 	}
 	if d := m.GetDigest(); d != nil {
--- a/node/fleet/heartbeats.go
+++ b/node/fleet/heartbeats.go
@@ -158,7 +158,9 @@
 func (f *Fleet) heartbeatMessage(now time.Duration, to heartbeat.Receiver, join bool) *fleetv1.Message {
 	hb := f.ownHeartbeat(now)
 	hb.Interval, hb.ViaDigest = to.Interval, to.ViaDigest
-	return &fleetv1.Message{Heartbeat: toHeartbeat(f.self(), &hb, join)}
+	m := toHeartbeat(f.self(), &hb, join)
+	m.Evacuations = toEvacuations(f.evacuations.current.Load())
+	return &fleetv1.Message{Heartbeat: m}
 }
 
 // ownHeartbeat returns this node's next heartbeat, without the fields that depend on the receiver.
@@ -267,7 +269,10 @@
 	receivers := digest.Receivers(now, &f.Self, peers, rand.IntN)
 	for len(items) > 0 {
 		n := min(digest.NodesPerDatagram, len(items))
-		b := f.encode(&fleetv1.Message{Digest: toDigest(f.Self.DataCentre, items[:n], true)})
+		d := toDigest(f.Self.DataCentre, items[:n], true)
+		// This node has the newest set of those that it reports, so that one of them carries it for all.
+		d.News[0].Heartbeat.Evacuations = toEvacuations(f.evacuations.current.Load())
+		b := f.encode(&fleetv1.Message{Digest: d})
 		for i := range receivers {
 			f.write(receivers[i].Address, b)
 		}
@@ -301,6 +306,7 @@
 	}
 	f.Roster.RecordDigest(now, dc)
 	for _, m := range d.GetNews() {
+		f.receiveEvacuations(now, m.GetHeartbeat())
 		n, err := fromNews(latest, m)
 		if err == nil {
 			err = f.checkStart(now, latest, &n.Node, true)
--- a/node/fleet/settings.go
+++ b/node/fleet/settings.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"time"
+
 	"lacewinglever.dev/node/config"
 	"lacewinglever.dev/policy/yamlfile"
 )
@@ -19,6 +21,9 @@
 	LogLevel   string   `yaml:"log_level"`
 	// MemoryMB is the limit above which the process is killed, in MiB.
 	MemoryMB int64 `yaml:"memory_mb"`
+	// EvacuateWithin is the time from the operator's request to evacuate a data centre until no new flow may
+	// open there; 0 if no such requests are read.
+	EvacuateWithin time.Duration `yaml:"evacuate_within"`
 }
 
 // Check reports the faults of the shared part and fills in Advertise if it is empty.
@@ -39,4 +44,7 @@
 	if s.MemoryMB <= 0 {
 		f.Add("$.memory_mb", "%d: want more than 0", s.MemoryMB)
 	}
+	if s.EvacuateWithin < 0 {
+		f.Add("$.evacuate_within", "%v: want 0 or more", s.EvacuateWithin)
+	}
 }
--- a/node/packetagent/agent.go
+++ b/node/packetagent/agent.go
@@ -59,6 +59,9 @@
 	flowIdleTimeout = 20 * time.Second
 )
 
+// reasonEvacuated is the reason why an agent refuses new flows while its data centre is evacuated.
+const reasonEvacuated = "data centre evacuated"
+
 // Agent forwards packets between callers and the target beside it.
 type Agent struct {
 	settings      *Settings
@@ -434,6 +437,13 @@
 			a.forwardOpening(now, pending, reason)
 			return
 		}
+		if reason := a.evacuationReason(now); reason != "" {
+			if pending.Arrived == now {
+				a.fleet.CountEvacuated()
+			}
+			a.forwardOpening(now, pending, reason)
+			return
+		}
 		if req, requests := a.requirements(now, pending), a.flows.Outstanding(now); !req.Fits(float64(requests), s.Slots) {
 			a.waitForCapacity(now, pending, &req, requests)
 			return
@@ -511,6 +521,17 @@
 	return ""
 }
 
+// evacuationReason returns why no new flow may open in this data centre, empty if one may.
+func (a *Agent) evacuationReason(now time.Duration) string {
+	switch {
+	case slices.Contains(a.fleet.Evacuated(now), a.fleet.Self.DataCentre):
+		return reasonEvacuated
+	case a.fleet.AwaitsEvacuations(now):
+		return "evacuations not known yet"
+	}
+	return ""
+}
+
 // deliver sends a packet to the target.
 func (a *Agent) deliver(now time.Duration, fp *fleet.ForwardedPacket, p platform.Packet) {
 	flow := p.CallerFlow()
@@ -640,6 +661,10 @@
 	flow := p.CallerFlow()
 	a.markTried(fp)
 	a.withRankedAgents(flow, fp, func(agents []roster.Peer) {
+		agents = steering.WithoutEvacuated(agents, a.fleet.Evacuated(now))
+		if reason == reasonEvacuated && steering.AllEnded(agents) && a.fleet.RosterComplete(now) && a.refuseEvacuated(pending) {
+			return
+		}
 		index := steering.Place(now, a.requirements(now, pending), agents)
 		to := ""
 		if index >= 0 {
@@ -658,6 +683,19 @@
 	})
 }
 
+// refuseEvacuated resets a new flow whose targets are all in evacuated data centres, and returns whether it did. Only the
+// first packet of a flow that no other agent has had is known to have opened nowhere.
+func (a *Agent) refuseEvacuated(pending *pendingPacket) bool {
+	fp := &pending.Value
+	p := platform.Packet(fp.Packet)
+	if p.CopyIndex() > 0 || len(fp.Tried) > 1 {
+		return false
+	}
+	a.counters.CountReset("all data centres evacuated")
+	a.send(netip.AddrPortFrom(p.CallerFlow().Caller().Addr(), a.callerPort), platform.NewReset(p))
+	return true
+}
+
 // objective returns the latency objective of a flow's route, 0 if the route is unknown.
 func (a *Agent) objective(flow steering.Flow) time.Duration {
 	if t := a.fleet.Routes.Load(); t != nil {
--- a/node/packetentry/entry.go
+++ b/node/packetentry/entry.go
@@ -308,7 +308,12 @@
 		return
 	}
 	service := route.PickService(flow.Hash())
-	agents := e.rankedAgents(flow, service)
+	all := e.rankedAgents(flow, service)
+	agents := steering.WithoutEvacuated(all, e.fleet.Evacuated(now))
+	if len(agents) < len(all) && steering.AllEnded(agents) && e.fleet.RosterComplete(now) {
+		e.refuseEvacuated(now, pending, table)
+		return
+	}
 	meanRequestTime := steering.MeanRequestTime(agents)
 	late := steering.MissesObjective(p.Age()+now-pending.Arrived, route.Objective, meanRequestTime)
 	index, tried := e.chooseAgent(now, pending, late, agents)
@@ -318,7 +323,7 @@
 			e.hold(now, pending, "all targets are full", table.Position)
 			return
 		}
-		if e.fleet.RosterComplete(now) && allEnded(agents) {
+		if e.fleet.RosterComplete(now) && steering.AllEnded(agents) {
 			e.resetFlow(flow, p, "service without targets", table)
 			return
 		}
@@ -340,6 +345,19 @@
 	}
 }
 
+// refuseEvacuated resets a new flow whose targets are all in evacuated data centres. A flow that was sent to an agent
+// before may have opened there, and must not be reset.
+func (e *Entry) refuseEvacuated(now time.Duration, pending *pendingPacket, table *routes.Table) {
+	p := pending.Value
+	flow := p.CallerFlow()
+	if _, sent := e.flows.get(now, flow); sent {
+		e.hold(now, pending, "all data centres evacuated", table.Position)
+		return
+	}
+	e.fleet.CountEvacuated()
+	e.resetFlow(flow, p, "all data centres evacuated", table)
+}
+
 // chooseAgent returns the index of the agent for an opening packet, and the agents that are not to
 // be tried again. Copies go to the same agent as the first packet, even if one of them was held in
 // the meantime, unless that agent has to be replaced.
@@ -376,16 +394,6 @@
 	return false
 }
 
-// allEnded reports whether all targets of a service have ended.
-func allEnded(agents []roster.Peer) bool {
-	for i := range agents {
-		if !agents[i].Target.Ended {
-			return false
-		}
-	}
-	return true
-}
-
 // forwardToOwner forwards a packet of an open flow to the agent whose target holds the flow. If
 // that agent is unknown or gone, it searches for another one.
 func (e *Entry) forwardToOwner(now time.Duration, pending *pendingPacket) {
--- a/policy/roster/roster.go
+++ b/policy/roster/roster.go
@@ -560,6 +560,18 @@
 	return ids
 }
 
+// HasDataCentre reports whether a peer of a data centre is known.
+func (r *Roster) HasDataCentre(dc ident.DataCentre) bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	for _, p := range r.peers {
+		if p.DataCentre == dc {
+			return true
+		}
+	}
+	return false
+}
+
 // NeedsRelay reports whether relays have to report a node of a data centre to the others.
 func (r *Roster) NeedsRelay(dc ident.DataCentre) bool {
 	r.mu.RLock()
