--- a/bench/flows/cluster.go
+++ b/bench/flows/cluster.go
@@ -60,6 +60,8 @@
 	// another one only while that one is out of rotation. Otherwise it hashes flows over all entries.
 	ZoneRouting bool
 	Loss        float64 // share of the datagrams between nodes that are lost
+	// EvacuateWithin is the setting of all nodes, left out if it is 0.
+	EvacuateWithin time.Duration
 }
 
 // Process is one program of the cluster.
@@ -251,6 +253,9 @@
 		"mode: flows\nname: %s\ndata_centre: dc-%d\nfleet: %q\nadvertise: %q\nmetrics: %q\nseeds: [%q]\nstore: %q\nmemory_mb: 256\n",
 		n.Name, n.Zone, address(n.host, portFleet), n.advertised, address(n.host, portMetrics), seed,
 		storeAddress)
+	if c.options.EvacuateWithin > 0 {
+		commonSettings += fmt.Sprintf("evacuate_within: %v\n", c.options.EvacuateWithin)
+	}
 	path := filepath.Join(c.options.Dir, n.Name+".yaml")
 	n.log = filepath.Join(c.options.Dir, n.Name+".log")
 	n.argv = []string{filepath.Join(c.options.Bin, program), "--config", path}
@@ -418,6 +423,9 @@
 // SetStoreLink sets the fault of the link from a node to the store.
 func (c *Cluster) SetStoreLink(n *Node, l Link) { n.storeProxy.Set(l) }
 
+// SetPeerLink sets the fault of the link from other nodes to a node.
+func (c *Cluster) SetPeerLink(n *Node, l Link) { n.peerProxy.Set(l) }
+
 // Ready reports whether the last readiness probe of a node succeeded.
 func (c *Cluster) Ready(n *Node) bool {
 	c.mu.Lock()
