--- a/policy/evacuation/evacuation.go
+++ b/policy/evacuation/evacuation.go
@@ -17,10 +17,10 @@
 	// RestoreHold is how long a data centre stays evacuated after the store was restored from a copy without
 	// the request. The operator writes again what the restore has lost.
 	RestoreHold = 3 * time.Second
-	// maxDataCentres and maxNameBytes bound a set: each heartbeat carries it. A name that is longer than
-	// a data centre's may be is left out.
-	maxDataCentres = 16
-	maxNameBytes   = 64
+	// maxNameBytes and maxBytes bound the names of a set, because each heartbeat carries it. A digest with it stays
+	// below the smallest usual MTU.
+	maxNameBytes = 64
+	maxBytes     = 256
 )
 
 // Position orders sets: by the era of the store, which rises with each restore, then by its revision.
@@ -44,7 +44,7 @@
 }
 
 // NewSet returns the set of the requests for these data centres. Names that no data centre can have are left
-// out, and so are names beyond the bound. Nodes get the same set from the same names.
+// out, and so are the last ones beyond the bound. Nodes get the same set from the same names.
 func NewSet(at Position, names []string) *Set {
 	s := &Set{Position: at}
 	for _, name := range names {
@@ -54,7 +54,13 @@
 	}
 	slices.Sort(s.DataCentres)
 	s.DataCentres = slices.Compact(s.DataCentres)
-	s.DataCentres = s.DataCentres[:min(len(s.DataCentres), maxDataCentres)]
+	size := 0
+	for i, dc := range s.DataCentres {
+		if size += len(dc); size > maxBytes {
+			s.DataCentres = s.DataCentres[:i]
+			break
+		}
+	}
 	return s
 }
 
