--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -27,6 +27,7 @@
 	"lacewinglever.dev/node/timing"
 	"lacewinglever.dev/platform"
 	"lacewinglever.dev/policy/digest"
+	"lacewinglever.dev/policy/evacuation"
 	"lacewinglever.dev/policy/heartbeat"
 	"lacewinglever.dev/policy/ident"
 	"lacewinglever.dev/policy/ownerquery"
@@ -131,6 +132,7 @@
 	pendingChange   atomic.Pointer[fleetv1.RoutesChange] // sent with the next announcement
 	flowLists       flowLists
 	outgoing        outgoingState
+	evacuations     evacuationState
 }
 
 // New opens the node's socket. Nothing is sent before Run.
@@ -156,7 +158,9 @@
 		instanceProbes:  make(chan struct{}, maxConnectionsAtOnce),
 		storeDependency: dependency{name: "store", logger: o.Logger},
 		nodeLog:         logging.NewDecisionsWithLimit(o.Logger, nodeLinesPerSecond),
+		evacuations:     evacuationState{unknown: map[ident.DataCentre]struct{}{}},
 	}
+	f.evacuations.freshness = evacuation.NewFreshness(f.started, o.Settings.EvacuateWithin)
 	f.incarnation.Store(uint64(f.Self.Incarnation))
 	f.setSeeds(o.Settings.Seeds)
 	f.Roster = roster.New(f.Self.ID)
@@ -217,6 +221,10 @@
 	g.Go(func() error { f.maintainRecord(ctx); return nil })
 	g.Go(func() error { f.readRoutes(ctx); return nil })
 	g.Go(func() error { f.fetchRoutes(ctx); return nil })
+	if f.readsEvacuations() {
+		g.Go(func() error { f.readEvacuations(ctx); return nil })
+		g.Go(func() error { return f.watchEvacuations(ctx) })
+	}
 	g.Go(func() error { return f.serveRoutes(ctx) })
 	return g.Wait()
 }
@@ -477,6 +485,7 @@
 		f.handleRoutesChange(m.GetRoutes(), m.GetHeartbeat().GetSender().GetName())
 	}
 	if h := m.GetHeartbeat(); h != nil {
+		f.receiveEvacuations(now, h)
 		f.handleHeartbeat(now, latest, h)
 	}
 	if d := m.GetDigest(); d != nil {
