--- a/node/fleet/flowlists.go
+++ b/node/fleet/flowlists.go
@@ -18,8 +18,8 @@
 )
 
 const (
-	// maxListDatagrams bounds the datagrams, of about 1 KB, in which an agent sends its list at its stop. An agent that is
-	// restarted every 5 minutes then sends no more than 4 KB/s.
+	// maxListDatagrams bounds the datagrams, of about 1 KB, in which an agent sends its list. It does so twice at its stop.
+	// An agent that is restarted every 9 minutes then sends no more than 4 KB/s.
 	maxListDatagrams = 1024
 	// maxAnswerDatagrams bounds the datagrams with lists in the answer to a join request.
 	maxAnswerDatagrams = 64
