policy/inflight, policy/steering: agents measure the load of an open flow

Cause: placement counts each open flow as 0.03 of a slot. Flows that are kept open for many requests occupy several times that, those of a single request nothing after it, so counts of open flows mislead.

Heartbeats carry it (flow_load); Load uses it, and the constant if it is 0.

--- a/node/fleet/convert.go
+++ b/node/fleet/convert.go
@@ -78,6 +78,8 @@
 		return errors.Errorf("store era %d", hb.StoreEra)
 	case t.Slots > maxSlots:
 		return errors.Errorf("%d slots", t.Slots)
+	case !isAmount(t.FlowLoad):
+		return errors.Errorf("load of %g per flow", t.FlowLoad)
 	case !isAmount(t.Rate) || !isAmount(t.Failing) || t.Failing > 1:
 		return errors.Errorf("rate %g, failing %g", t.Rate, t.Failing)
 	}
@@ -130,6 +132,7 @@
 		Service: t.Service, Id: t.ID, BornUnixMs: t.StartUnixMs, Accepting: t.Accepting, Absent: t.Ended,
 		Cold: t.WarmingUp, Flows: uint32(t.Flows), Slots: uint32(t.Slots), BusyPerMille: uint32(t.Busy * perMille),
 		Doubtful: t.MayHaveEnded, Rate: float32(t.Rate), Failing: float32(t.Failing),
+		FlowLoad: float32(t.FlowLoad),
 	}
 	for _, a := range t.FormerRoutes {
 		h.Target.FormerRoutes = append(h.Target.FormerRoutes, toAddress(a))
@@ -152,7 +155,7 @@
 			Service: t.GetService(), ID: t.GetId(), StartUnixMs: t.GetBornUnixMs(), Accepting: t.GetAccepting(),
 			Ended: t.GetAbsent(), MayHaveEnded: t.GetDoubtful(), Rate: float64(t.GetRate()), Failing: float64(t.GetFailing()),
 			WarmingUp: t.GetCold(), Flows: int(t.GetFlows()), Slots: int(t.GetSlots()),
-			Busy: float64(t.GetBusyPerMille()) / perMille,
+			Busy: float64(t.GetBusyPerMille()) / perMille, FlowLoad: float64(t.GetFlowLoad()),
 		},
 	}
 	if len(t.GetFormerRoutes()) > routes.MaxFormer {
--- a/policy/inflight/inflight.go
+++ b/policy/inflight/inflight.go
@@ -90,6 +90,7 @@
 	started      decayingCount // requests
 	ended        decayingCount // requests that were answered or broken off
 	brokenOff    decayingCount // requests that were broken off
+	flowLoad     flowLoad
 }
 
 // New returns an empty table.
@@ -124,6 +125,7 @@
 	if d := now - t.updated; d > 0 {
 		keep := float64(busyTimeConstant) / float64(busyTimeConstant+d)
 		t.smoothedBusy = t.smoothedBusy*keep + float64(t.busy)*(1-keep)
+		t.flowLoad.advance(d, len(t.flows), t.busy)
 		t.updated = now
 	}
 }
@@ -146,6 +148,7 @@
 			f.inProgress, f.requestStart = true, now
 			t.busy++
 			t.started.add(now)
+			t.flowLoad.recordRequest(!f.served)
 		}
 	}
 	t.recordFinish(id, f, e)
@@ -276,6 +279,7 @@
 	clear(t.opening)
 	t.busy, t.smoothedBusy = 0, 0
 	t.started, t.ended, t.brokenOff = decayingCount{}, decayingCount{}, decayingCount{}
+	t.flowLoad = flowLoad{slots: t.flowLoad.slots}
 }
 
 // Load returns the load of the target.
--- a/policy/roster/roster.go
+++ b/policy/roster/roster.go
@@ -101,6 +101,7 @@
 	Busy         float64 // requests in progress, as a moving average
 	Rate         float64 // requests per second
 	Failing      float64 // share of the requests that the target broke off, 0 to 1
+	FlowLoad     float64 // slots that an open flow occupies on average after its first request; 0 if unknown
 	// FormerRoutes are the addresses of open flows whose route doesn't lead to the service any more.
 	FormerRoutes []netip.AddrPort
 }
@@ -560,6 +561,19 @@
 	return ids
 }
 
+// DataCentres returns the data centres of the peers, in no particular order.
+func (r *Roster) DataCentres() []ident.DataCentre {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	var all []ident.DataCentre
+	for _, p := range r.peers {
+		if !slices.Contains(all, p.DataCentre) {
+			all = append(all, p.DataCentre)
+		}
+	}
+	return all
+}
+
 // NeedsRelay reports whether relays have to report a node of a data centre to the others.
 func (r *Roster) NeedsRelay(dc ident.DataCentre) bool {
 	r.mu.RLock()
--- a/policy/steering/load.go
+++ b/policy/steering/load.go
@@ -8,13 +8,14 @@
 )
 
 const (
-	// openFlowLoad is the mean part of a slot that an open flow occupies between its requests.
-	openFlowLoad = 0.03
+	// OpenFlowLoad is the mean part of a slot that an open flow occupies after its first request. It
+	// is assumed of targets whose agent doesn't report the measured one.
+	OpenFlowLoad = 0.03
 	// placedFlowLoad is the number of slots that a flow placed since the last heartbeat occupies:
 	// it opens with a request.
 	placedFlowLoad = 1
 	// remotePenalty and coldPenalty are added to the load per slot of targets in another data
-	// centre, and of targets that have just started.
+	// centre, unless a locality decision gives another penalty, and of targets that have just started.
 	remotePenalty = 0.15
 	coldPenalty   = 0.3
 	// failingPenalty is added for a target that breaks off all of its requests. A target that
@@ -29,13 +30,23 @@
 // Load returns the load per slot that a new flow of a caller in the data centre origin meets at a
 // target. meanRequestTime is that of the target's pool.
 func Load(now time.Duration, p *roster.Peer, origin ident.DataCentre, meanRequestTime time.Duration) float64 {
-	busy := max(p.Target.Busy, p.Target.Rate*minRequestTimeShare*meanRequestTime.Seconds())
-	load := (busy + openFlowLoad*float64(p.Target.Flows) + placedFlowLoad*p.PlacedLoad(now)) /
-		float64(max(p.Target.Slots, 1))
-	load += failingPenalty * p.Target.Failing
+	load := loadWithoutWay(now, p, meanRequestTime)
 	if p.DataCentre != origin {
 		load += remotePenalty
 	}
+	return load
+}
+
+// loadWithoutWay returns Load without what is added for a target in another data centre.
+func loadWithoutWay(now time.Duration, p *roster.Peer, meanRequestTime time.Duration) float64 {
+	busy := max(p.Target.Busy, p.Target.Rate*minRequestTimeShare*meanRequestTime.Seconds())
+	flowLoad := p.Target.FlowLoad
+	if flowLoad == 0 {
+		flowLoad = OpenFlowLoad
+	}
+	load := (busy + flowLoad*float64(p.Target.Flows) + placedFlowLoad*p.PlacedLoad(now)) /
+		float64(max(p.Target.Slots, 1))
+	load += failingPenalty * p.Target.Failing
 	if p.Target.WarmingUp {
 		load += coldPenalty
 	}
