policy/locality, policy/steering: decide how much leaves a data centre

Cause: a fixed penalty of 0.15 of a slot and one far candidate of four send flows to other data centres although nothing is short, and up to half of all flows if all data centres are.

Change: package locality decides for each service and data centre of callers whether flows leave, which share of them, and where to: by the expected wait at home against the wait elsewhere, the round trip and a price of bytes, bounded by the room that the others have left. The flow's hash selects the flows. Place chooses within the reach that the decision gives; without a decision it behaves as before.

--- a/policy/steering/place.go
+++ b/policy/steering/place.go
@@ -55,6 +55,12 @@
 	CapacityWait time.Duration    // time since no target had capacity for the flow
 	Late         bool             // the answer would exceed the latency objective
 	Tried        []ident.NodeID   // agents that have refused the flow
+	Locality     Locality         // whether the flow stays in the data centre
+}
+
+// permits reports whether the flow may be placed at an agent, whatever its load.
+func (r *Requirements) permits(now time.Duration, p *roster.Peer) bool {
+	return AcceptsNewFlows(p, now) && !slices.Contains(r.Tried, p.ID)
 }
 
 // loadLimit returns the number of requests per slot from which a target doesn't get the flow.
@@ -84,18 +90,43 @@
 // full. Flows that an outage has made late yield to those that open on time: served first, they
 // would make all others late too.
 func Place(now time.Duration, requirements Requirements, agents []roster.Peer) int {
-	best, lowest, considered := -1, 0.0, 0
+	if requirements.Locality.Reach != ReachFixed {
+		return placeByReach(now, &requirements, agents)
+	}
+	return leastLoaded(now, &requirements, agents, candidates{
+		local: len(agents), remote: len(agents), total: localCandidates + remoteCandidates, remoteLimit: math.Inf(1),
+	})
+}
+
+// leastLoaded returns the index of the least loaded of the first agents that accept the flow and have
+// capacity, -1 if there is none. limits bounds how many are considered; a total of 0 is no limit.
+func leastLoaded(now time.Duration, requirements *Requirements, agents []roster.Peer, limits candidates) int {
+	best, lowest, local, remote := -1, 0.0, 0, 0
 	meanRequestTime := MeanRequestTime(agents)
 	for i := range agents {
 		p := &agents[i]
-		if !AcceptsNewFlows(p, now) || slices.Contains(requirements.Tried, p.ID) ||
-			!requirements.Fits(p.Target.Busy+placedFlowLoad*p.PlacedLoad(now), p.Target.Slots) {
+		isLocal := p.DataCentre == requirements.Origin
+		if isLocal && local >= limits.local || !isLocal && remote >= limits.remote {
 			continue
 		}
-		if load := Load(now, p, requirements.Origin, meanRequestTime); best < 0 || load < lowest {
+		requests := p.Target.Busy + placedFlowLoad*p.PlacedLoad(now)
+		if !requirements.permits(now, p) || !requirements.Fits(requests, p.Target.Slots) {
+			continue
+		}
+		if !isLocal && (requests >= limits.remoteLimit*float64(max(p.Target.Slots, 1)) ||
+			limits.destinationsOnly && requirements.Locality.index(p.DataCentre) < 0) {
+			continue
+		}
+		load := loadWithoutWay(now, p, meanRequestTime) + requirements.Locality.penalty(p, requirements.Origin)
+		if best < 0 || load < lowest {
 			best, lowest = i, load
 		}
-		if considered++; considered == localCandidates+remoteCandidates {
+		if isLocal {
+			local++
+		} else {
+			remote++
+		}
+		if local+remote == limits.total || local == limits.local && remote == limits.remote {
 			break
 		}
 	}
