node/fleet, node/packetentry, node/packetagent: placements ask for the locality decision

Cause: entries and agents placed flows by a fixed penalty for other data centres.

Change: both ask the node's decision for the service and the caller's data centre.

--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -124,6 +124,7 @@
 	recordObserver  stalerecords.Observer                // only used by the goroutine of maintainRecord
 	pendingChange   atomic.Pointer[fleetv1.RoutesChange] // sent with the next announcement
 	outgoing        outgoingState
+	locality        localityState
 }
 
 // New opens the node's socket. Nothing is sent before Run.
@@ -210,6 +211,7 @@
 	g.Go(func() error { f.readRoutes(ctx); return nil })
 	g.Go(func() error { f.fetchRoutes(ctx); return nil })
 	g.Go(func() error { return f.serveRoutes(ctx) })
+	g.Go(func() error { return f.measureRoundTrips(ctx) })
 	return g.Wait()
 }
 
@@ -523,6 +525,7 @@
 	if n.ID == f.Self.ID {
 		return
 	}
+	f.locality.roundTrips.RecordMessage(now, n.DataCentre, n.ID)
 	change := f.Roster.RecordHeartbeat(now, n, hb)
 	if change == roster.Stale {
 		f.answerStale(now, &n)
--- a/node/fleet/settings.go
+++ b/node/fleet/settings.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"time"
+
 	"lacewinglever.dev/node/config"
 	"lacewinglever.dev/policy/yamlfile"
 )
@@ -19,6 +21,8 @@
 	LogLevel   string   `yaml:"log_level"`
 	// MemoryMB is the limit above which the process is killed, in MiB.
 	MemoryMB int64 `yaml:"memory_mb"`
+	// RemoteRoundTrip is the round trip to other data centres; 0: it is measured.
+	RemoteRoundTrip time.Duration `yaml:"remote_round_trip"`
 }
 
 // Check reports the faults of the shared part and fills in Advertise if it is empty.
@@ -36,6 +40,9 @@
 	config.CheckHostPort(f, "$.advertise", s.Advertise)
 	config.CheckHostPort(f, "$.metrics", s.Metrics)
 	config.CheckHostPort(f, "$.store", s.Store)
+	if s.RemoteRoundTrip < 0 {
+		f.Add("$.remote_round_trip", "%v: want 0 or more", s.RemoteRoundTrip)
+	}
 	if s.MemoryMB <= 0 {
 		f.Add("$.memory_mb", "%d: want more than 0", s.MemoryMB)
 	}
--- a/node/packetagent/agent.go
+++ b/node/packetagent/agent.go
@@ -174,6 +174,7 @@
 		Service:      a.service(&s), ID: s.ID, StartUnixMs: s.StartUnixMs, Accepting: s.Accepting, Ended: s.Ended,
 		MayHaveEnded: s.MayHaveEnded, WarmingUp: s.WarmingUp, Slots: s.Slots,
 		Flows: load.Flows, Busy: load.Busy, Rate: load.Rate, Failing: load.Failing,
+		FlowLoad: a.flows.FlowLoad(now, s.Slots),
 	}
 }
 
@@ -640,7 +641,9 @@
 	flow := p.CallerFlow()
 	a.markTried(fp)
 	a.withRankedAgents(flow, fp, func(agents []roster.Peer) {
-		index := steering.Place(now, a.requirements(now, pending), agents)
+		req := a.requirements(now, pending)
+		req.Locality = a.fleet.Locality(now, fp.Service, fp.Origin, flow, agents)
+		index := steering.Place(now, req, agents)
 		to := ""
 		if index >= 0 {
 			to = agents[index].Name
--- a/node/packetentry/entry.go
+++ b/node/packetentry/entry.go
@@ -311,7 +311,7 @@
 	agents := e.rankedAgents(flow, service)
 	meanRequestTime := steering.MeanRequestTime(agents)
 	late := steering.MissesObjective(p.Age()+now-pending.Arrived, route.Objective, meanRequestTime)
-	index, tried := e.chooseAgent(now, pending, late, agents)
+	index, tried := e.chooseAgent(now, pending, late, service, agents)
 	if index < 0 {
 		if anyAccepts(now, agents) {
 			pending.MarkNoCapacity(now)
@@ -344,10 +344,11 @@
 // be tried again. Copies go to the same agent as the first packet, even if one of them was held in
 // the meantime, unless that agent has to be replaced.
 func (e *Entry) chooseAgent(
-	now time.Duration, pending *pendingPacket, late bool, agents []roster.Peer) (int, []ident.NodeID) {
+	now time.Duration, pending *pendingPacket, late bool, service string, agents []roster.Peer) (int, []ident.NodeID) {
 	p := pending.Value
 	requirements := steering.Requirements{
 		Origin: e.fleet.Self.DataCentre, CapacityWait: pending.CapacityWait(now), Late: late,
+		Locality: e.fleet.Locality(now, service, e.fleet.Self.DataCentre, p.CallerFlow(), agents),
 	}
 	if owner, ok := e.flows.get(now, p.CallerFlow()); ok {
 		for i := range agents {
