policy/locality: sums don't depend on the order of a map

Cause: the room of several data centres was added up in the order of a map, so that two runs could differ in the last bits.

Change: data centres are kept sorted.

Tests: go test ./policy/locality ./policy/steering.

--- a/policy/locality/locality.go
+++ b/policy/locality/locality.go
@@ -198,8 +198,9 @@
 	Decision
 	updated     time.Duration
 	sites       map[ident.DataCentre]*site
-	inService   float64 // requests in service, smoothed as long as agents smooth the rate of requests
-	requestTime float64 // seconds that a target works on a request; 0 if unknown
+	centres     []ident.DataCentre // those of sites, sorted: sums must not depend on the order of a map
+	inService   float64            // requests in service, smoothed as long as agents smooth the rate of requests
+	requestTime float64            // seconds that a target works on a request; 0 if unknown
 	roomSince   time.Duration
 	history     [historyLength]float64 // shares of the last updates, the latest at the index historyNext-1
 	historyNext int
@@ -279,12 +280,11 @@
 
 // leaveEntirely sends all flows to the data centres that have targets, if any has.
 func (s *state) leaveEntirely(in Input) {
-	for dc, site := range s.sites {
-		if site.slots > 0 {
+	for _, dc := range s.centres {
+		if s.sites[dc].slots > 0 {
 			s.Destinations = append(s.Destinations, steering.Destination{DataCentre: dc})
 		}
 	}
-	s.sortDestinations()
 	s.Share, s.Limit = 1, 1
 	if !s.Leaving {
 		s.Leaving, s.Reason = true, ReasonNoTarget
@@ -305,7 +305,8 @@
 	}
 	var offers []offer
 	cheapest = time.Hour
-	for dc, site := range s.sites {
+	for _, dc := range s.centres {
+		site := s.sites[dc]
 		load := site.load(work, farLoad)
 		free := (farLoad - load) * float64(site.slots)
 		if site.age > staleAfter {
@@ -334,7 +335,6 @@
 		foreign += o.shareThere * float64(o.slots)
 		slots += o.slots
 	}
-	s.sortDestinations()
 	return cheapest, room, foreign / float64(max(slots, 1))
 }
 
@@ -342,7 +342,8 @@
 // that are short themselves.
 func (s *state) senders(origin, to ident.DataCentre, work float64) float64 {
 	n := 1.0
-	for dc, site := range s.sites {
+	for _, dc := range s.centres {
+		site := s.sites[dc]
 		if dc != origin && dc != to && (site.slots == 0 || site.load(work, farLoad) > farLoad) {
 			n++
 		}
@@ -350,16 +351,16 @@
 	return n
 }
 
-func (s *state) sortDestinations() {
-	slices.SortFunc(s.Destinations, func(a, b steering.Destination) int {
-		switch {
-		case a.DataCentre < b.DataCentre:
-			return -1
-		case a.DataCentre > b.DataCentre:
-			return 1
-		}
-		return 0
-	})
+// siteOf returns the site of a data centre, which is added if it is new.
+func (s *state) siteOf(dc ident.DataCentre) *site {
+	if at := s.sites[dc]; at != nil {
+		return at
+	}
+	at := &site{}
+	s.sites[dc] = at
+	s.centres = append(s.centres, dc)
+	slices.Sort(s.centres)
+	return at
 }
 
 // measure updates the sites by the agents' last heartbeats.
@@ -367,17 +368,11 @@
 	for _, site := range s.sites {
 		site.slots, site.targets, site.sums = 0, 0, sums{}
 	}
-	if s.sites[in.Origin] == nil {
-		s.sites[in.Origin] = &site{}
-	}
+	s.siteOf(in.Origin)
 	total := sums{}
 	for i := range in.Agents {
 		p := &in.Agents[i]
-		at := s.sites[p.DataCentre]
-		if at == nil {
-			at = &site{}
-			s.sites[p.DataCentre] = at
-		}
+		at := s.siteOf(p.DataCentre)
 		if !steering.AcceptsNewFlows(p, now) || in.Excluded != nil && in.Excluded(p.DataCentre) {
 			continue
 		}
