policy/locality: fresh loads have more weight

Cause: in data centres of more than some tens of nodes, digests report eleven nodes every 500 ms, and the mean age of the loads exceeds staleAfter. Flows would never have left such a fleet, except when a data centre had no target or no capacity.

Change: a load weighs exp(-age/500 ms).

--- a/policy/locality/locality.go
+++ b/policy/locality/locality.go
@@ -59,6 +59,10 @@
 	// doesn't pass the burden on. farStop is the load from which it gets no more of them at all.
 	farLoad = 0.75
 	farStop = 0.9
+	// freshness is the age by which the weight of a load falls to a third. In large fleets, digests report
+	// a few targets of a data centre at a time; the latest show how busy it is, and the others may be
+	// many seconds old.
+	freshness = 500 * time.Millisecond
 	// staleAfter is the age of a data centre's loads from which the room that they show isn't used.
 	// Digests are up to a second old.
 	staleAfter = 1100 * time.Millisecond
@@ -213,15 +217,15 @@
 type site struct {
 	slots, targets int
 	sums           sums
-	age            time.Duration // mean age of the loads
+	age            time.Duration // mean age of the loads, the fresh ones having more weight
 	known          bool          // utilisation, queue and share are set
 	utilisation    float64       // requests in service per slot, smoothed
 	queue          float64       // requests per slot that wait for one, smoothed
 	share          float64       // that left when the loads were measured, smoothed likewise
 }
 
-// sums are totals over the targets of a data centre at the time of an update.
-type sums struct{ inService, queued, rate, age float64 }
+// sums are totals over the targets of a data centre at the time of an update, weighted by freshness.
+type sums struct{ inService, queued, slots, weight, age float64 }
 
 // update reconsiders the decision.
 func (s *state) update(now time.Duration, in Input) {
@@ -369,7 +373,7 @@
 		site.slots, site.targets, site.sums = 0, 0, sums{}
 	}
 	s.siteOf(in.Origin)
-	total := sums{}
+	inService, rate := 0.0, 0.0
 	for i := range in.Agents {
 		p := &in.Agents[i]
 		at := s.siteOf(p.DataCentre)
@@ -377,18 +381,21 @@
 			continue
 		}
 		slots := max(p.Target.Slots, 1)
-		inService := min(p.Target.Busy, float64(slots))
+		busy, age := min(p.Target.Busy, float64(slots)), now-p.LastSeen
+		weight := math.Exp(-float64(age) / float64(freshness))
 		at.targets++
 		at.slots += slots
-		at.sums.inService += inService
-		at.sums.queued += p.Target.Busy - inService
-		at.sums.age += (now - p.LastSeen).Seconds()
-		total.inService += inService
-		total.rate += p.Target.Rate
+		at.sums.inService += weight * busy
+		at.sums.queued += weight * (p.Target.Busy - busy)
+		at.sums.slots += weight * float64(slots)
+		at.sums.weight += weight
+		at.sums.age += weight * age.Seconds()
+		inService += busy
+		rate += p.Target.Rate
 	}
-	s.inService = smooth(s.inService, total.inService, elapsed, rateTimeConstant, s.inService > 0)
-	if total.rate > 0 {
-		s.requestTime = s.inService / total.rate
+	s.inService = smooth(s.inService, inService, elapsed, rateTimeConstant, s.inService > 0)
+	if rate > 0 {
+		s.requestTime = s.inService / rate
 	}
 	for _, site := range s.sites {
 		site.smooth(elapsed, s.shareAt)
@@ -401,10 +408,9 @@
 		a.known = false
 		return
 	}
-	a.age = time.Duration(a.sums.age / float64(a.targets) * float64(time.Second))
-	slots := float64(a.slots)
-	a.utilisation = smooth(a.utilisation, a.sums.inService/slots, elapsed, loadTimeConstant, a.known)
-	a.queue = smooth(a.queue, a.sums.queued/slots, elapsed, loadTimeConstant, a.known)
+	a.age = seconds(a.sums.age / a.sums.weight)
+	a.utilisation = smooth(a.utilisation, a.sums.inService/a.sums.slots, elapsed, loadTimeConstant, a.known)
+	a.queue = smooth(a.queue, a.sums.queued/a.sums.slots, elapsed, loadTimeConstant, a.known)
 	a.share = smooth(a.share, shareAt(a.age+measurementDelay), elapsed, loadTimeConstant, a.known)
 	a.known = true
 }
--- a/policy/locality/locality_test.go
+++ b/policy/locality/locality_test.go
@@ -276,6 +276,29 @@
 	assert.Assert(t, !d.Leaving && d.Share == 0 && d.Reason == locality.ReasonFull, "%+v", d)
 }
 
+// Guards against room in a large data centre that only loads of many seconds ago show.
+func TestFreshLoadsCountMost(t *testing.T) {
+	const now = 20 * time.Second
+	decideWith := func(fresh float64) locality.Decision {
+		r := roster.New(0)
+		for i, p := range agents(now, [3]int{10, 40, 0}, [3]float64{2, 0.1, 0}) {
+			age := time.Duration(i-10) * interval
+			if p.DataCentre == "dc-0" {
+				age = 0
+			} else if age < 2*time.Second {
+				p.Target.Busy = fresh * slots
+			}
+			r.RecordRelayed(now, age, p.Node, p.Heartbeat, false)
+			r.RecordDigest(now, p.DataCentre)
+		}
+		var table locality.Table
+		d, _ := table.Decide(now, locality.Input{Service: "s", Origin: "dc-0", Agents: r.Agents(nil, "s")})
+		return d
+	}
+	assert.Assert(t, !decideWith(0.95).Leaving)
+	assert.Assert(t, decideWith(0.3).Leaving)
+}
+
 // Guards against flows sent to a data centre that is evacuated or kept in one, and against a data centre whose targets get
 // everything again at the moment of their return.
 func TestExcludedDataCentres(t *testing.T) {
