--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -133,6 +133,7 @@
 	flowLists       flowLists
 	outgoing        outgoingState
 	evacuations     evacuationState
+	locality        localityState
 }
 
 // New opens the node's socket. Nothing is sent before Run.
@@ -226,6 +227,7 @@
 		g.Go(func() error { return f.watchEvacuations(ctx) })
 	}
 	g.Go(func() error { return f.serveRoutes(ctx) })
+	g.Go(func() error { return f.measureRoundTrips(ctx) })
 	return g.Wait()
 }
 
@@ -545,6 +547,7 @@
 	if n.ID == f.Self.ID {
 		return
 	}
+	f.locality.roundTrips.RecordMessage(now, n.DataCentre, n.ID)
 	change := f.Roster.RecordHeartbeat(now, n, hb)
 	if change == roster.Stale {
 		f.answerStale(now, &n)
--- a/node/fleet/settings.go
+++ b/node/fleet/settings.go
@@ -24,6 +24,10 @@
 	// EvacuateWithin is the time from the operator's request to evacuate a data centre until no new flow may
 	// open there; 0 if no such requests are read.
 	EvacuateWithin time.Duration `yaml:"evacuate_within"`
+	// LocalityFailover makes the node decide when new flows leave their data centre, and how many.
+	LocalityFailover bool `yaml:"locality_failover"`
+	// RemoteRoundTrip is the round trip to other data centres; 0: it is measured.
+	RemoteRoundTrip time.Duration `yaml:"remote_round_trip"`
 }
 
 // Check reports the faults of the shared part and fills in Advertise if it is empty.
@@ -41,6 +45,9 @@
 	config.CheckHostPort(f, "$.advertise", s.Advertise)
 	config.CheckHostPort(f, "$.metrics", s.Metrics)
 	config.CheckHostPort(f, "$.store", s.Store)
+	if s.RemoteRoundTrip < 0 {
+		f.Add("$.remote_round_trip", "%v: want 0 or more", s.RemoteRoundTrip)
+	}
 	if s.MemoryMB <= 0 {
 		f.Add("$.memory_mb", "%d: want more than 0", s.MemoryMB)
 	}
--- a/node/packetagent/agent.go
+++ b/node/packetagent/agent.go
@@ -188,6 +188,7 @@
 		Service:      a.service(&s), ID: s.ID, StartUnixMs: s.StartUnixMs, Accepting: s.Accepting, Ended: s.Ended,
 		MayHaveEnded: s.MayHaveEnded, WarmingUp: s.WarmingUp, Slots: s.Slots,
 		Flows: load.Flows, Busy: load.Busy, Rate: load.Rate, Failing: load.Failing,
+		FlowLoad: a.flows.FlowLoad(now, s.Slots),
 	}
 }
 
@@ -788,7 +789,9 @@
 		if reason == reasonEvacuated && steering.AllEnded(agents) && a.fleet.RosterComplete(now) && a.refuseEvacuated(pending) {
 			return
 		}
-		index := steering.Place(now, a.requirements(now, pending), agents)
+		req := a.requirements(now, pending)
+		req.Locality = a.fleet.Locality(now, fp.Service, fp.Origin, flow, agents)
+		index := steering.Place(now, req, agents)
 		to := ""
 		if index >= 0 {
 			to = agents[index].Name
--- a/policy/inflight/inflight.go
+++ b/policy/inflight/inflight.go
@@ -95,6 +95,7 @@
 	started      decayingCount // requests
 	ended        decayingCount // requests that were answered or broken off
 	brokenOff    decayingCount // requests that were broken off
+	flowLoad     flowLoad
 }
 
 // New returns an empty table.
@@ -133,6 +134,7 @@
 	if d := now - t.updated; d > 0 {
 		keep := float64(busyTimeConstant) / float64(busyTimeConstant+d)
 		t.smoothedBusy = t.smoothedBusy*keep + float64(t.busy)*(1-keep)
+		t.flowLoad.advance(d, len(t.flows), t.busy)
 		t.updated = now
 	}
 }
@@ -155,6 +157,7 @@
 			f.inProgress, f.requestStart = true, now
 			t.busy++
 			t.started.add(now)
+			t.flowLoad.recordRequest(!f.served)
 		}
 	}
 	f.callerEnded = f.callerEnded || e.Finishes
@@ -320,6 +323,7 @@
 	clear(t.offered)
 	t.busy, t.smoothedBusy = 0, 0
 	t.started, t.ended, t.brokenOff = decayingCount{}, decayingCount{}, decayingCount{}
+	t.flowLoad = flowLoad{slots: t.flowLoad.slots}
 }
 
 // Load returns the load of the target.
