policy/outlier, policy/inflight, policy/steering: targets that answer late or not at all lose new flows

Cause: a target that turned slow, hung or didn't answer while its health check was good kept its share of new flows, and each request there ran to the caller's time limit.

Change: agents measure the time of requests net of their wait for a slot and the share without an answer; heartbeats carry both; placements avoid up to a third of a pool whose figures are far above the median. package dispatch uses the same judgement.

Tests: TestOutliersLoseNewFlows (fails without the decision: share of new flows .40 to .64 instead of 0 to .10 while 1 or 5 of 40 targets, or 1 of 3, are slow, hang 40 % or are mute), TestPoolsWithoutOutliersAreLeftAlone, TestFlappingTargetsDontSwingThePool.

--- a/node/fleet/convert.go
+++ b/node/fleet/convert.go
@@ -33,6 +33,8 @@
 	maxInterval = 2 * time.Minute
 	// maxSlots is more than any target has.
 	maxSlots = 1 << 20
+	// maxSlowdown is longer than any request takes.
+	maxSlowdown = time.Hour
 	// maxStoreEra is more than the number of times that a store is restored. Nodes keep the highest era that
 	// they hear of, and pass it on.
 	maxStoreEra = 1 << 32
@@ -80,6 +82,8 @@
 		return errors.Errorf("%d slots", t.Slots)
 	case !isAmount(t.Rate) || !isAmount(t.Failing) || t.Failing > 1:
 		return errors.Errorf("rate %g, failing %g", t.Rate, t.Failing)
+	case t.Slowdown < 0 || t.Slowdown > maxSlowdown:
+		return errors.Errorf("slowdown %v", t.Slowdown)
 	}
 	return nil
 }
@@ -87,6 +91,14 @@
 // isAmount reports whether x is a number that can be compared and added up.
 func isAmount(x float64) bool { return x >= 0 && x <= math.MaxFloat32 }
 
+// fromSeconds returns a duration, -1 if it is not a number that can be compared or longer than any is.
+func fromSeconds(x float32) time.Duration {
+	if !isAmount(float64(x)) || float64(x) > maxSlowdown.Seconds() {
+		return -1
+	}
+	return time.Duration(float64(x) * float64(time.Second))
+}
+
 func toNode(n *roster.Node) *fleetv1.Node {
 	return &fleetv1.Node{
 		Name: n.Name, Incarnation: uint64(n.Incarnation), Entry: n.Entry, DataCentre: string(n.DataCentre),
@@ -130,6 +142,7 @@
 		Service: t.Service, Id: t.ID, BornUnixMs: t.StartUnixMs, Accepting: t.Accepting, Absent: t.Ended,
 		Cold: t.WarmingUp, Flows: uint32(t.Flows), Slots: uint32(t.Slots), BusyPerMille: uint32(t.Busy * perMille),
 		Doubtful: t.MayHaveEnded, Rate: float32(t.Rate), Failing: float32(t.Failing),
+		Slowdown: float32(t.Slowdown.Seconds()),
 	}
 	for _, a := range t.FormerRoutes {
 		h.Target.FormerRoutes = append(h.Target.FormerRoutes, toAddress(a))
@@ -152,7 +165,7 @@
 			Service: t.GetService(), ID: t.GetId(), StartUnixMs: t.GetBornUnixMs(), Accepting: t.GetAccepting(),
 			Ended: t.GetAbsent(), MayHaveEnded: t.GetDoubtful(), Rate: float64(t.GetRate()), Failing: float64(t.GetFailing()),
 			WarmingUp: t.GetCold(), Flows: int(t.GetFlows()), Slots: int(t.GetSlots()),
-			Busy: float64(t.GetBusyPerMille()) / perMille,
+			Busy: float64(t.GetBusyPerMille()) / perMille, Slowdown: fromSeconds(t.GetSlowdown()),
 		},
 	}
 	if len(t.GetFormerRoutes()) > routes.MaxFormer {
--- a/node/packetagent/agent.go
+++ b/node/packetagent/agent.go
@@ -26,6 +26,7 @@
 	"lacewinglever.dev/policy/holding"
 	"lacewinglever.dev/policy/ident"
 	"lacewinglever.dev/policy/inflight"
+	"lacewinglever.dev/policy/outlier"
 	"lacewinglever.dev/policy/resetpacing"
 	"lacewinglever.dev/policy/roster"
 	"lacewinglever.dev/policy/routes"
@@ -79,6 +80,9 @@
 	agentBuffers  sync.Pool // *[]roster.Peer
 	held          *holding.Queue[fleet.ForwardedPacket]
 	pacer         resetpacing.Pacer
+	outlier       atomic.Bool   // the target is judged an outlier
+	judgement     outlier.Watch // only used by the goroutine of watchTarget
+	poolTime      time.Duration // mean time of a request in the pool; as for judgement
 }
 
 type counters struct {
@@ -132,6 +136,8 @@
 	p.Metrics.NewGauge("lacewing_requests_in_progress", func() float64 { return a.flows.Load(fleet.Now()).Busy })
 	p.Metrics.NewGauge("lacewing_packets_held", func() float64 { return float64(a.held.Len()) })
 	p.Metrics.NewGauge("lacewing_requests_broken_off_share", func() float64 { return a.flows.Load(fleet.Now()).Failing })
+	p.Metrics.NewGauge("lacewing_target_outlier", a.outlierValue)
+	p.Metrics.NewGauge("lacewing_target_slowdown_seconds", func() float64 { return a.flows.Load(fleet.Now()).Slowdown.Seconds() })
 	callers, err := netip.ParseAddrPort(s.CallersAddress)
 	if err != nil {
 		return nil, errors.Wrap(err, "callers_address")
@@ -174,6 +180,7 @@
 		Service:      a.service(&s), ID: s.ID, StartUnixMs: s.StartUnixMs, Accepting: s.Accepting, Ended: s.Ended,
 		MayHaveEnded: s.MayHaveEnded, WarmingUp: s.WarmingUp, Slots: s.Slots,
 		Flows: load.Flows, Busy: load.Busy, Rate: load.Rate, Failing: load.Failing,
+		Slowdown: load.Slowdown,
 	}
 }
 
@@ -260,6 +267,9 @@
 			a.flows.Expire(now, flowIdleTimeout)
 		}
 		a.checkTarget(now)
+		if round%checksPerJudgement == 0 {
+			a.judgeTarget(now)
+		}
 	})
 }
 
@@ -280,6 +290,7 @@
 func (a *Agent) checkTarget(now time.Duration) {
 	s := a.targetState.Status(now)
 	before := a.lastStatus.Swap(&s)
+	a.flows.SetPool(now, s.Slots, a.poolTime)
 	if busy := a.flows.Load(now).Busy; math.Abs(
 		busy-math.Float64frombits(a.announcedLoad.Load())) > announcedLoadStep*float64(max(s.Slots, 1)) {
 		a.fleet.AnnounceLoad()
@@ -520,7 +531,11 @@
 		if fp.WantsProgress && a.flows.Serves(flow) {
 			a.fleet.SendOwner(fp.Entry, flow) // the answer may take longer than the entry waits for progress
 		}
-		a.flows.RecordDelivered(now, flow, eventOf(p))
+		e := eventOf(p)
+		if e.Data {
+			e.Objective = a.objective(flow)
+		}
+		a.flows.RecordDelivered(now, flow, e)
 	}
 	a.counters.delivered.Inc()
 	a.send(a.target, p)
@@ -628,7 +643,7 @@
 	p := platform.Packet(fp.Packet)
 	meanRequestTime := a.flows.Load(now).MeanRequestTime()
 	return steering.Requirements{
-		Origin: fp.Origin, CapacityWait: pending.CapacityWait(now), Tried: fp.Tried,
+		Origin: fp.Origin, CapacityWait: pending.CapacityWait(now), Tried: fp.Tried, Flow: p.CallerFlow().Hash(),
 		Late: steering.MissesObjective(p.Age()+now-pending.Arrived, a.objective(p.CallerFlow()), meanRequestTime),
 	}
 }
--- a/node/packetentry/entry.go
+++ b/node/packetentry/entry.go
@@ -348,6 +348,7 @@
 	p := pending.Value
 	requirements := steering.Requirements{
 		Origin: e.fleet.Self.DataCentre, CapacityWait: pending.CapacityWait(now), Late: late,
+		Flow: p.CallerFlow().Hash(),
 	}
 	if owner, ok := e.flows.get(now, p.CallerFlow()); ok {
 		for i := range agents {
--- a/policy/dispatch/outlier.go
+++ b/policy/dispatch/outlier.go
@@ -1,18 +1,13 @@
 package dispatch
 
 import (
-	"slices"
 	"time"
+
+	"lacewinglever.dev/policy/outlier"
 )
 
-// Constants of outlier detection. A target must get no new work within 3 s of becoming slow.
+// Constants of the ejection of outliers. A target must get no new work within 3 s of becoming slow.
 const (
-	// slowFactor is the multiple of the pool's median latency above which a target is slow. The
-	// mean of several exponentially distributed service times stays below it.
-	slowFactor = 3
-	// slowMargin is the smallest excess over the median that makes a target slow, so that the
-	// jitter of fast services does not count.
-	slowMargin = 20 * time.Millisecond
 	// newestSampleWeight is the weight of the newest latency in the moving average.
 	newestSampleWeight = 0.25
 	// minSamples is the number of responses from which on a mean latency counts.
@@ -26,7 +21,8 @@
 	probesToRecover = 3
 	// recoveryTime is the time over which a recovered target gets back all its slots.
 	recoveryTime = 5 * time.Second
-	// maxEjectedShare is the largest part of the pool that may be ejected.
+	// maxEjectedShare is the largest part of the pool that may be ejected. It is more than the third of
+	// package steering: a slow target must lose its work in a pool of two as well.
 	maxEjectedShare = 0.5
 )
 
@@ -163,48 +159,34 @@
 }
 
 // ejectOutliers ejects targets that failed several times in a row or whose latency is far above the
-// pool's median.
+// pool's median, as package outlier judges.
 func (d *Dispatcher) ejectOutliers(now time.Time, pool []Candidate) {
 	if now.Sub(d.lastOutlierCheck) < outlierCheckInterval {
 		return
 	}
 	d.lastOutlierCheck = now
-	estimates := make([]time.Duration, len(pool))
-	latencies := make([]time.Duration, 0, len(pool))
-	ejectedCount := 0
+	measurements := make([]outlier.Measurement, 0, len(pool))
+	judged := make([]*targetState, 0, len(pool)) // of the measurements
 	for i := range pool {
 		t := d.stateOf(pool[i].ID)
 		if t.health.state != healthy {
-			ejectedCount++
 			continue
 		}
-		estimates[i] = max(t.latencyEstimate(now), pool[i].reportedLatency(now))
-		if estimates[i] > 0 {
-			latencies = append(latencies, estimates[i])
+		m := outlier.Measurement{ID: uint64(pool[i].ID), Time: max(t.latencyEstimate(now), pool[i].reportedLatency(now))}
+		if t.health.consecutiveFailures >= maxConsecutiveFailures {
+			m.Failing = 1
 		}
+		measurements = append(measurements, m)
+		judged = append(judged, t)
 	}
-	limit := slowLatencyOf(latencies)
+	ejectedCount := len(pool) - len(judged)
+	verdicts, limits := outlier.Judge(measurements, int(maxEjectedShare*float64(len(pool)))-ejectedCount)
 	for i := range pool {
-		t := d.stateOf(pool[i].ID)
-		t.health.slowLatency = limit
-		failing := t.health.state == healthy && t.health.consecutiveFailures >= maxConsecutiveFailures
-		slow := limit > 0 && estimates[i] > limit
-		if (failing || slow) && float64(ejectedCount+1) <= maxEjectedShare*float64(len(pool)) {
-			t.health.eject(now)
-			ejectedCount++
-		}
+		d.stateOf(pool[i].ID).health.slowLatency = limits.Time
 	}
-}
-
-// slowLatencyOf returns the latency above which a target is slow, 0 if there are too few latencies
-// to compare.
-func slowLatencyOf(latencies []time.Duration) time.Duration {
-	if len(latencies) < 2 {
-		return 0
+	for _, v := range verdicts {
+		judged[v.Index].health.eject(now)
 	}
-	slices.Sort(latencies)
-	median := latencies[(len(latencies)-1)/2]
-	return max(slowFactor*median, median+slowMargin)
 }
 
 // reportedLatency returns the latency of requests that the target's agent reported, 0 if unknown.
--- a/policy/inflight/inflight.go
+++ b/policy/inflight/inflight.go
@@ -42,8 +42,13 @@
 	Sequence uint32 // number of the first of these bytes
 	Finishes bool
 	Resets   bool
+	// Objective is the latency objective of the flow's route, 0 if unknown. It is only read of a caller's bytes.
+	Objective time.Duration
 }
 
+// notWorking is the start of work of a request that waits for a slot.
+const notWorking = time.Duration(-1)
+
 type flow struct {
 	lastPacket   time.Duration
 	requestStart time.Duration // when the request in progress arrived
@@ -51,29 +56,40 @@
 	inProgress   bool          // the target has not answered the caller's latest bytes
 	halfClosed   bool          // one end has finished
 	served       bool          // the target has sent bytes of the connection
+	// Of the request in progress:
+	objective  time.Duration
+	lastBytes  time.Duration // when the latest of its bytes arrived
+	workStart  time.Duration // when it got a slot, notWorking before
+	queueTime  time.Duration // its expected wait for a slot
+	unanswered bool          // it has counted as unanswered
 }
 
-// decayingCount is a number of events that decays exponentially with failureTimeConstant.
+// decayingCount is a number of events that decays exponentially.
 type decayingCount struct {
 	sum float64
 	at  time.Duration
 }
 
-func (d *decayingCount) value(now time.Duration) float64 {
+func (d *decayingCount) value(now, constant time.Duration) float64 {
 	if now <= d.at {
 		return d.sum
 	}
-	return d.sum * math.Exp(-float64(now-d.at)/float64(failureTimeConstant))
+	return d.sum * math.Exp(-float64(now-d.at)/float64(constant))
 }
 
-func (d *decayingCount) add(now time.Duration) { d.sum, d.at = d.value(now)+1, max(now, d.at) }
+func (d *decayingCount) add(now, constant time.Duration) {
+	d.sum, d.at = d.value(now, constant)+1, max(now, d.at)
+}
 
 // Load is the load of a target at one moment.
 type Load struct {
 	Flows   int
 	Busy    float64 // requests in progress, as a moving average
 	Rate    float64 // requests per second
-	Failing float64 // share of the requests that the target broke off, 0 to 1
+	Failing float64 // share of the requests that the target broke off or left unanswered, 0 to 1
+	// Slowdown is the mean time of a request without the time that it waits for a slot, 0 if unknown. It
+	// rises at once and falls within seconds.
+	Slowdown time.Duration
 }
 
 // MeanRequestTime returns the mean time of a request, 0 if there was none.
@@ -90,11 +106,23 @@
 	started      decayingCount // requests
 	ended        decayingCount // requests that were answered or broken off
 	brokenOff    decayingCount // requests that were broken off
+	// Requests that were answered, and requests and opening packets that had no answer for too long.
+	answered, unanswered     decayingCount
+	unansweredInRow          int                             // since the last answer
+	order                    []*flow                         // those with a request in progress, by its arrival
+	offered                  map[steering.Flow]time.Duration // time of the first opening packet, until the target sends a packet
+	slots                    int
+	poolTime                 time.Duration // mean time of a request in the pool
+	lastEnd                  time.Duration // of a request
+	work                     work
+	heldWork, heldUnanswered heldFigure    // as reported
+	checked                  time.Duration // time of the last SetPool
 }
 
 // New returns an empty table.
 func New() *Table {
-	return &Table{flows: map[steering.Flow]*flow{}, opening: map[steering.Flow]time.Duration{}}
+	return &Table{flows: map[steering.Flow]*flow{}, opening: map[steering.Flow]time.Duration{},
+		offered: map[steering.Flow]time.Duration{}, slots: 1}
 }
 
 // RecordOpening records an opening packet that was passed to the target.
@@ -104,6 +132,9 @@
 	if _, ok := t.opening[id]; !ok && t.flows[id] == nil {
 		t.opening[id] = now
 	}
+	if _, ok := t.offered[id]; !ok {
+		t.offered[id] = now
+	}
 }
 
 // Outstanding returns the requests in progress now, plus those expected from flows that are
@@ -137,15 +168,19 @@
 		return
 	}
 	if e.Resets {
+		if f.inProgress && !f.unanswered && t.isOverdue(now, f) {
+			t.countUnanswered(now)
+		}
 		t.remove(id, f)
 		return
 	}
 	if e.Data && (f.sequence == 0 || int32(e.Sequence-f.sequence) > 0) { // otherwise a retransmission
-		f.sequence = e.Sequence
+		f.sequence, f.lastBytes = e.Sequence, now
 		if !f.inProgress {
 			f.inProgress, f.requestStart = true, now
 			t.busy++
-			t.started.add(now)
+			t.started.add(now, failureTimeConstant)
+			t.beginWork(f, e.Objective)
 		}
 	}
 	t.recordFinish(id, f, e)
@@ -155,14 +190,17 @@
 func (t *Table) RecordSent(now time.Duration, id steering.Flow, e Event) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	delete(t.offered, id)
 	f := t.flowOf(now, id, e)
 	if f == nil {
 		return
 	}
 	if f.inProgress && (e.Data || e.Resets) {
-		t.ended.add(now)
+		t.ended.add(now, failureTimeConstant)
 		if e.Resets {
-			t.brokenOff.add(now)
+			t.brokenOff.add(now, failureTimeConstant)
+		} else {
+			t.recordAnswer(now, f)
 		}
 	}
 	f.served = f.served || e.Data
@@ -209,6 +247,7 @@
 	defer t.mu.Unlock()
 	t.updateSmoothedBusy(now)
 	delete(t.opening, id)
+	delete(t.offered, id)
 	if f := t.flows[id]; f != nil {
 		t.remove(id, f)
 	}
@@ -218,6 +257,7 @@
 	if f.inProgress {
 		f.inProgress = false
 		t.busy--
+		t.endWork(f)
 	}
 }
 
@@ -274,6 +314,9 @@
 	defer t.mu.Unlock()
 	clear(t.flows)
 	clear(t.opening)
+	clear(t.offered)
+	t.order, t.work, t.heldWork, t.heldUnanswered = nil, work{}, heldFigure{}, heldFigure{}
+	t.answered, t.unanswered, t.unansweredInRow = decayingCount{}, decayingCount{}, 0
 	t.busy, t.smoothedBusy = 0, 0
 	t.started, t.ended, t.brokenOff = decayingCount{}, decayingCount{}, decayingCount{}
 }
@@ -283,9 +326,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.updateSmoothedBusy(now)
+	t.checkUnanswered(now)
 	return Load{
 		Flows: len(t.flows), Busy: t.smoothedBusy,
-		Rate:    t.started.value(now) / failureTimeConstant.Seconds(),
-		Failing: t.brokenOff.value(now) / (t.ended.value(now) + assumedAnswers),
+		Rate:    t.started.value(now, failureTimeConstant) / failureTimeConstant.Seconds(),
+		Failing: t.failing(now), Slowdown: t.slowdown(now),
 	}
 }
--- a/policy/roster/roster.go
+++ b/policy/roster/roster.go
@@ -100,7 +100,9 @@
 	Slots        int
 	Busy         float64 // requests in progress, as a moving average
 	Rate         float64 // requests per second
-	Failing      float64 // share of the requests that the target broke off, 0 to 1
+	Failing      float64 // share of the requests that the target broke off or left unanswered, 0 to 1
+	// Slowdown is the mean time of a request without the time that it waits for a slot, 0 if unknown.
+	Slowdown time.Duration
 	// FormerRoutes are the addresses of open flows whose route doesn't lead to the service any more.
 	FormerRoutes []netip.AddrPort
 }
--- a/policy/steering/load.go
+++ b/policy/steering/load.go
@@ -17,8 +17,8 @@
 	// centre, and of targets that have just started.
 	remotePenalty = 0.15
 	coldPenalty   = 0.3
-	// failingPenalty is added for a target that breaks off all of its requests. A target that
-	// breaks off a third of them weighs as much as a full one.
+	// failingPenalty is added for a target that breaks off all of its requests, or leaves them
+	// unanswered. A target that fails a third of them weighs as much as a full one.
 	failingPenalty = 9
 	// minRequestTimeShare is the least time that a request counts for, as a part of the pool's mean
 	// request time. Without it, a target that fails its requests immediately looks idle and
--- a/policy/steering/place.go
+++ b/policy/steering/place.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lacewinglever.dev/policy/ident"
+	"lacewinglever.dev/policy/outlier"
 	"lacewinglever.dev/policy/roster"
 )
 
@@ -55,6 +56,7 @@
 	CapacityWait time.Duration    // time since no target had capacity for the flow
 	Late         bool             // the answer would exceed the latency objective
 	Tried        []ident.NodeID   // agents that have refused the flow
+	Flow         uint64           // hash of the flow, which decides whether it may go to an outlier; 0: it may not
 }
 
 // loadLimit returns the number of requests per slot from which a target doesn't get the flow.
@@ -83,21 +85,47 @@
 // and not in the queue of a target, which serves in order of arrival and sheds load when it is
 // full. Flows that an outage has made late yield to those that open on time: served first, they
 // would make all others late too.
+//
+// Outliers of the pool get only a part of their usual flows, unless no other target accepts the flow.
 func Place(now time.Duration, requirements Requirements, agents []roster.Peer) int {
-	best, lowest, considered := -1, 0.0, 0
+	outliers := outliersOf(now, agents)
+	index, accepted := place(now, &requirements, agents, outliers)
+	if !accepted && len(outliers) > 0 {
+		index, _ = place(now, &requirements, agents, nil)
+	}
+	return index
+}
+
+// place returns the index of the agent at which a new flow opens, -1 if none has capacity, and whether one
+// accepts it.
+func place(now time.Duration, requirements *Requirements, agents []roster.Peer, outliers []outlier.Verdict) (int, bool) {
+	best, lowest, considered, accepted := -1, 0.0, 0, false
 	meanRequestTime := MeanRequestTime(agents)
 	for i := range agents {
 		p := &agents[i]
-		if !AcceptsNewFlows(p, now) || slices.Contains(requirements.Tried, p.ID) ||
-			!requirements.Fits(p.Target.Busy+placedFlowLoad*p.PlacedLoad(now), p.Target.Slots) {
+		if !AcceptsNewFlows(p, now) || slices.Contains(requirements.Tried, p.ID) {
 			continue
 		}
-		if load := Load(now, p, requirements.Origin, meanRequestTime); best < 0 || load < lowest {
+		verdict := verdictOn(i, outliers)
+		if verdict != nil && !getsFlow(p, requirements.Flow, verdict.Share) {
+			continue
+		}
+		accepted = true
+		if !requirements.Fits(p.Target.Busy+placedFlowLoad*p.PlacedLoad(now), p.Target.Slots) {
+			continue
+		}
+		load := Load(now, p, requirements.Origin, meanRequestTime)
+		if verdict != nil && verdict.Slow {
+			// Its share is limited already, and a target that hangs must get flows to show that it has
+			// recovered. That of requests broken off falls without them.
+			load -= failingPenalty * p.Target.Failing
+		}
+		if best < 0 || load < lowest {
 			best, lowest = i, load
 		}
 		if considered++; considered == localCandidates+remoteCandidates {
 			break
 		}
 	}
-	return best
+	return best, accepted
 }
