--- a/node/fleet/membership_test.go
+++ b/node/fleet/membership_test.go
@@ -179,6 +179,15 @@
 // reorderBound is how long packets of a flow may reach other targets than its own.
 const reorderBound = 2 * time.Second
 
+// Guards against measurements that other nodes don't get.
+func TestHeartbeatsCarrySlowdown(t *testing.T) {
+	n := knownNode(newStoreFleet(t, "n-1"), "n-2")
+	sent := roster.Heartbeat{Sequence: 2, Target: roster.Target{Service: "s", Slowdown: 125 * time.Millisecond}}
+	_, received, err := fromHeartbeat(latestIncarnation(), toHeartbeat(&n, &sent, false))
+	assert.NilError(t, err)
+	assert.Equal(t, received.Target.Slowdown, sent.Target.Slowdown)
+}
+
 func TestHeartbeatsCarryFormerRoutes(t *testing.T) {
 	f := newStoreFleet(t, "n-1")
 	n := knownNode(f, "n-2")
--- a/node/fleet/odd_entries_test.go
+++ b/node/fleet/odd_entries_test.go
@@ -118,6 +118,8 @@
 		"rate":      next(func(h *fleetv1.Heartbeat) { h.Target.Rate = float32(math.NaN()) }),
 		"infinite":  next(func(h *fleetv1.Heartbeat) { h.Target.Rate = float32(math.Inf(1)) }),
 		"failing":   next(func(h *fleetv1.Heartbeat) { h.Target.Failing = -1 }),
+		"slowdown":  next(func(h *fleetv1.Heartbeat) { h.Target.Slowdown = float32(math.NaN()) }),
+		"endless":   next(func(h *fleetv1.Heartbeat) { h.Target.Slowdown = 1e30 }),
 	}
 	for name, m := range oddNodes(&n) {
 		odd[name] = next(func(h *fleetv1.Heartbeat) { h.Sender = m })
