policy/inflight, policy/steering: recovery of a target that hangs needs answers in a row

Cause: a target that hangs 40 % of its requests and has few flows left fell below the limit by luck, and a mute one that was well again got no flow that could show it, because the penalty for failures kept them away.

Change: reported figures fall fast only after four answers in a row; an outlier with less than one request per second gets its share of flows without that penalty.

Tests: TestOutliersLoseNewFlows/hanging/1_of_3 and mute/5_of_40 fail before.

--- a/policy/inflight/inflight.go
+++ b/policy/inflight/inflight.go
@@ -109,6 +109,7 @@
 	// Requests that were answered, and requests and opening packets that had no answer for too long.
 	answered, unanswered     decayingCount
 	unansweredInRow          int                             // since the last answer
+	answeredInRow            int                             // since the last unanswered one
 	order                    []*flow                         // those with a request in progress, by its arrival
 	offered                  map[steering.Flow]time.Duration // time of the first opening packet, until the target sends a packet
 	slots                    int
@@ -316,7 +317,7 @@
 	clear(t.opening)
 	clear(t.offered)
 	t.order, t.work, t.heldWork, t.heldUnanswered = nil, work{}, heldFigure{}, heldFigure{}
-	t.answered, t.unanswered, t.unansweredInRow = decayingCount{}, decayingCount{}, 0
+	t.answered, t.unanswered, t.answeredInRow, t.unansweredInRow = decayingCount{}, decayingCount{}, 0, 0
 	t.busy, t.smoothedBusy = 0, 0
 	t.started, t.ended, t.brokenOff = decayingCount{}, decayingCount{}, decayingCount{}
 }
--- a/policy/inflight/work.go
+++ b/policy/inflight/work.go
@@ -26,9 +26,10 @@
 	// idleRecoveryTimeConstant is the one while it answers hardly any request. Without it, a target that
 	// hangs and has lost its flows would get them back without having answered one.
 	idleRecoveryTimeConstant = 12 * time.Second
-	// enoughAnswers is the number of recent answers from which the first of the two constants applies. The
-	// few flows that are left at a target that hangs may all have been lucky.
-	enoughAnswers = 4
+	// enoughAnswers is the number of answers in a row, none older than answersForgotten, from which the first
+	// of the two constants applies. The few flows that are left at a target that hangs may all be lucky.
+	enoughAnswers    = 4
+	answersForgotten = 2 * time.Second
 	// maxRecoveryFactor is the multiple of the pool's mean, and maxRecoveryShare the share of unanswered
 	// requests, from which the fall begins, so that the recovery of a target that has answered nothing
 	// takes no longer.
@@ -226,6 +227,7 @@
 func (t *Table) countUnanswered(now time.Duration) {
 	t.unanswered.add(now, unansweredWindow)
 	t.unansweredInRow++
+	t.answeredInRow = 0
 }
 
 // recordAnswer records that the target has answered the request of a flow.
@@ -234,16 +236,16 @@
 	t.unansweredInRow = 0
 	if !f.unanswered {
 		t.answered.add(now, unansweredWindow)
+		t.answeredInRow++
 	}
 }
 
 // recoveryConstant returns the time constant with which figures fall.
 func (t *Table) recoveryConstant(now time.Duration) time.Duration {
-	answered := t.answered.value(now, unansweredWindow)
-	if answered*float64(idleRecoveryTimeConstant) <= enoughAnswers*float64(recoveryTimeConstant) {
-		return idleRecoveryTimeConstant
+	if t.answeredInRow >= enoughAnswers && now-t.answered.at <= answersForgotten {
+		return recoveryTimeConstant
 	}
-	return time.Duration(max(1, enoughAnswers/answered) * float64(recoveryTimeConstant))
+	return idleRecoveryTimeConstant
 }
 
 // slowdown returns the mean time of a request without the time that it waits for a slot, 0 if unknown.
--- a/policy/steering/outlier_test.go
+++ b/policy/steering/outlier_test.go
@@ -31,7 +31,7 @@
 
 const (
 	faultStart, faultEnd = 10 * time.Second, 19 * time.Second
-	poolEnd              = 29 * time.Second
+	poolEnd              = 33 * time.Second
 	workTime             = 22 * time.Millisecond
 )
 
--- a/policy/steering/outliers.go
+++ b/policy/steering/outliers.go
@@ -13,6 +13,10 @@
 	// outlierPoolPart is the part of a pool of which at most one target is avoided as an outlier: the
 	// others must be able to carry its flows.
 	outlierPoolPart = 3
+	// probedRate is the number of requests per second from which a target shows by them whether it has
+	// recovered. The penalty for failures keeps others away: without it, targets that break requests off
+	// at once would get three times as many.
+	probedRate = 1
 	// outlierSalt makes the choice of the flows that an outlier gets independent of the rank of agents.
 	outlierSalt = 0x5bd1e995
 )
--- a/policy/steering/place.go
+++ b/policy/steering/place.go
@@ -115,9 +115,9 @@
 			continue
 		}
 		load := Load(now, p, requirements.Origin, meanRequestTime)
-		if verdict != nil && verdict.Slow {
+		if verdict != nil && (verdict.Slow || p.Target.Rate < probedRate) {
 			// Its share is limited already, and a target that hangs must get flows to show that it has
-			// recovered. That of requests broken off falls without them.
+			// recovered.
 			load -= failingPenalty * p.Target.Failing
 		}
 		if best < 0 || load < lowest {
