policy/inflight: late copies of answered opening packets are no unanswered ones

Cause: found by reading. A copy that was held elsewhere and arrives after the flow's first request would count as an opening packet without an answer if the target doesn't answer it.

Change: only the opening packets of flows that aren't open count.

Tests: TestUnansweredOpeningsShow; no test has such a copy.

--- a/policy/inflight/inflight.go
+++ b/policy/inflight/inflight.go
@@ -132,9 +132,9 @@
 	defer t.mu.Unlock()
 	if _, ok := t.opening[id]; !ok && t.flows[id] == nil {
 		t.opening[id] = now
-	}
-	if _, ok := t.offered[id]; !ok {
-		t.offered[id] = now
+		if _, ok := t.offered[id]; !ok {
+			t.offered[id] = now
+		}
 	}
 }
 
