--- a/node/packetagent/agent.go
+++ b/node/packetagent/agent.go
@@ -28,6 +28,7 @@
 	"lacewinglever.dev/policy/holding"
 	"lacewinglever.dev/policy/ident"
 	"lacewinglever.dev/policy/inflight"
+	"lacewinglever.dev/policy/outlier"
 	"lacewinglever.dev/policy/ownerquery"
 	"lacewinglever.dev/policy/resetpacing"
 	"lacewinglever.dev/policy/roster"
@@ -89,6 +90,9 @@
 	held          *holding.Queue[fleet.ForwardedPacket]
 	awaiting      *holding.Queue[fleet.ForwardedPacket] // of flows that other agents have listed
 	pacer         resetpacing.Pacer
+	outlier       atomic.Bool   // the target is judged an outlier
+	judgement     outlier.Watch // only used by the goroutine of watchTarget
+	poolTime      time.Duration // mean time of a request in the pool; as for judgement
 }
 
 type counters struct {
@@ -146,6 +150,8 @@
 	p.Metrics.NewGauge("lacewing_requests_in_progress", func() float64 { return a.flows.Load(fleet.Now()).Busy })
 	p.Metrics.NewGauge("lacewing_packets_held", func() float64 { return float64(a.held.Len() + a.awaiting.Len()) })
 	p.Metrics.NewGauge("lacewing_requests_broken_off_share", func() float64 { return a.flows.Load(fleet.Now()).Failing })
+	p.Metrics.NewGauge("lacewing_target_outlier", a.outlierValue)
+	p.Metrics.NewGauge("lacewing_target_slowdown_seconds", func() float64 { return a.flows.Load(fleet.Now()).Slowdown.Seconds() })
 	callers, err := netip.ParseAddrPort(s.CallersAddress)
 	if err != nil {
 		return nil, errors.Wrap(err, "callers_address")
@@ -188,7 +194,7 @@
 		Service:      a.service(&s), ID: s.ID, StartUnixMs: s.StartUnixMs, Accepting: s.Accepting, Ended: s.Ended,
 		MayHaveEnded: s.MayHaveEnded, WarmingUp: s.WarmingUp, Slots: s.Slots,
 		Flows: load.Flows, Busy: load.Busy, Rate: load.Rate, Failing: load.Failing,
-		FlowLoad: a.flows.FlowLoad(now, s.Slots),
+		FlowLoad: a.flows.FlowLoad(now, s.Slots), Slowdown: load.Slowdown,
 	}
 }
 
@@ -278,6 +284,9 @@
 			a.fleet.OwnFlows().Record(now, flowlist.ListOf(a.flows.Expire(now, a.idleTimeout())))
 		}
 		a.checkTarget(now)
+		if round%checksPerJudgement == 0 {
+			a.judgeTarget(now)
+		}
 	})
 }
 
@@ -336,6 +345,7 @@
 func (a *Agent) checkTarget(now time.Duration) {
 	s := a.targetState.Status(now)
 	before := a.lastStatus.Swap(&s)
+	a.flows.SetPool(now, s.Slots, a.poolTime)
 	if busy := a.flows.Load(now).Busy; math.Abs(
 		busy-math.Float64frombits(a.announcedLoad.Load())) > announcedLoadStep*float64(max(s.Slots, 1)) {
 		a.fleet.AnnounceLoad()
@@ -655,7 +665,11 @@
 		if fp.WantsProgress && a.flows.Serves(flow) {
 			a.fleet.SendOwner(fp.Entry, flow) // the answer may take longer than the entry waits for progress
 		}
-		a.flows.RecordDelivered(now, flow, eventOf(p))
+		e := eventOf(p)
+		if e.Data {
+			e.Objective = a.objective(flow)
+		}
+		a.flows.RecordDelivered(now, flow, e)
 	}
 	a.counters.delivered.Inc()
 	a.send(a.target, p)
@@ -773,7 +787,7 @@
 	p := platform.Packet(fp.Packet)
 	meanRequestTime := a.flows.Load(now).MeanRequestTime()
 	return steering.Requirements{
-		Origin: fp.Origin, CapacityWait: pending.CapacityWait(now), Tried: fp.Tried,
+		Origin: fp.Origin, CapacityWait: pending.CapacityWait(now), Tried: fp.Tried, Flow: p.CallerFlow().Hash(),
 		Late: steering.MissesObjective(p.Age()+now-pending.Arrived, a.objective(p.CallerFlow()), meanRequestTime),
 	}
 }
--- a/node/packetentry/entry.go
+++ b/node/packetentry/entry.go
@@ -378,6 +378,7 @@
 	p := pending.Value
 	requirements := steering.Requirements{
 		Origin: e.fleet.Self.DataCentre, CapacityWait: pending.CapacityWait(now), Late: late,
+		Flow:     p.CallerFlow().Hash(),
 		Locality: e.fleet.Locality(now, service, e.fleet.Self.DataCentre, p.CallerFlow(), agents),
 	}
 	if owner, ok := e.flows.get(now, p.CallerFlow()); ok {
--- a/policy/inflight/inflight.go
+++ b/policy/inflight/inflight.go
@@ -43,8 +43,13 @@
 	Sequence uint32 // number of the first of these bytes
 	Finishes bool
 	Resets   bool
+	// Objective is the latency objective of the flow's route, 0 if unknown. It is only read of a caller's bytes.
+	Objective time.Duration
 }
 
+// notWorking is the start of work of a request that waits for a slot.
+const notWorking = time.Duration(-1)
+
 type flow struct {
 	lastPacket   time.Duration
 	requestStart time.Duration // when the request in progress arrived
@@ -53,29 +58,40 @@
 	callerEnded  bool          // the caller has finished
 	targetEnded  bool          // the target has finished
 	served       bool          // the target has sent bytes of the connection
+	// Of the request in progress:
+	objective  time.Duration
+	lastBytes  time.Duration // when the latest of its bytes arrived
+	workStart  time.Duration // when it got a slot, notWorking before
+	queueTime  time.Duration // its expected wait for a slot
+	unanswered bool          // it has counted as unanswered
 }
 
-// decayingCount is a number of events that decays exponentially with failureTimeConstant.
+// decayingCount is a number of events that decays exponentially.
 type decayingCount struct {
 	sum float64
 	at  time.Duration
 }
 
-func (d *decayingCount) value(now time.Duration) float64 {
+func (d *decayingCount) value(now, constant time.Duration) float64 {
 	if now <= d.at {
 		return d.sum
 	}
-	return d.sum * math.Exp(-float64(now-d.at)/float64(failureTimeConstant))
+	return d.sum * math.Exp(-float64(now-d.at)/float64(constant))
 }
 
-func (d *decayingCount) add(now time.Duration) { d.sum, d.at = d.value(now)+1, max(now, d.at) }
+func (d *decayingCount) add(now, constant time.Duration) {
+	d.sum, d.at = d.value(now, constant)+1, max(now, d.at)
+}
 
 // Load is the load of a target at one moment.
 type Load struct {
 	Flows   int
 	Busy    float64 // requests in progress, as a moving average
 	Rate    float64 // requests per second
-	Failing float64 // share of the requests that the target broke off, 0 to 1
+	Failing float64 // share of the requests that the target broke off or left unanswered, 0 to 1
+	// Slowdown is the mean time of a request without the time that it waits for a slot, 0 if unknown. It
+	// rises at once and falls within seconds.
+	Slowdown time.Duration
 }
 
 // MeanRequestTime returns the mean time of a request, 0 if there was none.
@@ -86,9 +102,9 @@
 	mu      sync.Mutex
 	flows   map[steering.Flow]*flow
 	opening map[steering.Flow]time.Duration // time of the first opening packet, until a request arrives
-	// offered holds the time of the last opening packet of the flows that the target may have accepted. A flow without
+	// accepted holds the time of the last opening packet of the flows that the target may have accepted. A flow without
 	// bytes of the connection isn't in flows yet.
-	offered      map[steering.Flow]time.Duration
+	accepted     map[steering.Flow]time.Duration
 	busy         int
 	smoothedBusy float64
 	updated      time.Duration
@@ -96,13 +112,25 @@
 	ended        decayingCount // requests that were answered or broken off
 	brokenOff    decayingCount // requests that were broken off
 	flowLoad     flowLoad
+	// Requests that were answered, and requests and opening packets that had no answer for too long.
+	answered, unanswered     decayingCount
+	unansweredInRow          int                             // since the last answer
+	answeredInRow            int                             // since the last unanswered one
+	order                    []*flow                         // those with a request in progress, by its arrival
+	offered                  map[steering.Flow]time.Duration // time of the first opening packet, until the target sends a packet
+	slots                    int
+	poolTime                 time.Duration // mean time of a request in the pool
+	lastEnd                  time.Duration // of a request
+	work                     work
+	heldWork, heldUnanswered heldFigure    // as reported
+	checked                  time.Duration // time of the last SetPool
 }
 
 // New returns an empty table.
 func New() *Table {
 	return &Table{
 		flows: map[steering.Flow]*flow{}, opening: map[steering.Flow]time.Duration{},
-		offered: map[steering.Flow]time.Duration{},
+		accepted: map[steering.Flow]time.Duration{}, offered: map[steering.Flow]time.Duration{}, slots: 1,
 	}
 }
 
@@ -110,9 +138,12 @@
 func (t *Table) RecordOpening(now time.Duration, id steering.Flow) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.offered[id] = now
+	t.accepted[id] = now
 	if _, ok := t.opening[id]; !ok && t.flows[id] == nil {
 		t.opening[id] = now
+		if _, ok := t.offered[id]; !ok {
+			t.offered[id] = now
+		}
 	}
 }
 
@@ -148,16 +179,20 @@
 		return
 	}
 	if e.Resets {
+		if f.inProgress && !f.unanswered && t.isOverdue(now, f) {
+			t.countUnanswered(now)
+		}
 		t.remove(id, f)
 		return
 	}
 	if e.Data && (f.sequence == 0 || int32(e.Sequence-f.sequence) > 0) { // otherwise a retransmission
-		f.sequence = e.Sequence
+		f.sequence, f.lastBytes = e.Sequence, now
 		if !f.inProgress {
 			f.inProgress, f.requestStart = true, now
 			t.busy++
-			t.started.add(now)
+			t.started.add(now, failureTimeConstant)
 			t.flowLoad.recordRequest(!f.served)
+			t.beginWork(f, e.Objective)
 		}
 	}
 	f.callerEnded = f.callerEnded || e.Finishes
@@ -168,14 +203,17 @@
 func (t *Table) RecordSent(now time.Duration, id steering.Flow, e Event) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	delete(t.offered, id)
 	f := t.flowOf(now, id, e)
 	if f == nil {
 		return
 	}
 	if f.inProgress && (e.Data || e.Resets) {
-		t.ended.add(now)
+		t.ended.add(now, failureTimeConstant)
 		if e.Resets {
-			t.brokenOff.add(now)
+			t.brokenOff.add(now, failureTimeConstant)
+		} else {
+			t.recordAnswer(now, f)
 		}
 	}
 	f.served = f.served || e.Data
@@ -195,8 +233,8 @@
 func (t *Table) MayHold(id steering.Flow) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	_, offered := t.offered[id]
-	return offered || t.flows[id] != nil
+	_, accepted := t.accepted[id]
+	return accepted || t.flows[id] != nil
 }
 
 // Serves reports whether the target has served an open flow, and so holds it. It may hold others too: those that it served
@@ -232,6 +270,7 @@
 	defer t.mu.Unlock()
 	t.updateSmoothedBusy(now)
 	delete(t.opening, id)
+	delete(t.accepted, id)
 	delete(t.offered, id)
 	if f := t.flows[id]; f != nil {
 		t.remove(id, f)
@@ -242,6 +281,7 @@
 	if f.inProgress {
 		f.inProgress = false
 		t.busy--
+		t.endWork(f)
 	}
 }
 
@@ -256,7 +296,7 @@
 func (t *Table) remove(id steering.Flow, f *flow) {
 	t.endRequest(f)
 	delete(t.flows, id)
-	delete(t.offered, id)
+	delete(t.accepted, id)
 }
 
 // Expire removes flows that were idle for longer than the timeout, and ends requests that have had
@@ -276,9 +316,9 @@
 			t.endRequest(f)
 		}
 	}
-	for id, at := range t.offered {
+	for id, at := range t.accepted {
 		if now-at > timeout {
-			delete(t.offered, id)
+			delete(t.accepted, id)
 		}
 	}
 	return served
@@ -320,7 +360,10 @@
 	defer t.mu.Unlock()
 	clear(t.flows)
 	clear(t.opening)
+	clear(t.accepted)
 	clear(t.offered)
+	t.order, t.work, t.heldWork, t.heldUnanswered = nil, work{}, heldFigure{}, heldFigure{}
+	t.answered, t.unanswered, t.answeredInRow, t.unansweredInRow = decayingCount{}, decayingCount{}, 0, 0
 	t.busy, t.smoothedBusy = 0, 0
 	t.started, t.ended, t.brokenOff = decayingCount{}, decayingCount{}, decayingCount{}
 	t.flowLoad = flowLoad{slots: t.flowLoad.slots}
@@ -331,9 +374,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.updateSmoothedBusy(now)
+	t.checkUnanswered(now)
 	return Load{
 		Flows: len(t.flows), Busy: t.smoothedBusy,
-		Rate:    t.started.value(now) / failureTimeConstant.Seconds(),
-		Failing: t.brokenOff.value(now) / (t.ended.value(now) + assumedAnswers),
+		Rate:    t.started.value(now, failureTimeConstant) / failureTimeConstant.Seconds(),
+		Failing: t.failing(now), Slowdown: t.slowdown(now),
 	}
 }
--- a/policy/steering/locality.go
+++ b/policy/steering/locality.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lacewinglever.dev/policy/ident"
+	"lacewinglever.dev/policy/outlier"
 	"lacewinglever.dev/policy/roster"
 )
 
@@ -64,31 +65,37 @@
 	remoteLimit          float64 // requests per slot from which a remote target is left out
 }
 
-// placeByReach returns the index of the agent at which a new flow opens, as Place, by the locality
-// decision.
+// placeByReach returns the index of the agent at which a new flow opens, and whether one accepts it, as place, by the
+// locality decision.
 //
 // A flow stays within the first agents of the rank, where searches look for it, as long as these have
 // capacity. One that finds no capacity where it belongs isn't held while a target elsewhere idles.
-func placeByReach(now time.Duration, r *Requirements, agents []roster.Peer) int {
+func placeByReach(now time.Duration, r *Requirements, agents []roster.Peer, outliers []outlier.Verdict) (int, bool) {
 	unlimited := math.Inf(1)
+	anyAccepts := false
+	try := func(limits candidates) int {
+		index, accepted := leastLoaded(now, r, agents, outliers, limits)
+		anyAccepts = anyAccepts || accepted
+		return index
+	}
 	if r.Locality.Reach == ReachRemote {
 		remote := candidates{remote: localCandidates + remoteCandidates, destinationsOnly: true, remoteLimit: unlimited}
-		if i := leastLoaded(now, r, agents, remote); i >= 0 {
-			return i
+		if i := try(remote); i >= 0 {
+			return i, true
 		}
 	}
 	home := candidates{local: localCandidates, destinationsOnly: true, remoteLimit: unlimited}
 	if r.Locality.Reach == ReachEither {
 		home.remote = remoteCandidates
 	}
-	if i := leastLoaded(now, r, agents, home); i >= 0 {
-		return i
+	if i := try(home); i >= 0 {
+		return i, true
 	}
 	rest := candidates{remote: localCandidates + remoteCandidates, remoteLimit: overflowLoad}
 	if !hasAccepting(now, r, agents) {
 		rest.remoteLimit = unlimited
 	}
-	return leastLoaded(now, r, agents, rest)
+	return try(rest), anyAccepts
 }
 
 // hasAccepting reports whether a target in the caller's data centre accepts the flow, though it may lack
--- a/policy/steering/place.go
+++ b/policy/steering/place.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lacewinglever.dev/policy/ident"
+	"lacewinglever.dev/policy/outlier"
 	"lacewinglever.dev/policy/roster"
 )
 
@@ -56,9 +57,10 @@
 	Late         bool             // the answer would exceed the latency objective
 	Tried        []ident.NodeID   // agents that have refused the flow
 	Locality     Locality         // whether the flow stays in the data centre
+	Flow         uint64           // hash of the flow, which decides whether it may go to an outlier; 0: it may not
 }
 
-// permits reports whether the flow may be placed at an agent, whatever its load.
+// permits reports whether the flow may be placed at an agent, whatever its load and its target's judgement.
 func (r *Requirements) permits(now time.Duration, p *roster.Peer) bool {
 	return AcceptsNewFlows(p, now) && !slices.Contains(r.Tried, p.ID)
 }
@@ -89,19 +91,34 @@
 // and not in the queue of a target, which serves in order of arrival and sheds load when it is
 // full. Flows that an outage has made late yield to those that open on time: served first, they
 // would make all others late too.
+//
+// Outliers of the pool get only a part of their usual flows, unless no other target accepts the flow.
 func Place(now time.Duration, requirements Requirements, agents []roster.Peer) int {
-	if requirements.Locality.Reach != ReachFixed {
-		return placeByReach(now, &requirements, agents)
+	outliers := outliersOf(now, agents)
+	index, accepted := place(now, &requirements, agents, outliers)
+	if !accepted && len(outliers) > 0 {
+		index, _ = place(now, &requirements, agents, nil)
 	}
-	return leastLoaded(now, &requirements, agents, candidates{
+	return index
+}
+
+// place returns the index of the agent at which a new flow opens, -1 if none has capacity, and whether one
+// accepts it.
+func place(now time.Duration, r *Requirements, agents []roster.Peer, outliers []outlier.Verdict) (int, bool) {
+	if r.Locality.Reach != ReachFixed {
+		return placeByReach(now, r, agents, outliers)
+	}
+	return leastLoaded(now, r, agents, outliers, candidates{
 		local: len(agents), remote: len(agents), total: localCandidates + remoteCandidates, remoteLimit: math.Inf(1),
 	})
 }
 
 // leastLoaded returns the index of the least loaded of the first agents that accept the flow and have
-// capacity, -1 if there is none. limits bounds how many are considered; a total of 0 is no limit.
-func leastLoaded(now time.Duration, requirements *Requirements, agents []roster.Peer, limits candidates) int {
-	best, lowest, local, remote := -1, 0.0, 0, 0
+// capacity, -1 if there is none, and whether one accepts it. limits bounds how many are considered; a total
+// of 0 is no limit.
+func leastLoaded(now time.Duration, requirements *Requirements, agents []roster.Peer, outliers []outlier.Verdict,
+	limits candidates) (int, bool) {
+	best, lowest, local, remote, accepted := -1, 0.0, 0, 0, false
 	meanRequestTime := MeanRequestTime(agents)
 	for i := range agents {
 		p := &agents[i]
@@ -109,15 +126,26 @@
 		if isLocal && local >= limits.local || !isLocal && remote >= limits.remote {
 			continue
 		}
-		requests := p.Target.Busy + placedFlowLoad*p.PlacedLoad(now)
-		if !requirements.permits(now, p) || !requirements.Fits(requests, p.Target.Slots) {
+		if !isLocal && limits.destinationsOnly && requirements.Locality.index(p.DataCentre) < 0 ||
+			!requirements.permits(now, p) {
 			continue
 		}
-		if !isLocal && (requests >= limits.remoteLimit*float64(max(p.Target.Slots, 1)) ||
-			limits.destinationsOnly && requirements.Locality.index(p.DataCentre) < 0) {
+		verdict := verdictOn(i, outliers)
+		if verdict != nil && !getsFlow(p, requirements.Flow, verdict.Share) {
+			continue
+		}
+		accepted = true
+		requests := p.Target.Busy + placedFlowLoad*p.PlacedLoad(now)
+		if !requirements.Fits(requests, p.Target.Slots) ||
+			!isLocal && requests >= limits.remoteLimit*float64(max(p.Target.Slots, 1)) {
 			continue
 		}
 		load := loadWithoutWay(now, p, meanRequestTime) + requirements.Locality.penalty(p, requirements.Origin)
+		if verdict != nil && (verdict.Slow || p.Target.Rate < probedRate) {
+			// Its share is limited already, and a target that hangs must get flows to show that it has
+			// recovered.
+			load -= failingPenalty * p.Target.Failing
+		}
 		if best < 0 || load < lowest {
 			best, lowest = i, load
 		}
@@ -130,5 +158,5 @@
 			break
 		}
 	}
-	return best
+	return best, accepted
 }
