policy/inflight: flows that have just ended may still be known to their target

Suspected cause, not shown by a log: both ends had sent their last packet, so the agent had removed the flow and denied it, while the caller repeated a packet that the target would have acknowledged.

Change: agents deny a flow only if the target has bounced its packet, or if no packet of it has passed for the idle timeout. Queries have random first numbers, so that an answer to an earlier process of the entry can't count.

Test: TestEndedFlowsAreKnownForAWhile failed before.

--- a/node/packetentry/entry.go
+++ b/node/packetentry/entry.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"context"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"slices"
@@ -136,7 +137,7 @@
 	}
 	e := &Entry{
 		settings: s, callerPort: address.Port(), flows: newFlowTable(), searches: flowsearch.New(),
-		owners: ownerquery.New(), pools: map[string]*pool{},
+		owners: ownerquery.New(rand.Uint32()), pools: map[string]*pool{},
 		progressBudget: limit.NewTokenBucket(timeOf(fleet.Now()), progressPerSecond, progressBurst),
 		counters:       newCounters(p.Metrics),
 		held:           holding.NewQueue[platform.Packet](), unanswered: holding.NewQueue[platform.Packet](),
--- a/policy/inflight/inflight.go
+++ b/policy/inflight/inflight.go
@@ -102,9 +102,10 @@
 	mu      sync.Mutex
 	flows   map[steering.Flow]*flow
 	opening map[steering.Flow]time.Duration // time of the first opening packet, until a request arrives
-	// accepted holds the time of the last opening packet of the flows that the target may have accepted. A flow without
-	// bytes of the connection isn't in flows yet.
-	accepted     map[steering.Flow]time.Duration
+	// recent holds the time of the last opening packet, or of the last packet, of flows that aren't in flows although the
+	// target may know them: those without bytes of the connection yet, and those that have ended. A target acknowledges
+	// what a caller sends again after the end.
+	recent       map[steering.Flow]time.Duration
 	busy         int
 	smoothedBusy float64
 	updated      time.Duration
@@ -130,7 +131,7 @@
 func New() *Table {
 	return &Table{
 		flows: map[steering.Flow]*flow{}, opening: map[steering.Flow]time.Duration{},
-		accepted: map[steering.Flow]time.Duration{}, offered: map[steering.Flow]time.Duration{}, slots: 1,
+		recent: map[steering.Flow]time.Duration{}, offered: map[steering.Flow]time.Duration{}, slots: 1,
 	}
 }
 
@@ -138,7 +139,7 @@
 func (t *Table) RecordOpening(now time.Duration, id steering.Flow) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.accepted[id] = now
+	t.recent[id] = now
 	if _, ok := t.opening[id]; !ok && t.flows[id] == nil {
 		t.opening[id] = now
 		if _, ok := t.offered[id]; !ok {
@@ -228,13 +229,13 @@
 	t.removeFinished(id, f)
 }
 
-// MayHold reports whether the target may hold a flow: packets of it have passed the agent, and none of them shows that the
-// flow has ended or was never accepted. Flows whose packets have not passed the agent are not considered.
+// MayHold reports whether the target may know a flow: packets of it have passed the agent lately, and the target has not
+// bounced the last of them. Flows whose packets have not passed the agent are not considered.
 func (t *Table) MayHold(id steering.Flow) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	_, accepted := t.accepted[id]
-	return accepted || t.flows[id] != nil
+	_, recent := t.recent[id]
+	return recent || t.flows[id] != nil
 }
 
 // Serves reports whether the target has served an open flow, and so holds it. It may hold others too: those that it served
@@ -270,11 +271,11 @@
 	defer t.mu.Unlock()
 	t.updateSmoothedBusy(now)
 	delete(t.opening, id)
-	delete(t.accepted, id)
 	delete(t.offered, id)
 	if f := t.flows[id]; f != nil {
 		t.remove(id, f)
 	}
+	delete(t.recent, id)
 }
 
 func (t *Table) endRequest(f *flow) {
@@ -296,7 +297,7 @@
 func (t *Table) remove(id steering.Flow, f *flow) {
 	t.endRequest(f)
 	delete(t.flows, id)
-	delete(t.accepted, id)
+	t.recent[id] = f.lastPacket
 }
 
 // Expire removes flows that were idle for longer than the timeout, and ends requests that have had
@@ -316,9 +317,9 @@
 			t.endRequest(f)
 		}
 	}
-	for id, at := range t.accepted {
+	for id, at := range t.recent {
 		if now-at > timeout {
-			delete(t.accepted, id)
+			delete(t.recent, id)
 		}
 	}
 	return served
@@ -360,7 +361,7 @@
 	defer t.mu.Unlock()
 	clear(t.flows)
 	clear(t.opening)
-	clear(t.accepted)
+	clear(t.recent)
 	clear(t.offered)
 	t.order, t.work, t.heldWork, t.heldUnanswered = nil, work{}, heldFigure{}, heldFigure{}
 	t.answered, t.unanswered, t.answeredInRow, t.unansweredInRow = decayingCount{}, decayingCount{}, 0, 0
--- a/policy/inflight/inflight_test.go
+++ b/policy/inflight/inflight_test.go
@@ -180,6 +180,23 @@
 	table.RecordSent(200*time.Millisecond, flowA, inflight.Event{Data: true, Finishes: true})
 	assert.Assert(t, table.Serves(flowA))
 	table.RecordDelivered(300*time.Millisecond, flowA, inflight.Event{Finishes: true})
+	assert.Assert(t, !table.Serves(flowA))
+}
+
+// Guards against resets of flows that have just ended: the caller repeats its last packet if the target's acknowledgement
+// was lost, and the target acknowledges it again.
+func TestEndedFlowsAreKnownForAWhile(t *testing.T) {
+	table := inflight.New()
+	table.RecordDelivered(0, flowA, inflight.Event{Data: true, Finishes: true})
+	table.RecordSent(time.Second, flowA, inflight.Event{Data: true, Finishes: true})
+	table.RecordSent(time.Second, flowB, inflight.Event{Data: true, Resets: true})
+	assert.Assert(t, table.MayHold(flowA) && table.MayHold(flowB))
+	assert.Equal(t, table.Load(time.Second).Flows, 0)
+	table.Expire(10*time.Second, 20*time.Second)
+	assert.Assert(t, table.MayHold(flowA) && table.MayHold(flowB))
+	table.RecordBounced(11*time.Second, flowB)
+	assert.Assert(t, !table.MayHold(flowB))
+	table.Expire(22*time.Second, 20*time.Second)
 	assert.Assert(t, !table.MayHold(flowA))
 }
 
--- a/policy/ownerquery/ownerquery.go
+++ b/policy/ownerquery/ownerquery.go
@@ -108,9 +108,11 @@
 	ready   chan struct{} // receives when queries are due
 }
 
-// New returns an empty table.
-func New() *Table {
+// New returns an empty table. firstID is the id of the first query; it differs between the processes of a node, so that an
+// answer to the process before doesn't count.
+func New(firstID uint32) *Table {
 	return &Table{
+		lastID: firstID - 1,
 		flows: map[steering.Flow]*flowState{}, due: map[ident.NodeID][]steering.Flow{}, pending: map[uint32]pending{},
 		ready: make(chan struct{}, 1),
 	}
--- a/policy/ownerquery/ownerquery_test.go
+++ b/policy/ownerquery/ownerquery_test.go
@@ -61,7 +61,7 @@
 // agents. Each agent is asked for each flow once, in datagrams of many flows, and retransmissions ask nobody again.
 func TestLostFlowsAskEachAgentOnce(t *testing.T) {
 	const flows, agents = 2200, 42
-	table := ownerquery.New()
+	table := ownerquery.New(1)
 	queries, asked := 0, 0
 	now := 10 * ms
 	for round := 0; round < 6; round++ { // retransmissions within the lifetime of the answers
@@ -89,7 +89,7 @@
 // Guards against queries to the whole pool, which cross the links between data centres, for flows at one of the first agents
 // in rank, where nearly all flows are.
 func TestTheFirstAgentsAreAskedFirst(t *testing.T) {
-	table := ownerquery.New()
+	table := ownerquery.New(1)
 	flow := flowOf(1)
 	agents := poolOf(42, flow)
 	r, ok := table.Ask(0, flow, agents)
@@ -103,7 +103,7 @@
 // Guards against a search that ends because an answer was lost: the agent is asked again, and then left to the search by
 // packets, without being taken for one that doesn't hold the flow.
 func TestAgentsThatDontAnswer(t *testing.T) {
-	table := ownerquery.New()
+	table := ownerquery.New(1)
 	flow := flowOf(1)
 	agents := poolOf(20, flow)
 	silent := agents[1].ID
@@ -126,7 +126,7 @@
 
 // Guards against an answer that counts for a later flow of the same caller and port, or after its agent may have got it.
 func TestAnswersExpire(t *testing.T) {
-	table := ownerquery.New()
+	table := ownerquery.New(1)
 	flow := flowOf(1)
 	agents := poolOf(20, flow)
 	for now := time.Duration(0); now < 100*ms; now += 25 * ms {
@@ -146,7 +146,7 @@
 
 // Guards against answers of other writers, and memory that grows with the flows that callers make up.
 func TestOddAnswersAndLimits(t *testing.T) {
-	table := ownerquery.New()
+	table := ownerquery.New(1)
 	flow := flowOf(1)
 	agents := poolOf(20, flow)
 	_, _ = table.Ask(0, flow, agents)
