node/packetentry, policy/ownerquery: searches of starting entries don't wait for more than they need

Cause: an entry that has just started held packets until a node had answered its join request, up to 700 ms if seeds were away too, and asked the few agents that it had heard of. A first agent that had just been lost held up all searches for 200 ms.

Change: packets wait for flow lists only while an agent is known that hasn't been heard of. An entry that joins a running fleet passes packets on, as before, until it has heard of all agents. All others are asked after 25 ms without an answer of a first agent.

--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -105,6 +105,7 @@
 	joined          atomic.Bool // a node has answered that knows all nodes that may hold flows
 	joining         atomic.Bool // the node requests nodes, or has done so
 	answered        atomic.Bool // any node has answered with the nodes of its roster
+	joinedRunning   atomic.Bool // a node whose roster is complete has answered
 	leaving         atomic.Bool
 	announceDue     chan struct{}    // receives when a heartbeat to all receivers of the plan is due
 	announceLoadDue chan struct{}    // receives when a heartbeat to the recent entries is due
@@ -272,10 +273,16 @@
 	return f.storeListed.Load() && (f.joined.Load() || now-f.started > heartbeatWindow)
 }
 
+// JoinedRunning reports whether this node has joined a fleet that was running already.
+func (f *Fleet) JoinedRunning() bool { return f.joinedRunning.Load() }
+
 // recordAnswer records that a node has answered a join request, settled or not. Its answer completes the
 // roster also if all known nodes have started together.
 func (f *Fleet) recordAnswer(now time.Duration, settled bool) {
 	f.answered.Store(true)
+	if settled {
+		f.joinedRunning.Store(true)
+	}
 	if !settled && f.Roster.MayHaveEarlier(now, now-f.started, f.Self.Incarnation, settlingTime) {
 		return
 	}
--- a/node/packetentry/entry.go
+++ b/node/packetentry/entry.go
@@ -276,7 +276,7 @@
 		}
 		s := e.nextCandidate(now, item.Flow, table, services)
 		switch {
-		case s.answers.Waiting:
+		case s.answers.Waiting || s.awaitsLists:
 			e.unanswered.Put(now, *item)
 		case s.result == steering.Unknown:
 			e.fleet.ProbeUnconfirmed(now, s.agents, s.asked.Tried)
@@ -463,9 +463,11 @@
 	asked     steering.Asked
 	index     int // of the next agent
 	result    steering.SearchResult
-	restarted bool              // nobody was left to ask, and the search starts again
-	listed    bool              // the agent has listed the flow at its stop
-	answers   ownerquery.Result // of the agents that were asked for the owner
+	restarted bool // nobody was left to ask, and the search starts again
+	listed    bool // the agent has listed the flow at its stop
+	// awaitsLists is set if the lists of agents that are away may still arrive.
+	awaitsLists bool
+	answers     ownerquery.Result // of the agents that were asked for the owner
 	// wantsProgress is set if agents are to tell who has bounced the packet: it may not arrive, and must not go the
 	// same way again.
 	wantsProgress bool
@@ -487,9 +489,16 @@
 // nextCandidate returns the next step of the search for the owner of a flow.
 func (e *Entry) nextCandidate(now time.Duration, flow steering.Flow, table *routes.Table, services []string) searchStep {
 	s := searchStep{table: table, services: services, agents: e.searchCandidates(flow, services), known: e.searches.Lookup(now, flow)}
-	if s.answers, _ = e.owners.Ask(now, flow, s.agents); s.answers.Waiting {
+	unseen := steering.HasUnseen(now, s.agents)
+	if s.awaitsLists = unseen && e.fleet.AwaitsLists(now); s.awaitsLists {
 		return s
 	}
+	// An entry that has just started in a running fleet knows less of the agents than they know of each other.
+	if !unseen || !e.fleet.JoinedRunning() {
+		if s.answers, _ = e.owners.Ask(now, flow, s.agents); s.answers.Waiting {
+			return s
+		}
+	}
 	// What earlier packets have shown doesn't end a search, but an agent's answer does.
 	tried := slices.DeleteFunc(s.known.Tried, func(id ident.NodeID) bool { return slices.Contains(s.answers.Absent, id) })
 	remembered := len(tried)
@@ -515,10 +524,6 @@
 		e.resetFlow(flow, p, "route removed", table)
 		return
 	}
-	if e.fleet.AwaitsLists(now) {
-		e.hold(now, pending, "flow lists unknown", table.PositionOrZero())
-		return
-	}
 	switch e.owners.Lookup(now, flow) {
 	case ownerquery.Awaited:
 		e.hold(now, pending, "owner asked for", table.PositionOrZero())
@@ -528,6 +533,10 @@
 		return
 	}
 	s := e.nextCandidate(now, flow, table, services)
+	if s.awaitsLists {
+		e.hold(now, pending, "flow lists unknown", table.PositionOrZero())
+		return
+	}
 	if s.answers.Waiting {
 		e.hold(now, pending, "owner asked for", table.PositionOrZero())
 		return
--- a/policy/ownerquery/ownerquery.go
+++ b/policy/ownerquery/ownerquery.go
@@ -31,6 +31,9 @@
 	// AnswerTimeout is the time after which an agent that hasn't answered is asked again. It covers the round trip
 	// between data centres and a slow node.
 	AnswerTimeout = 100 * time.Millisecond
+	// firstTime is the time after which all others are asked although one of the first agents hasn't answered. It covers the
+	// round trip between data centres, so that an agent that has just been lost doesn't hold up the search.
+	firstTime = 25 * time.Millisecond
 	// maxQueries is the number of queries without an answer after which the packet goes to the agent itself: its program
 	// may be older, or its answers get lost.
 	maxQueries = 2
@@ -78,7 +81,7 @@
 
 type flowState struct {
 	since     time.Duration // of the first query of this round
-	waitUntil time.Duration // when the agents asked last should have answered; 0 if all have
+	waitUntil time.Duration // when Ask is due again unless all agents answer before
 	absent    bool          // no target holds the flow
 	agents    []asked
 }
@@ -113,7 +116,7 @@
 func New(firstID uint32) *Table {
 	return &Table{
 		lastID: firstID - 1,
-		flows: map[steering.Flow]*flowState{}, due: map[ident.NodeID][]steering.Flow{}, pending: map[uint32]pending{},
+		flows:  map[steering.Flow]*flowState{}, due: map[ident.NodeID][]steering.Flow{}, pending: map[uint32]pending{},
 		ready: make(chan struct{}, 1),
 	}
 }
@@ -186,7 +189,7 @@
 		if p.Health(now) != roster.Live || p.Target.Ended {
 			continue // whether to wait for such an agent is decided by the search
 		}
-		if seen++; seen == firstCandidates+1 && r.Waiting {
+		if seen++; seen == firstCandidates+1 && r.Waiting && now-s.since < firstTime {
 			break
 		}
 		a := s.find(p.ID)
@@ -211,6 +214,9 @@
 			r.Silent++
 		}
 	}
+	if now-s.since < firstTime {
+		s.waitUntil = min(s.waitUntil, s.since+firstTime)
+	}
 	return r, true
 }
 
--- a/policy/steering/search.go
+++ b/policy/steering/search.go
@@ -153,6 +153,16 @@
 	return false
 }
 
+// HasUnseen reports whether an agent that may hold a flow is known only from its record or from other nodes.
+func HasUnseen(now time.Duration, agents []roster.Peer) bool {
+	for i := range agents {
+		if p := &agents[i]; !p.HeartbeatSeen && !p.Target.Ended && p.Health(now) != roster.Gone {
+			return true
+		}
+	}
+	return false
+}
+
 // UnconfirmedCandidates returns the agents that may hold a flow, at most n, in their order, and are gone by
 // their silence alone.
 func UnconfirmedCandidates(now time.Duration, agents []roster.Peer, tried []ident.NodeID, n int) []*roster.Peer {
