policy/admission: admission of new flows by priority, objective and time limit

Cause: when a burst or the loss of targets leaves a pool short, every new flow waits alike. Updates, which are worth twice as much, are late or shed with the rest, and flows that can't be served any more are held until their callers give up.

Change: while routes of different priority lead to a service, new flows are decided by priority, then by whether they can still meet their objective.

--- a/node/packetagent/agent.go
+++ b/node/packetagent/agent.go
@@ -23,6 +23,7 @@
 	"lacewinglever.dev/node/logging"
 	"lacewinglever.dev/node/timing"
 	"lacewinglever.dev/platform"
+	"lacewinglever.dev/policy/admission"
 	"lacewinglever.dev/policy/holding"
 	"lacewinglever.dev/policy/ident"
 	"lacewinglever.dev/policy/inflight"
@@ -79,6 +80,9 @@
 	agentBuffers  sync.Pool // *[]roster.Peer
 	held          *holding.Queue[fleet.ForwardedPacket]
 	pacer         resetpacing.Pacer
+
+	admission        *admission.Controller
+	admissionMetrics fleet.AdmissionMetrics
 }
 
 type counters struct {
@@ -125,7 +129,9 @@
 		settings: s, logger: p.Logger, counters: newCounters(p.Metrics), flows: inflight.New(),
 		targetState: targetstate.New(fleet.Now(), targetstate.Options{Heartbeat: s.Heartbeat, AddressReuse: s.AddressReuse}),
 		logs:        p.NewDecisionLogs(),
+		admission:   admission.New(),
 	}
+	a.admissionMetrics = fleet.AdmissionMetrics{Set: p.Metrics, Waiting: a.held.Waiting}
 	a.agentBuffers.New = func() any { return new([]roster.Peer) }
 	a.lastStatus.Store(&targetstate.Status{})
 	p.Metrics.NewGauge("lacewing_flows", func() float64 { return float64(a.flows.Load(fleet.Now()).Flows) })
@@ -404,6 +410,9 @@
 	item.Flow = p.CallerFlow()
 	if p.Opens() {
 		item.HoldTime = p.ValidFor()
+		in := a.admissionInput(now, pending)
+		item.Rank = in.Rank()
+		a.admissionMetrics.ExportWaiting(&in)
 	}
 	if item.Arrived == now { // the receive buffers are reused for the next packet
 		item.Value.Packet = bytes.Clone(fp.Packet)
@@ -429,15 +438,24 @@
 	if p.Opens() {
 		if pending.Arrived == now {
 			a.fleet.RecordOffer(now, fp.Origin, fp.Entry)
+			a.recordOffered(now, pending)
 		}
 		if reason := a.refusalReason(&s, p, fp); reason != "" {
 			a.forwardOpening(now, pending, reason)
 			return
 		}
-		if req, requests := a.requirements(now, pending), a.flows.Outstanding(now); !req.Fits(float64(requests), s.Slots) {
-			a.waitForCapacity(now, pending, &req, requests)
+		req, requests := a.requirements(now, pending), a.flows.Outstanding(now)
+		in := a.admissionInput(now, pending)
+		in.HasRoom = req.Fits(float64(requests), s.Slots)
+		a.admission.RecordRoom(now, &in)
+		if !in.HasRoom {
+			a.waitForCapacity(now, pending, &req, requests, &in)
+			return
+		}
+		if a.refuseWithoutChance(now, pending, &in) {
 			return
 		}
+		a.admission.RecordAdmitted(now, p.CallerFlow(), &in)
 		a.targetState.RecordOffer(now)
 		a.flows.RecordOpening(now, p.CallerFlow())
 		if a.logs.Usual.Allow() {
@@ -477,13 +495,16 @@
 // another agent, unless the flow has waited here before or has been offered to maxOffersWhenFull
 // agents; the flow then waits here.
 func (a *Agent) waitForCapacity(
-	now time.Duration, pending *pendingPacket, requirements *steering.Requirements, requests int) {
+	now time.Duration, pending *pendingPacket, requirements *steering.Requirements, requests int, in *admission.Input) {
 	waited := pending.NoCapacitySince != 0
 	pending.MarkNoCapacity(now)
 	if !waited && len(pending.Value.Tried) < maxOffersWhenFull {
 		a.forwardOpening(now, pending, "full")
 		return
 	}
+	if a.refuseWithoutChance(now, pending, in) {
+		return
+	}
 	kept := a.hold(now, pending, "full")
 	if (!waited || !kept) && a.logs.Unusual.Allow() {
 		p := platform.Packet(pending.Value.Packet)
@@ -520,7 +541,9 @@
 		if fp.WantsProgress && a.flows.Serves(flow) {
 			a.fleet.SendOwner(fp.Entry, flow) // the answer may take longer than the entry waits for progress
 		}
-		a.flows.RecordDelivered(now, flow, eventOf(p))
+		if a.flows.RecordDelivered(now, flow, eventOf(p)) {
+			a.recordRequest(now, flow)
+		}
 	}
 	a.counters.delivered.Inc()
 	a.send(a.target, p)
@@ -625,12 +648,17 @@
 // requirements returns what a new flow requires of a target.
 func (a *Agent) requirements(now time.Duration, pending *pendingPacket) steering.Requirements {
 	fp := &pending.Value
-	p := platform.Packet(fp.Packet)
+	in := a.admissionInput(now, pending)
+	return in.Restrict(steering.Requirements{
+		Origin: fp.Origin, CapacityWait: pending.CapacityWait(now), Tried: fp.Tried, Late: a.isLate(now, pending),
+	})
+}
+
+// isLate reports whether the answer to a new flow would exceed the latency objective of its route.
+func (a *Agent) isLate(now time.Duration, pending *pendingPacket) bool {
+	p := platform.Packet(pending.Value.Packet)
 	meanRequestTime := a.flows.Load(now).MeanRequestTime()
-	return steering.Requirements{
-		Origin: fp.Origin, CapacityWait: pending.CapacityWait(now), Tried: fp.Tried,
-		Late: steering.MissesObjective(p.Age()+now-pending.Arrived, a.objective(p.CallerFlow()), meanRequestTime),
-	}
+	return steering.MissesObjective(p.Age()+now-pending.Arrived, a.objective(p.CallerFlow()), meanRequestTime)
 }
 
 // forwardOpening offers a new flow to another agent, or holds it if none accepts.
@@ -640,13 +668,18 @@
 	flow := p.CallerFlow()
 	a.markTried(fp)
 	a.withRankedAgents(flow, fp, func(agents []roster.Peer) {
-		index := steering.Place(now, a.requirements(now, pending), agents)
+		requirements := a.requirements(now, pending)
+		requirements.Ahead = 0 // those flows wait here
+		index := steering.Place(now, requirements, agents)
 		to := ""
 		if index >= 0 {
 			to = agents[index].Name
 			a.counters.forwarded.Inc()
 			fp.WantsOwner = true
+			a.admission.RecordPassed(flow)
 			a.forward(agents[index].Address, fp)
+		} else if in := a.admissionInput(now, pending); a.refuseWithoutChance(now, pending, &in) {
+			return
 		} else {
 			a.hold(now, pending, "no target accepts")
 		}
--- a/node/packetentry/entry.go
+++ b/node/packetentry/entry.go
@@ -19,6 +19,7 @@
 	"lacewinglever.dev/node/logging"
 	"lacewinglever.dev/node/timing"
 	"lacewinglever.dev/platform"
+	"lacewinglever.dev/policy/admission"
 	"lacewinglever.dev/policy/flowsearch"
 	"lacewinglever.dev/policy/holding"
 	"lacewinglever.dev/policy/ident"
@@ -75,6 +76,9 @@
 	mu             sync.Mutex         // serialises the decisions about packets
 	progressBudget *limit.TokenBucket // for packets of which progress is requested
 	agentBuffer    []roster.Peer      // used by rankedAgents and searchCandidates
+
+	admission        *admission.Controller
+	admissionMetrics fleet.AdmissionMetrics
 }
 
 type counters struct {
@@ -134,8 +138,9 @@
 		progressBudget: limit.NewTokenBucket(timeOf(fleet.Now()), progressPerSecond, progressBurst),
 		counters:       newCounters(p.Metrics),
 		held:           holding.NewQueue[platform.Packet](), unanswered: holding.NewQueue[platform.Packet](),
-		logs: p.NewDecisionLogs(),
+		logs: p.NewDecisionLogs(), admission: admission.New(),
 	}
+	e.admissionMetrics = fleet.AdmissionMetrics{Set: p.Metrics, Waiting: e.held.Waiting}
 	p.Metrics.NewGauge("lacewing_flows", func() float64 { return float64(e.flows.size()) })
 	p.Metrics.NewGauge("lacewing_packets_held", func() float64 { return float64(e.held.Len()) })
 	if e.conn, err = fleet.ListenUDP(s.Callers); err != nil {
@@ -311,7 +316,11 @@
 	agents := e.rankedAgents(flow, service)
 	meanRequestTime := steering.MeanRequestTime(agents)
 	late := steering.MissesObjective(p.Age()+now-pending.Arrived, route.Objective, meanRequestTime)
-	index, tried := e.chooseAgent(now, pending, late, agents)
+	in := e.admissionInput(now, pending, admission.Offer{Service: service, Route: route}, late, table, agents)
+	index, tried := e.chooseAgent(now, pending, &in, agents, late)
+	if in.HasRoom = index >= 0; e.refuseWithoutChance(now, pending, &in, table) {
+		return
+	}
 	if index < 0 {
 		if anyAccepts(now, agents) {
 			pending.MarkNoCapacity(now)
@@ -329,6 +338,7 @@
 	e.flows.put(now, flow, agent.ID)
 	e.searches.End(flow)
 	e.fleet.Roster.RecordPlacement(now, agent.ID)
+	e.admission.RecordAdmitted(now, flow, &in)
 	e.counters.flowsOpened.Inc()
 	e.send(agent, &fleet.ForwardedPacket{Service: service, Routes: table.Position, Tried: tried, Packet: p})
 	if e.logs.Usual.Allow() {
@@ -344,11 +354,11 @@
 // be tried again. Copies go to the same agent as the first packet, even if one of them was held in
 // the meantime, unless that agent has to be replaced.
 func (e *Entry) chooseAgent(
-	now time.Duration, pending *pendingPacket, late bool, agents []roster.Peer) (int, []ident.NodeID) {
+	now time.Duration, pending *pendingPacket, in *admission.Input, agents []roster.Peer, late bool) (int, []ident.NodeID) {
 	p := pending.Value
-	requirements := steering.Requirements{
+	requirements := in.Restrict(steering.Requirements{
 		Origin: e.fleet.Self.DataCentre, CapacityWait: pending.CapacityWait(now), Late: late,
-	}
+	})
 	if owner, ok := e.flows.get(now, p.CallerFlow()); ok {
 		for i := range agents {
 			if agents[i].ID == owner && steering.ReusesAgent(now, &agents[i], int(p.CopyIndex())) {
@@ -397,6 +407,9 @@
 		a, known := e.fleet.Roster.Find(owner)
 		if cause = searchCause(now, &a, known); cause == "" {
 			e.counters.sentToOwner.Inc()
+			if table != nil && p.HasData() {
+				e.admission.RecordRequest(now, table, a.Service, flow)
+			}
 			e.send(&a, &fleet.ForwardedPacket{Service: a.Service, Routes: table.PositionOrZero(), Packet: p})
 			return
 		}
--- a/policy/holding/holding.go
+++ b/policy/holding/holding.go
@@ -4,11 +4,14 @@
 // intervals, so that a packet dropped shortly before the decision delays them by a second.
 //
 // The latest packets are decided first. After an outage or in a burst, those that have waited
-// longest are late in any case, and serving them first would make all others late as well.
+// longest are late in any case, and serving them first would make all others late as well. Where the
+// routes of a service differ in priority, package admission ranks the flows; the latest come first
+// within a rank.
 package holding
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -32,9 +35,18 @@
 	Arrived         time.Duration // when the packet arrived
 	HoldTime        time.Duration // how long to keep the packet, at most MaxHoldTime; 0 stands for MaxHoldTime
 	NoCapacitySince time.Duration // when the packet was first kept for lack of target capacity; 0 if it was not
+	Rank            Rank
 	Value           T
 }
 
+// Rank is the place of a new flow among those that compete for targets. The zero value is that of all
+// other packets.
+type Rank struct {
+	Order    int // lower ones are decided first; 0 for packets that don't compete
+	Priority int // of the route
+	Service  string
+}
+
 // MarkNoCapacity records that no target has capacity for the packet's flow.
 func (i *Item[T]) MarkNoCapacity(now time.Duration) {
 	if i.NoCapacitySince == 0 {
@@ -56,12 +68,13 @@
 type Queue[T any] struct {
 	mu       sync.Mutex
 	items    map[steering.Flow]Item[T]
+	waiting  map[Rank]int  // of the flows that compete
 	nonEmpty chan struct{} // receives when the first packet is kept
 }
 
 // NewQueue returns an empty queue.
 func NewQueue[T any]() *Queue[T] {
-	return &Queue[T]{items: map[steering.Flow]Item[T]{}, nonEmpty: make(chan struct{}, 1)}
+	return &Queue[T]{items: map[steering.Flow]Item[T]{}, waiting: map[Rank]int{}, nonEmpty: make(chan struct{}, 1)}
 }
 
 // NonEmpty returns a channel that receives once packets are kept, so that an empty queue needs no
@@ -90,6 +103,9 @@
 		return false
 	}
 	q.items[item.Flow] = item
+	if item.Rank.Order > 0 {
+		q.waiting[item.Rank]++
+	}
 	select {
 	case q.nonEmpty <- struct{}{}:
 	default:
@@ -104,7 +120,15 @@
 	return len(q.items)
 }
 
-// Take removes and returns all packets, the latest first, because the oldest are late in any case.
+// Waiting returns the numbers of flows that compete for targets, by rank.
+func (q *Queue[T]) Waiting() map[Rank]int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return maps.Clone(q.waiting)
+}
+
+// Take removes and returns all packets, in the order of their ranks. Within a rank the latest comes
+// first, because the oldest are late in any case.
 func (q *Queue[T]) Take() []Item[T] {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -116,6 +140,10 @@
 		all = append(all, item)
 	}
 	clear(q.items)
-	slices.SortFunc(all, func(a, b Item[T]) int { return cmp.Compare(b.Arrived, a.Arrived) })
+	clear(q.waiting)
+	slices.SortFunc(all, func(a, b Item[T]) int {
+		return cmp.Or(cmp.Compare(a.Rank.Order, b.Rank.Order), cmp.Compare(b.Arrived, a.Arrived),
+			cmp.Compare(a.Flow.CallerPort, b.Flow.CallerPort)) // and not the order of the map
+	})
 	return all
 }
--- a/policy/inflight/inflight.go
+++ b/policy/inflight/inflight.go
@@ -128,17 +128,18 @@
 	}
 }
 
-// RecordDelivered records a caller's packet that was passed to the target.
-func (t *Table) RecordDelivered(now time.Duration, id steering.Flow, e Event) {
+// RecordDelivered records a caller's packet that was passed to the target. It reports whether the
+// packet begins another request on a flow that the target has served before.
+func (t *Table) RecordDelivered(now time.Duration, id steering.Flow, e Event) (again bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	f := t.flowOf(now, id, e)
 	if f == nil {
-		return
+		return false
 	}
 	if e.Resets {
 		t.remove(id, f)
-		return
+		return false
 	}
 	if e.Data && (f.sequence == 0 || int32(e.Sequence-f.sequence) > 0) { // otherwise a retransmission
 		f.sequence = e.Sequence
@@ -146,9 +147,11 @@
 			f.inProgress, f.requestStart = true, now
 			t.busy++
 			t.started.add(now)
+			again = f.served
 		}
 	}
 	t.recordFinish(id, f, e)
+	return again
 }
 
 // RecordSent records a packet that the target sent.
--- a/policy/steering/place.go
+++ b/policy/steering/place.go
@@ -55,6 +55,11 @@
 	CapacityWait time.Duration    // time since no target had capacity for the flow
 	Late         bool             // the answer would exceed the latency objective
 	Tried        []ident.NodeID   // agents that have refused the flow
+	// Reserve is the part of one place per slot, 0 to 1, that is kept for flows of higher priority; it
+	// is rounded up to whole places. Ahead is the number of waiting flows that go first. Both are 0 if
+	// all flows have the same priority (package admission).
+	Reserve float64
+	Ahead   int
 }
 
 // loadLimit returns the number of requests per slot from which a target doesn't get the flow.
@@ -72,7 +77,12 @@
 // Agents pass the exact number. Entries pass an estimate from the last heartbeat, and several
 // entries may place flows on the same target at once.
 func (r *Requirements) Fits(requests float64, slots int) bool {
-	return requests < r.loadLimit()*float64(max(slots, 1))
+	s := float64(max(slots, 1))
+	limit := r.loadLimit() * s
+	if r.Reserve > 0 { // also after maxCapacityWait, while higher priorities use the room
+		limit = min(limit, fullLoad*s-math.Ceil(r.Reserve*(fullLoad-lateFullLoad)*s))
+	}
+	return requests+float64(r.Ahead) < limit
 }
 
 // Place returns the index of the agent at which a new flow opens, -1 if none accepts it or has
