policy/admission, node: nodes that may have read a packet late don't refuse its flow

Cause: found by reading. An entry that is frozen with a first packet in its socket passes it on when it runs again. By then another entry may have opened the flow by a later copy; an agent that refuses the first packet would reset an open flow.

Copies must have arrived as far apart as callers send them, and agents don't refuse first packets, since they don't know for how long the entry had them.

--- a/node/packetagent/admission.go
+++ b/node/packetagent/admission.go
@@ -23,7 +23,8 @@
 	route, ok := t.Lookup(p.CallerFlow().Service())
 	return t, admission.Offer{
 		Flow: p.CallerFlow(), Service: pending.Value.Service, Route: route, Copy: int(p.CopyIndex()),
-		Age: p.Age() + now - pending.Arrived,
+		Age:      p.Age() + now - pending.Arrived,
+		ValidFor: p.ValidFor(), Relayed: true,
 	}, ok
 }
 
--- a/node/packetagent/agent.go
+++ b/node/packetagent/agent.go
@@ -256,6 +256,7 @@
 	return timing.Every(ctx, checkInterval, func(time.Time) {
 		now := fleet.Now()
 		a.targetState.RecordRunning(now)
+		a.admission.RecordRunning(now)
 		round++
 		expires := round%checksPerExpiry == 0
 		if table := a.fleet.Routes.Load(); expires || table.PositionOrZero() != checked {
--- a/node/packetentry/admission.go
+++ b/node/packetentry/admission.go
@@ -1,9 +1,12 @@
 package packetentry
 
 import (
+	"context"
 	"time"
 
+	"lacewinglever.dev/node/fleet"
 	"lacewinglever.dev/node/logging"
+	"lacewinglever.dev/node/timing"
 	"lacewinglever.dev/policy/admission"
 	"lacewinglever.dev/policy/holding"
 	"lacewinglever.dev/policy/roster"
@@ -17,6 +20,7 @@
 	table *routes.Table, agents []roster.Peer) admission.Input {
 	p := pending.Value
 	offer.Flow, offer.Copy, offer.Age = p.CallerFlow(), int(p.CopyIndex()), p.Age()+now-pending.Arrived
+	offer.ValidFor = p.ValidFor()
 	if pending.Arrived == now {
 		e.admission.RecordOffered(now, table, offer, true)
 	}
@@ -39,6 +43,11 @@
 	return in
 }
 
+// recordRunning records that the process runs, until the context ends.
+func (e *Entry) recordRunning(ctx context.Context) error {
+	return timing.Every(ctx, admission.RunInterval, func(time.Time) { e.admission.RecordRunning(fleet.Now()) })
+}
+
 // refuseWithoutChance refuses a new flow if it can't get room in time, and reports whether it did.
 func (e *Entry) refuseWithoutChance(now time.Duration, pending *pendingPacket, in *admission.Input, table *routes.Table) bool {
 	if in.Slots == 0 { // the flow lacks a target, and not room
--- a/node/packetentry/entry.go
+++ b/node/packetentry/entry.go
@@ -121,7 +121,7 @@
 		return err
 	}
 	return p.Run(ctx, e.stop,
-		e.fleet.Run, e.receive, e.retry, e.resend, e.expire,
+		e.fleet.Run, e.receive, e.retry, e.resend, e.expire, e.recordRunning,
 		fleet.Serve(settings.Ready, platform.ReadyHandler(e.ready)),
 		fleet.WatchSettings(p, e.fleet, path, settings, LoadSettings,
 			func(s *Settings) *fleet.Settings { return &s.Settings }),
--- a/policy/admission/controller.go
+++ b/policy/admission/controller.go
@@ -14,6 +14,14 @@
 // while. Waiting flows are checked every holding.RetryInterval; a longer pause means that none waits.
 const maxCheckInterval = 100 * time.Millisecond
 
+// maxPause is the longest pause of the process, or delay of a packet, that may pass unnoticed. It is less
+// than the 200 ms after which a caller sends the first copy. RunInterval is the interval at which a node
+// records that it is running.
+const (
+	maxPause    = 150 * time.Millisecond
+	RunInterval = 50 * time.Millisecond
+)
+
 // Controller holds what a node knows for its decisions: recent demand, and the copies of opening
 // packets. It is lost with the process. Its methods are safe for concurrent use.
 type Controller struct {
@@ -22,6 +30,8 @@
 	mu       sync.Mutex
 	services map[string][]*class // by service, the highest priority first
 	copies   copies
+	lastRun  time.Duration // when the node has last recorded that it runs, 0 before the first time
+	pausedAt time.Duration // end of the last pause
 }
 
 // New returns a controller without demand.
@@ -31,11 +41,24 @@
 
 // Offer is an opening packet.
 type Offer struct {
-	Flow    steering.Flow
-	Service string
-	Route   *routes.Route
-	Copy    int           // number of the copy, 0 for the first packet
-	Age     time.Duration // since the caller sent the first copy
+	Flow     steering.Flow
+	Service  string
+	Route    *routes.Route
+	Copy     int           // number of the copy, 0 for the first packet
+	Age      time.Duration // since the caller sent the first copy
+	ValidFor time.Duration // after its arrival, until the caller sends the next copy
+	Relayed  bool          // another node had the packet before
+}
+
+// RecordRunning records that the process runs. A node that was frozen refuses nothing until the attempts
+// of that time have ended.
+func (c *Controller) RecordRunning(now time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now-c.lastRun > maxPause {
+		c.pausedAt = now
+	}
+	c.lastRun = now
 }
 
 // Input returns the part of the decision's input that the offer and the controller give. It is the zero value if
@@ -49,7 +72,8 @@
 	defer c.mu.Unlock()
 	in := Input{
 		Service: o.Service, Priority: o.Route.Priority, Classes: classes, Objective: o.Route.Objective, Timeout: o.Route.Timeout,
-		Age: o.Age, Unseen: c.copies.unseen(o.Flow, o.Copy),
+		Age:    o.Age,
+		Unseen: now-c.lastRun <= maxPause && now-c.pausedAt >= AttemptTime && c.copies.unseen(now, &o),
 		Demand: demandOf(now, c.services[o.Service], o.Route.Priority),
 	}
 	if s := c.class(o.Service, o.Route.Priority); s.lastChecked != 0 && now-s.lastChecked <= maxCheckInterval {
--- a/policy/admission/copies.go
+++ b/policy/admission/copies.go
@@ -18,6 +18,10 @@
 // copies records which copies of opening packets this node has kept, so that a refusal is true: only
 // a node that has received every copy of a flow so far, and has passed on none, knows that no target
 // has seen the flow. Losing the record means that flows aren't refused.
+//
+// A copy may have been on its way for longer than it seems: a frozen node, this one or the one before
+// it, reads it when another entry has long since opened the flow by a later copy. A reset would then
+// break an open flow.
 type copies struct {
 	flows     map[steering.Flow]copyRecord
 	lastSweep time.Duration
@@ -27,31 +31,31 @@
 	received int // copies, without a gap from the first; -1 if others were received elsewhere
 	passed   bool
 	admitted bool
-	at       time.Duration // of the last copy
+	first    time.Duration // arrival of the first copy
+	last     time.Duration // arrival of the last copy
 }
 
-// record records that a copy has arrived, 0 being the first packet. The first packet exists only
-// once: whoever has it knows that no target keeps it, also if it was at other agents before. record
-// returns false if a copy of the flow was recorded before.
+// record records that a copy has arrived, 0 being the first packet. It returns false if a copy of the
+// flow was recorded before.
 func (c *copies) record(now time.Duration, flow steering.Flow, index int) bool {
 	if now-c.lastSweep > copiesExpireAfter || len(c.flows) >= maxCopies {
 		c.lastSweep = now
 		for f, r := range c.flows {
-			if now-r.at > copiesExpireAfter {
+			if now-r.last > copiesExpireAfter {
 				delete(c.flows, f)
 			}
 		}
 	}
 	r, ok := c.flows[flow]
 	switch {
-	case index == 0:
-		r.received, r.passed = 1, false
+	case !ok && index == 0:
+		r = copyRecord{received: 1, first: now}
 	case ok && index <= r.received:
 		r.received = max(r.received, index+1)
 	default:
 		r.received = -1
 	}
-	r.at = now
+	r.last = now
 	if ok || len(c.flows) < maxCopies {
 		c.flows[flow] = r
 	}
@@ -78,8 +82,11 @@
 	return first
 }
 
-// unseen reports whether no target can have seen a flow of which this node has the copy index.
-func (c *copies) unseen(flow steering.Flow, index int) bool {
-	r, ok := c.flows[flow]
-	return ok && !r.passed && index < r.received
+// unseen reports whether no target can have seen the flow of an offer.
+func (c *copies) unseen(now time.Duration, o *Offer) bool {
+	r, ok := c.flows[o.Flow]
+	return ok && !r.passed && o.Copy < r.received &&
+		(o.Copy > 0 || !o.Relayed) && // the first packet alone doesn't show for how long another node had it
+		now-r.first >= o.Age-maxPause && // the copies arrived as far apart as the caller sent them
+		now-r.last+maxPause <= o.ValidFor // the next one isn't under way
 }
