--- a/node/packetagent/agent.go
+++ b/node/packetagent/agent.go
@@ -23,6 +23,7 @@
 	"lacewinglever.dev/node/logging"
 	"lacewinglever.dev/node/timing"
 	"lacewinglever.dev/platform"
+	"lacewinglever.dev/policy/admission"
 	"lacewinglever.dev/policy/flowlist"
 	"lacewinglever.dev/policy/flowsearch"
 	"lacewinglever.dev/policy/holding"
@@ -93,6 +94,9 @@
 	outlier       atomic.Bool   // the target is judged an outlier
 	judgement     outlier.Watch // only used by the goroutine of watchTarget
 	poolTime      time.Duration // mean time of a request in the pool; as for judgement
+
+	admission        *admission.Controller
+	admissionMetrics fleet.AdmissionMetrics
 }
 
 type counters struct {
@@ -143,7 +147,9 @@
 		settings: s, logger: p.Logger, counters: newCounters(p.Metrics), flows: inflight.New(),
 		targetState: targetstate.New(fleet.Now(), targetstate.Options{Heartbeat: s.Heartbeat, AddressReuse: s.AddressReuse}),
 		logs:        p.NewDecisionLogs(),
+		admission:   admission.New(),
 	}
+	a.admissionMetrics = fleet.AdmissionMetrics{Set: p.Metrics, Waiting: a.held.Waiting}
 	a.agentBuffers.New = func() any { return new([]roster.Peer) }
 	a.lastStatus.Store(&targetstate.Status{})
 	p.Metrics.NewGauge("lacewing_flows", func() float64 { return float64(a.flows.Load(fleet.Now()).Flows) })
@@ -274,6 +280,7 @@
 	return timing.Every(ctx, checkInterval, func(time.Time) {
 		now := fleet.Now()
 		a.targetState.RecordRunning(now)
+		a.admission.RecordRunning(now)
 		round++
 		expires := round%checksPerExpiry == 0
 		if table := a.fleet.Routes.Load(); expires || table.PositionOrZero() != checked {
@@ -487,6 +494,9 @@
 	item.Flow = p.CallerFlow()
 	if p.Opens() {
 		item.HoldTime = p.ValidFor()
+		in := a.admissionInput(now, pending)
+		item.Rank = in.Rank()
+		a.admissionMetrics.ExportWaiting(&in)
 	}
 	if item.Arrived == now { // the receive buffers are reused for the next packet
 		item.Value.Packet = bytes.Clone(fp.Packet)
@@ -512,6 +522,7 @@
 	if p.Opens() {
 		if pending.Arrived == now {
 			a.fleet.RecordOffer(now, fp.Origin, fp.Entry)
+			a.recordOffered(now, pending)
 		}
 		if reason := a.refusalReason(&s, p, fp); reason != "" {
 			a.forwardOpening(now, pending, reason)
@@ -524,10 +535,18 @@
 			a.forwardOpening(now, pending, reason)
 			return
 		}
-		if req, requests := a.requirements(now, pending), a.flows.Outstanding(now); !req.Fits(float64(requests), s.Slots) {
-			a.waitForCapacity(now, pending, &req, requests)
+		req, requests := a.requirements(now, pending), a.flows.Outstanding(now)
+		in := a.admissionInput(now, pending)
+		in.HasRoom = req.Fits(float64(requests), s.Slots)
+		a.admission.RecordRoom(now, &in)
+		if !in.HasRoom {
+			a.waitForCapacity(now, pending, &req, requests, &in)
+			return
+		}
+		if a.refuseWithoutChance(now, pending, &in) {
 			return
 		}
+		a.admission.RecordAdmitted(now, p.CallerFlow(), &in)
 		a.targetState.RecordOffer(now)
 		a.flows.RecordOpening(now, p.CallerFlow())
 		if a.logs.Usual.Allow() {
@@ -611,13 +630,16 @@
 // another agent, unless the flow has waited here before or has been offered to maxOffersWhenFull
 // agents; the flow then waits here.
 func (a *Agent) waitForCapacity(
-	now time.Duration, pending *pendingPacket, requirements *steering.Requirements, requests int) {
+	now time.Duration, pending *pendingPacket, requirements *steering.Requirements, requests int, in *admission.Input) {
 	waited := pending.NoCapacitySince != 0
 	pending.MarkNoCapacity(now)
 	if !waited && len(pending.Value.Tried) < maxOffersWhenFull {
 		a.forwardOpening(now, pending, "full")
 		return
 	}
+	if a.refuseWithoutChance(now, pending, in) {
+		return
+	}
 	kept := a.hold(now, pending, "full")
 	if (!waited || !kept) && a.logs.Unusual.Allow() {
 		p := platform.Packet(pending.Value.Packet)
@@ -669,7 +691,9 @@
 		if e.Data {
 			e.Objective = a.objective(flow)
 		}
-		a.flows.RecordDelivered(now, flow, e)
+		if a.flows.RecordDelivered(now, flow, e) {
+			a.recordRequest(now, flow)
+		}
 	}
 	a.counters.delivered.Inc()
 	a.send(a.target, p)
@@ -784,12 +808,18 @@
 // requirements returns what a new flow requires of a target.
 func (a *Agent) requirements(now time.Duration, pending *pendingPacket) steering.Requirements {
 	fp := &pending.Value
-	p := platform.Packet(fp.Packet)
+	in := a.admissionInput(now, pending)
+	return in.Restrict(steering.Requirements{
+		Origin: fp.Origin, CapacityWait: pending.CapacityWait(now), Tried: fp.Tried, Late: a.isLate(now, pending),
+		Flow: platform.Packet(fp.Packet).CallerFlow().Hash(),
+	})
+}
+
+// isLate reports whether the answer to a new flow would exceed the latency objective of its route.
+func (a *Agent) isLate(now time.Duration, pending *pendingPacket) bool {
+	p := platform.Packet(pending.Value.Packet)
 	meanRequestTime := a.flows.Load(now).MeanRequestTime()
-	return steering.Requirements{
-		Origin: fp.Origin, CapacityWait: pending.CapacityWait(now), Tried: fp.Tried, Flow: p.CallerFlow().Hash(),
-		Late: steering.MissesObjective(p.Age()+now-pending.Arrived, a.objective(p.CallerFlow()), meanRequestTime),
-	}
+	return steering.MissesObjective(p.Age()+now-pending.Arrived, a.objective(p.CallerFlow()), meanRequestTime)
 }
 
 // forwardOpening offers a new flow to another agent, or holds it if none accepts.
@@ -803,15 +833,19 @@
 		if reason == reasonEvacuated && steering.AllEnded(agents) && a.fleet.RosterComplete(now) && a.refuseEvacuated(pending) {
 			return
 		}
-		req := a.requirements(now, pending)
-		req.Locality = a.fleet.Locality(now, fp.Service, fp.Origin, flow, agents)
-		index := steering.Place(now, req, agents)
+		requirements := a.requirements(now, pending)
+		requirements.Ahead = 0 // those flows wait here
+		requirements.Locality = a.fleet.Locality(now, fp.Service, fp.Origin, flow, agents)
+		index := steering.Place(now, requirements, agents)
 		to := ""
 		if index >= 0 {
 			to = agents[index].Name
 			a.counters.forwarded.Inc()
 			fp.WantsOwner = true
+			a.admission.RecordPassed(flow)
 			a.forward(agents[index].Address, fp)
+		} else if in := a.admissionInput(now, pending); a.refuseWithoutChance(now, pending, &in) {
+			return
 		} else {
 			a.hold(now, pending, "no target accepts")
 		}
--- a/node/packetentry/entry.go
+++ b/node/packetentry/entry.go
@@ -20,6 +20,7 @@
 	"lacewinglever.dev/node/logging"
 	"lacewinglever.dev/node/timing"
 	"lacewinglever.dev/platform"
+	"lacewinglever.dev/policy/admission"
 	"lacewinglever.dev/policy/flowsearch"
 	"lacewinglever.dev/policy/holding"
 	"lacewinglever.dev/policy/ident"
@@ -79,6 +80,9 @@
 	progressBudget *limit.TokenBucket // for packets of which progress is requested
 	agentBuffer    []roster.Peer      // used by rankedAgents and searchCandidates
 	pools          map[string]*pool   // by service
+
+	admission        *admission.Controller
+	admissionMetrics fleet.AdmissionMetrics
 }
 
 type counters struct {
@@ -123,7 +127,7 @@
 		return err
 	}
 	return p.Run(ctx, e.stop,
-		e.fleet.Run, e.receive, e.retry, e.resend, e.askOwners, e.expire,
+		e.fleet.Run, e.receive, e.retry, e.resend, e.askOwners, e.expire, e.recordRunning,
 		fleet.Serve(settings.Ready, platform.ReadyHandler(e.ready)),
 		fleet.WatchSettings(p, e.fleet, path, settings, LoadSettings,
 			func(s *Settings) *fleet.Settings { return &s.Settings }),
@@ -141,8 +145,9 @@
 		progressBudget: limit.NewTokenBucket(timeOf(fleet.Now()), progressPerSecond, progressBurst),
 		counters:       newCounters(p.Metrics),
 		held:           holding.NewQueue[platform.Packet](), unanswered: holding.NewQueue[platform.Packet](),
-		logs: p.NewDecisionLogs(),
+		logs: p.NewDecisionLogs(), admission: admission.New(),
 	}
+	e.admissionMetrics = fleet.AdmissionMetrics{Set: p.Metrics, Waiting: e.held.Waiting}
 	p.Metrics.NewGauge("lacewing_flows", func() float64 { return float64(e.flows.size()) })
 	p.Metrics.NewGauge("lacewing_packets_held", func() float64 { return float64(e.held.Len()) })
 	p.Metrics.NewGauge("lacewing_owners_asked", func() float64 { return float64(e.owners.Len()) })
@@ -328,7 +333,11 @@
 	}
 	meanRequestTime := steering.MeanRequestTime(agents)
 	late := steering.MissesObjective(p.Age()+now-pending.Arrived, route.Objective, meanRequestTime)
-	index, tried := e.chooseAgent(now, pending, late, service, agents)
+	in := e.admissionInput(now, pending, admission.Offer{Service: service, Route: route}, late, table, agents)
+	index, tried := e.chooseAgent(now, pending, &in, agents, late)
+	if in.HasRoom = index >= 0; e.refuseWithoutChance(now, pending, &in, table) {
+		return
+	}
 	if index < 0 {
 		if anyAccepts(now, agents) {
 			pending.MarkNoCapacity(now)
@@ -347,6 +356,7 @@
 	e.searches.End(flow)
 	e.owners.End(flow)
 	e.fleet.Roster.RecordPlacement(now, agent.ID)
+	e.admission.RecordAdmitted(now, flow, &in)
 	e.counters.flowsOpened.Inc()
 	e.send(agent, &fleet.ForwardedPacket{Service: service, Routes: table.Position, Tried: tried, Packet: p})
 	if e.logs.Usual.Allow() {
@@ -375,13 +385,13 @@
 // be tried again. Copies go to the same agent as the first packet, even if one of them was held in
 // the meantime, unless that agent has to be replaced.
 func (e *Entry) chooseAgent(
-	now time.Duration, pending *pendingPacket, late bool, service string, agents []roster.Peer) (int, []ident.NodeID) {
+	now time.Duration, pending *pendingPacket, in *admission.Input, agents []roster.Peer, late bool) (int, []ident.NodeID) {
 	p := pending.Value
-	requirements := steering.Requirements{
+	requirements := in.Restrict(steering.Requirements{
 		Origin: e.fleet.Self.DataCentre, CapacityWait: pending.CapacityWait(now), Late: late,
 		Flow:     p.CallerFlow().Hash(),
-		Locality: e.fleet.Locality(now, service, e.fleet.Self.DataCentre, p.CallerFlow(), agents),
-	}
+		Locality: e.fleet.Locality(now, in.Service, e.fleet.Self.DataCentre, p.CallerFlow(), agents),
+	})
 	if owner, ok := e.flows.get(now, p.CallerFlow()); ok {
 		for i := range agents {
 			if agents[i].ID == owner && steering.ReusesAgent(now, &agents[i], int(p.CopyIndex())) {
@@ -420,6 +430,9 @@
 		a, known := e.fleet.Roster.Find(owner)
 		if cause = searchCause(now, &a, known); cause == "" {
 			e.counters.sentToOwner.Inc()
+			if table != nil && p.HasData() {
+				e.admission.RecordRequest(now, table, a.Service, flow)
+			}
 			e.send(&a, &fleet.ForwardedPacket{Service: a.Service, Routes: table.PositionOrZero(), Packet: p})
 			return
 		}
--- a/policy/inflight/inflight.go
+++ b/policy/inflight/inflight.go
@@ -171,20 +171,21 @@
 	}
 }
 
-// RecordDelivered records a caller's packet that was passed to the target.
-func (t *Table) RecordDelivered(now time.Duration, id steering.Flow, e Event) {
+// RecordDelivered records a caller's packet that was passed to the target. It reports whether the
+// packet begins another request on a flow that the target has served before.
+func (t *Table) RecordDelivered(now time.Duration, id steering.Flow, e Event) (again bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	f := t.flowOf(now, id, e)
 	if f == nil {
-		return
+		return false
 	}
 	if e.Resets {
 		if f.inProgress && !f.unanswered && t.isOverdue(now, f) {
 			t.countUnanswered(now)
 		}
 		t.remove(id, f)
-		return
+		return false
 	}
 	if e.Data && (f.sequence == 0 || int32(e.Sequence-f.sequence) > 0) { // otherwise a retransmission
 		f.sequence, f.lastBytes = e.Sequence, now
@@ -194,10 +195,12 @@
 			t.started.add(now, failureTimeConstant)
 			t.flowLoad.recordRequest(!f.served)
 			t.beginWork(f, e.Objective)
+			again = f.served
 		}
 	}
 	f.callerEnded = f.callerEnded || e.Finishes
 	t.removeFinished(id, f)
+	return again
 }
 
 // RecordSent records a packet that the target sent.
--- a/policy/steering/place.go
+++ b/policy/steering/place.go
@@ -58,6 +58,11 @@
 	Tried        []ident.NodeID   // agents that have refused the flow
 	Locality     Locality         // whether the flow stays in the data centre
 	Flow         uint64           // hash of the flow, which decides whether it may go to an outlier; 0: it may not
+	// Reserve is the part of one place per slot, 0 to 1, that is kept for flows of higher priority; it
+	// is rounded up to whole places. Ahead is the number of waiting flows that go first. Both are 0 if
+	// all flows have the same priority (package admission).
+	Reserve float64
+	Ahead   int
 }
 
 // permits reports whether the flow may be placed at an agent, whatever its load and its target's judgement.
@@ -80,7 +85,12 @@
 // Agents pass the exact number. Entries pass an estimate from the last heartbeat, and several
 // entries may place flows on the same target at once.
 func (r *Requirements) Fits(requests float64, slots int) bool {
-	return requests < r.loadLimit()*float64(max(slots, 1))
+	s := float64(max(slots, 1))
+	limit := r.loadLimit() * s
+	if r.Reserve > 0 { // also after maxCapacityWait, while higher priorities use the room
+		limit = min(limit, fullLoad*s-math.Ceil(r.Reserve*(fullLoad-lateFullLoad)*s))
+	}
+	return requests+float64(r.Ahead) < limit
 }
 
 // Place returns the index of the agent at which a new flow opens, -1 if none accepts it or has
