--- a/policy/admission/admission.go
+++ b/policy/admission/admission.go
@@ -32,10 +32,11 @@
 	// use all of it, and maxGuaranteed bounds the sum over all lower priorities.
 	guaranteedShare = 0.1
 	maxGuaranteed   = 0.5
-	// unservedHold is the divisor of the objective that gives the time for which an unserved request may
-	// be held without cost. Flows that have waited for longer claim the guaranteed share, and aren't
-	// refused for lack of room any more: waiting costs nothing more, and may still help.
-	unservedHold = 4
+	// claimDivisor is the divisor of the objective that gives the age at which a waiting flow claims the
+	// guaranteed share: the rest of the objective has to suffice for its turn, its work and the way. From
+	// that age on a flow isn't refused for lack of room any more, because a repeated attempt would start
+	// with less time than the flow has left here.
+	claimDivisor = 4
 	// minReserve is the least part of the room that is kept for higher priorities. Below it they have
 	// given up what they used before.
 	minReserve = 0.01
@@ -92,16 +93,16 @@
 // IsAssured reports whether the flow has waited for so long that it may claim the guaranteed share of
 // its priority, and whether its priority has got less than that.
 func (in *Input) IsAssured() bool {
-	return in.Competes() && in.Classes.position(in.Priority) > 0 && in.Age >= in.freeHold() &&
+	return in.Competes() && in.Classes.position(in.Priority) > 0 && in.Age >= in.claimAge() &&
 		in.Demand.Admitted < in.guaranteed()
 }
 
-// freeHold returns the time for which the flow may be held without cost if it isn't served.
-func (in *Input) freeHold() time.Duration {
+// claimAge returns the age from which the flow claims the guaranteed share of its priority.
+func (in *Input) claimAge() time.Duration {
 	if in.Objective == 0 {
-		return AttemptTime / unservedHold
+		return AttemptTime / claimDivisor
 	}
-	return in.Objective / unservedHold
+	return in.Objective / claimDivisor
 }
 
 // guaranteed returns the part of the room that a lower priority keeps.
@@ -202,7 +203,7 @@
 // ends: as many flows of its priority wait as get room in that time, while higher priorities use the
 // rest. The oldest ones would wait in vain if it waited too.
 func (in *Input) hasNoChance() bool {
-	if in.FullFor < minFullTime || in.Demand.Higher < guaranteedShare || in.Age >= in.freeHold() {
+	if in.FullFor < minFullTime || in.Demand.Higher < guaranteedShare || in.Age >= in.claimAge() {
 		return false
 	}
 	left := AttemptTime - in.Age
