--- a/node/packetagent/owners_test.go
+++ b/node/packetagent/owners_test.go
@@ -37,6 +37,6 @@
 		flows := []steering.Flow{served, opening, other}
 		assert.DeepEqual(t, a.AnswerOwnerQuery(now, flows), []ownerquery.Verdict{ownerquery.Held, ownerquery.Unknown, c.want})
 		later := now + a.idleTimeout() + time.Second // each flow of before has passed a packet by then
-		assert.DeepEqual(t, a.AnswerOwnerQuery(later, flows[2:]), []ownerquery.Verdict{ownerquery.NotHeld}, c.name)
+		assert.DeepEqual(t, a.AnswerOwnerQuery(later, flows[2:]), []ownerquery.Verdict{ownerquery.NotHeld})
 	}
 }
