node/packetagent, bench/flows: agents refuse new flows whatever entries believe

Cause: TestAgentsThatStartDuringAnEvacuation passed also without the wait of starting agents, because the entries knew of the evacuation and sent nothing there.

Change: the entries of that test lack the setting, so that the agents alone decide, and TestNewFlowsDuringAnEvacuation is added for one agent: before it knows a set, while its data centre is evacuated, and after the withdrawal.

Tests: TestNewFlowsDuringAnEvacuation fails without the wait ("the agent knows no set") and passes with it. The test with real processes passes in both cases: a target's first report to a new agent takes longer than the set.

--- a/bench/flows/cluster.go
+++ b/bench/flows/cluster.go
@@ -62,6 +62,7 @@
 	Loss        float64 // share of the datagrams between nodes that are lost
 	// EvacuateWithin is the setting of all nodes, left out if it is 0.
 	EvacuateWithin time.Duration
+	UnawareEntries bool // entries don't have the setting EvacuateWithin
 }
 
 // Process is one program of the cluster.
@@ -253,7 +254,7 @@
 		"mode: flows\nname: %s\ndata_centre: dc-%d\nfleet: %q\nadvertise: %q\nmetrics: %q\nseeds: [%q]\nstore: %q\nmemory_mb: 256\n",
 		n.Name, n.Zone, address(n.host, portFleet), n.advertised, address(n.host, portMetrics), seed,
 		storeAddress)
-	if c.options.EvacuateWithin > 0 {
+	if c.options.EvacuateWithin > 0 && (n.Agent || !c.options.UnawareEntries) {
 		commonSettings += fmt.Sprintf("evacuate_within: %v\n", c.options.EvacuateWithin)
 	}
 	path := filepath.Join(c.options.Dir, n.Name+".yaml")
--- a/bench/flows/evacuation_test.go
+++ b/bench/flows/evacuation_test.go
@@ -184,10 +184,10 @@
 }
 
 // Guards against new flows at agents that start during an evacuation, before they know of it: the targets beside them
-// hold on, and take flows at once. Entries start as well.
+// hold on, and take flows at once. The entries know nothing of it, and go on to send flows there.
 func TestAgentsThatStartDuringAnEvacuation(t *testing.T) {
 	t.Parallel()
-	f := startEvacuation(t)
+	f := startWith(t, flows.Options{Zones: 3, Targets: map[string]int{"a": 6}, EvacuateWithin: evacuateWithin, UnawareEntries: true})
 	f.evacuate(t)
 	for round := range 3 {
 		if round == 2 { // only other nodes can tell them
--- a/node/packetagent/agent_test.go
+++ b/node/packetagent/agent_test.go
@@ -16,6 +16,7 @@
 	"lacewinglever.dev/platform"
 	"lacewinglever.dev/platform/platformtest"
 	"lacewinglever.dev/policy/routes"
+	"lacewinglever.dev/policy/steering"
 	"lacewinglever.dev/policy/targetstate"
 )
 
@@ -23,6 +24,12 @@
 
 // newTestAgent returns an agent of a store. Nothing runs.
 func newTestAgent(t *testing.T, store *platformtest.Store) *Agent {
+	t.Helper()
+	return newTestAgentWith(t, store, func(*Settings) {})
+}
+
+// newTestAgentWith returns an agent with changed settings.
+func newTestAgentWith(t *testing.T, store *platformtest.Store, change func(*Settings)) *Agent {
 	t.Helper()
 	s := &Settings{
 		Settings: fleet.Settings{Name: "agent", DataCentre: "dc", Fleet: "127.0.0.1:0", Advertise: "127.0.0.1:7400",
@@ -30,6 +37,7 @@
 		Service: "a", Target: targetAddress, FromTarget: "127.0.0.1:0", CallersAddress: "127.0.0.1:7500",
 		Heartbeat: 800 * time.Millisecond, AddressReuse: 2 * time.Second,
 	}
+	change(s)
 	a, err := newAgent(s, fleet.NewProgram(&s.Settings, io.Discard))
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = a.conn.Close() })
@@ -119,3 +127,45 @@
 	assert.Equal(t, leave(`{"born":1000}`), "")
 	assert.Equal(t, leave(`{"born":1001}`), "left")
 }
+
+// Guards against an agent that offers new flows to its target although its data centre is evacuated, or may be as far
+// as it knows, because an entry sends them, and against one that offers none after the withdrawal.
+func TestNewFlowsDuringAnEvacuation(t *testing.T) {
+	store, err := platformtest.NewStore("127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(store.Close)
+	store.PutRoutes(4, []string{"a"}, []platformtest.Route{{Name: "a", Host: "198.18.0.1", Port: 8443, Service: "a"}})
+	a := newTestAgentWith(t, store, func(s *Settings) { s.EvacuateWithin = 5 * time.Second })
+	assert.NilError(t, a.HandleHeartbeat(targetstate.Report{ID: "t", Service: "a", Sequence: 1, Slots: 100}, targetAddress))
+	sequence := uint64(1)
+	offered := func() bool {
+		sequence++
+		assert.NilError(t, a.HandleHeartbeat(targetstate.Report{ID: "t", Service: "a", Sequence: sequence, Slots: 100}, targetAddress))
+		before := a.counters.delivered.Get()
+		a.HandlePacket(fleet.Now(), &fleet.ForwardedPacket{Service: "a", Origin: "dc", Packet: openingPacket(uint16(sequence))})
+		return a.counters.delivered.Get() > before
+	}
+	assert.Assert(t, !offered(), "the agent knows no set")
+	startFleet(t, a)
+	await := func(want bool) {
+		t.Helper()
+		for until := time.Now().Add(5 * time.Second); offered() != want; time.Sleep(10 * time.Millisecond) {
+			assert.Assert(t, time.Now().Before(until), "offered: %v", !want)
+		}
+	}
+	await(true)
+	store.Evacuate("elsewhere")
+	store.Evacuate("dc")
+	await(false)
+	for range 20 {
+		assert.Assert(t, !offered())
+	}
+	store.Withdraw("dc")
+	await(true)
+}
+
+// openingPacket returns a caller's first packet of a flow to 198.18.0.1:8443.
+func openingPacket(port uint16) platform.Packet {
+	return platformtest.OpeningPacket(steering.Flow{CallerIP: [4]byte{100, 66, 0, 1}, CallerPort: port,
+		ServiceIP: [4]byte{198, 18, 0, 1}, ServicePort: 8443})
+}
