--- a/node/packetagent/agent.go
+++ b/node/packetagent/agent.go
@@ -23,6 +23,7 @@
 	"lacewinglever.dev/node/logging"
 	"lacewinglever.dev/node/timing"
 	"lacewinglever.dev/platform"
+	"lacewinglever.dev/policy/coldlimit"
 	"lacewinglever.dev/policy/holding"
 	"lacewinglever.dev/policy/ident"
 	"lacewinglever.dev/policy/inflight"
@@ -82,6 +83,8 @@
 	agentBuffers  sync.Pool // *[]roster.Peer
 	held          *holding.Queue[fleet.ForwardedPacket]
 	pacer         resetpacing.Pacer
+	cold          coldlimit.Limiter
+	wasEvacuated  atomic.Bool // this data centre was evacuated at the last check
 }
 
 type counters struct {
@@ -175,7 +178,7 @@
 	hb.Target = roster.Target{
 		FormerRoutes: former,
 		Service:      a.service(&s), ID: s.ID, StartUnixMs: s.StartUnixMs, Accepting: s.Accepting, Ended: s.Ended,
-		MayHaveEnded: s.MayHaveEnded, WarmingUp: s.WarmingUp, Slots: s.Slots,
+		MayHaveEnded: s.MayHaveEnded, WarmingUp: s.WarmingUp || a.cold.IsCold(now, a.coldLimits(&s), s.WarmingUp), Slots: s.Slots,
 		Flows: load.Flows, Busy: load.Busy, Rate: load.Rate, Failing: load.Failing,
 	}
 }
@@ -209,6 +212,7 @@
 	if result == targetstate.Changed {
 		if before.StartUnixMs != r.StartUnixMs {
 			a.flows.Clear()
+			a.cold.RecordCold(now - max(0, time.Since(time.UnixMilli(r.StartUnixMs))))
 		}
 		a.fleet.RecordTargetReport(a.targetState.Draining())
 	}
@@ -281,6 +285,7 @@
 
 // checkTarget sends heartbeats if the load or the state of the target has changed.
 func (a *Agent) checkTarget(now time.Duration) {
+	a.evacuationReason(now)
 	s := a.targetState.Status(now)
 	before := a.lastStatus.Swap(&s)
 	if busy := a.flows.Load(now).Busy; math.Abs(
@@ -447,6 +452,9 @@
 		if req, requests := a.requirements(now, pending), a.flows.Outstanding(now); !req.Fits(float64(requests), s.Slots) {
 			a.waitForCapacity(now, pending, &req, requests)
 			return
+		} else if !a.cold.Admit(now, a.coldLimits(&s), s.WarmingUp) { // which counts the flow if it returns true
+			a.waitForCapacity(now, pending, &req, requests)
+			return
 		}
 		a.targetState.RecordOffer(now)
 		a.flows.RecordOpening(now, p.CallerFlow())
@@ -521,10 +529,15 @@
 	return ""
 }
 
-// evacuationReason returns why no new flow may open in this data centre, empty if one may.
+// evacuationReason returns why no new flow may open in this data centre, empty if one may. The target is cold from the
+// end of an evacuation.
 func (a *Agent) evacuationReason(now time.Duration) string {
+	evacuated := slices.Contains(a.fleet.Evacuated(now), a.fleet.Self.DataCentre)
+	if a.wasEvacuated.Swap(evacuated) && !evacuated {
+		a.cold.RecordCold(now)
+	}
 	switch {
-	case slices.Contains(a.fleet.Evacuated(now), a.fleet.Self.DataCentre):
+	case evacuated:
 		return reasonEvacuated
 	case a.fleet.AwaitsEvacuations(now):
 		return "evacuations not known yet"
@@ -532,6 +545,16 @@
 	return ""
 }
 
+// coldLimits returns the limits of the target's service while it is cold, none if the routes have none.
+func (a *Agent) coldLimits(s *targetstate.Status) coldlimit.Limits {
+	t := a.fleet.Routes.Load()
+	if t == nil {
+		return coldlimit.Limits{}
+	}
+	limits := t.Limits[s.Service]
+	return coldlimit.Limits{PerSecond: limits.ColdPerSecond, For: limits.ColdStart}
+}
+
 // deliver sends a packet to the target.
 func (a *Agent) deliver(now time.Duration, fp *fleet.ForwardedPacket, p platform.Packet) {
 	flow := p.CallerFlow()
@@ -542,6 +565,9 @@
 			a.fleet.SendOwner(fp.Entry, flow) // the answer may take longer than the entry waits for progress
 		}
 		a.flows.RecordDelivered(now, flow, eventOf(p))
+		if p.HasData() {
+			a.cold.RecordRequest(now)
+		}
 	}
 	a.counters.delivered.Inc()
 	a.send(a.target, p)
