--- a/node/packetagent/agent_test.go
+++ b/node/packetagent/agent_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"strings"
 	"sync"
 	"testing"
@@ -15,6 +16,7 @@
 	"lacewinglever.dev/node/fleet"
 	"lacewinglever.dev/platform"
 	"lacewinglever.dev/platform/platformtest"
+	"lacewinglever.dev/policy/roster"
 	"lacewinglever.dev/policy/routes"
 	"lacewinglever.dev/policy/steering"
 	"lacewinglever.dev/policy/targetstate"
@@ -169,3 +171,35 @@
 	return platformtest.OpeningPacket(steering.Flow{CallerIP: [4]byte{100, 66, 0, 1}, CallerPort: port,
 		ServiceIP: [4]byte{198, 18, 0, 1}, ServicePort: 8443})
 }
+
+// Guards against a target that gets more than it bears after its start, and against limits for one that has run for long
+// when its agent starts, or whose service has no limit.
+func TestColdTargetGetsFewNewFlows(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		age     time.Duration
+		perS    float64
+		limited bool
+	}{
+		{"started now", 0, 4, true}, {"started long ago", time.Minute, 4, false}, {"no limit", 0, 0, false},
+	} {
+		store, err := platformtest.NewStore("127.0.0.1:0")
+		assert.NilError(t, err)
+		t.Cleanup(store.Close)
+		a := newTestAgent(t, store)
+		a.fleet.Routes.Offer(&routes.Table{Position: routes.Position{Version: 1, Revision: 1},
+			Routes:   map[netip.AddrPort]routes.Route{netip.MustParseAddrPort("198.18.0.1:8443"): {Shares: []routes.Share{{Service: "a", Weight: 1}}}},
+			Services: map[string]struct{}{"a": {}},
+			Limits:   map[string]routes.ServiceLimits{"a": {ColdPerSecond: c.perS, ColdStart: 2 * time.Second}}})
+		assert.NilError(t, a.HandleHeartbeat(targetstate.Report{ID: "t", Service: "a", Sequence: 1, Slots: 100,
+			StartUnixMs: time.Now().Add(-c.age).UnixMilli()}, targetAddress))
+		for port := range uint16(10) {
+			a.HandlePacket(fleet.Now(), &fleet.ForwardedPacket{Service: "a", Origin: "dc", Routes: a.fleet.Routes.Position(),
+				Packet: openingPacket(port)})
+		}
+		var hb roster.Heartbeat
+		a.FillHeartbeat(fleet.Now(), &hb)
+		assert.Equal(t, hb.Target.WarmingUp, c.limited, c.name)
+		assert.Equal(t, a.counters.delivered.Get() < 10, c.limited, "%s: %d flows", c.name, a.counters.delivered.Get())
+	}
+}
