platform, node/fleet: the status of an evacuation for the operator

Cause: the operator couldn't see in the store when a data centre is empty.

Change: the store reader with the lowest id writes the targets and open flows of each evacuated data centre into the status of the request, every 5 s at most and only if it has changed. Sets of other nodes are taken from valid heartbeats only.

--- a/bench/flows/evacuation_test.go
+++ b/bench/flows/evacuation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -119,6 +120,12 @@
 	f.evacuate(t)
 	f.assertUnused(t, 2*time.Second)
 	assertAnswered(t, open, "evacuated", 20*time.Millisecond, 4*time.Second)
+	hasStatus := func() bool {
+		return strings.HasPrefix(f.Store.EvacuationStatus(evacuated), `{"evacuated":true,"targets":2,"flows":`)
+	}
+	for until := time.Now().Add(evacuateWithin); !hasStatus(); time.Sleep(50 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(until), "status: %s", f.Store.EvacuationStatus(evacuated))
+	}
 	f.Entries[0].Kill() // its flows are found by searches, also in the evacuated data centre
 	assert.NilError(t, f.Entries[0].Launch())
 	assertAnswered(t, open, "searched", 20*time.Millisecond, 4*time.Second)
--- a/node/fleet/evacuations.go
+++ b/node/fleet/evacuations.go
@@ -15,6 +15,8 @@
 	"lacewinglever.dev/platform"
 	"lacewinglever.dev/policy/evacuation"
 	"lacewinglever.dev/policy/ident"
+	"lacewinglever.dev/policy/roster"
+	"lacewinglever.dev/policy/storereader"
 )
 
 const (
@@ -24,6 +26,8 @@
 	// evacuationsCheckInterval is the interval at which a node checks whether a data centre only stayed
 	// evacuated because of a restore of the store.
 	evacuationsCheckInterval = 100 * time.Millisecond
+	// evacuationStatusInterval is the shortest interval of two writes of the status of one request.
+	evacuationStatusInterval = 5 * time.Second
 	// firstHeartbeatsWait is how long a starting node waits for the set of another one before it reads the store.
 	// It exceeds joinInterval by the time in which a node answers.
 	firstHeartbeatsWait = joinInterval + 100*time.Millisecond
@@ -202,3 +206,68 @@
 func (f *Fleet) evacuatedGauge(dc ident.DataCentre) *metrics.Gauge {
 	return f.options.Metrics.GetOrCreateGauge(fmt.Sprintf("lacewing_evacuated{data_centre=%q}", string(dc)), nil)
 }
+
+// reportEvacuations writes the status of the requests to the store while this node is the reader with the lowest id, until
+// the context ends.
+func (f *Fleet) reportEvacuations(ctx context.Context) error {
+	written := map[ident.DataCentre]platform.EvacuationStatus{}
+	return timing.Every(ctx, evacuationStatusInterval, func(time.Time) {
+		now := Now()
+		set := f.evacuations.current.Load()
+		if set == nil || len(set.DataCentres) == 0 || !f.isReader() || f.storeLost.Load() || !f.isFirstReader(now) {
+			clear(written)
+			return
+		}
+		for _, dc := range set.DataCentres {
+			status := f.evacuationStatus(now, dc)
+			if before, ok := written[dc]; ok && before == status || dc != f.Self.DataCentre && !f.Roster.HasDataCentre(dc) {
+				continue
+			}
+			if err := f.store.PutEvacuationStatus(ctx, string(dc), status); err != nil {
+				if f.nodeLog.Allow() {
+					f.nodeLog.Log("writing the status of an evacuation failed", "data_centre", dc, logging.KeyError, err)
+				}
+				continue
+			}
+			written[dc] = status
+		}
+	})
+}
+
+// isFirstReader reports whether no other data centre has a store reader with a lower id than this node.
+func (f *Fleet) isFirstReader(now time.Duration) bool {
+	byDC := map[ident.DataCentre][]ident.NodeID{}
+	for _, p := range f.Roster.Peers() {
+		if p.DataCentre != f.Self.DataCentre && p.Running(now) {
+			byDC[p.DataCentre] = append(byDC[p.DataCentre], p.ID)
+		}
+	}
+	for _, nodes := range byDC {
+		if id := storereader.ReaderAmong(nodes, f.canReachStore); id < f.Self.ID && f.canReachStore(id) {
+			return false
+		}
+	}
+	return true
+}
+
+// evacuationStatus returns the targets in a data centre that have not ended, and their flows.
+func (f *Fleet) evacuationStatus(now time.Duration, dc ident.DataCentre) platform.EvacuationStatus {
+	status := platform.EvacuationStatus{Evacuated: true}
+	add := func(t *roster.Target) {
+		if !t.Ended {
+			status.Targets++
+			status.Flows += t.Flows
+		}
+	}
+	if dc == f.Self.DataCentre && !f.Self.Entry {
+		var own roster.Heartbeat
+		f.options.Handler.FillHeartbeat(now, &own)
+		add(&own.Target)
+	}
+	for _, p := range f.Roster.Peers() {
+		if p.DataCentre == dc && !p.Entry && p.HeartbeatSeen && p.Health(now) != roster.Gone {
+			add(&p.Target)
+		}
+	}
+	return status
+}
--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -216,6 +216,7 @@
 	if f.readsEvacuations() {
 		g.Go(func() error { f.readEvacuations(ctx); return nil })
 		g.Go(func() error { return f.watchEvacuations(ctx) })
+		g.Go(func() error { return f.reportEvacuations(ctx) })
 	}
 	g.Go(func() error { return f.serveRoutes(ctx) })
 	return g.Wait()
@@ -476,7 +477,6 @@
 		f.handleRoutesChange(m.GetRoutes(), m.GetHeartbeat().GetSender().GetName())
 	}
 	if h := m.GetHeartbeat(); h != nil {
-		f.receiveEvacuations(now, h)
 		f.handleHeartbeat(now, latest, h)
 	}
 	if d := m.GetDigest(); d != nil {
@@ -532,6 +532,7 @@
 	if n.ID == f.Self.ID {
 		return
 	}
+	f.receiveEvacuations(now, h)
 	change := f.Roster.RecordHeartbeat(now, n, hb)
 	if change == roster.Stale {
 		f.answerStale(now, &n)
--- a/node/fleet/heartbeats.go
+++ b/node/fleet/heartbeats.go
@@ -306,7 +306,6 @@
 	}
 	f.Roster.RecordDigest(now, dc)
 	for _, m := range d.GetNews() {
-		f.receiveEvacuations(now, m.GetHeartbeat())
 		n, err := fromNews(latest, m)
 		if err == nil {
 			err = f.checkStart(now, latest, &n.Node, true)
@@ -315,6 +314,7 @@
 			f.rejectMessage("digest", err)
 			continue
 		}
+		f.receiveEvacuations(now, m.GetHeartbeat())
 		f.handleNodeChange(&n.Node, &n.Heartbeat, f.Roster.RecordRelayed(now, n.Age, n.Node, n.Heartbeat, n.Silent))
 	}
 	if !d.GetPassOn() {
--- a/node/fleet/routes.go
+++ b/node/fleet/routes.go
@@ -61,13 +61,16 @@
 
 // isReader reports whether this node reads the store on behalf of its data centre.
 func (f *Fleet) isReader() bool {
-	return storereader.IsReaderAmong(f.Self.ID, f.Roster.Running(Now(), f.Self.DataCentre), func(id ident.NodeID) bool {
-		if id == f.Self.ID {
-			return !f.storeLost.Load()
-		}
-		p, ok := f.Roster.Find(id)
-		return ok && !p.StoreLost
-	})
+	return storereader.IsReaderAmong(f.Self.ID, f.Roster.Running(Now(), f.Self.DataCentre), f.canReachStore)
+}
+
+// canReachStore reports whether a node can read the store, as far as this node knows.
+func (f *Fleet) canReachStore(id ident.NodeID) bool {
+	if id == f.Self.ID {
+		return !f.storeLost.Load()
+	}
+	p, ok := f.Roster.Find(id)
+	return ok && !p.StoreLost
 }
 
 // recordRoutesRead records whether the routes could be read. A change is announced, because another node
--- a/policy/storereader/storereader.go
+++ b/policy/storereader/storereader.go
@@ -22,16 +22,24 @@
 const candidateCount = 5
 
 // IsReaderAmong reports whether the node self reads the store, as IsReader does, if some of the nodes
-// can't reach the store. The next candidate then takes over; if none of them reaches it, the first one
-// keeps trying.
+// can't reach the store.
 func IsReaderAmong(self ident.NodeID, others []ident.NodeID, canReach func(ident.NodeID) bool) bool {
-	candidates := rendezvous.Top(key, append(others, self), candidateCount)
+	return ReaderAmong(append(others, self), canReach) == self
+}
+
+// ReaderAmong returns which of the running nodes of a data centre reads the store, if some of them can't reach it. The
+// next candidate then takes over; if none of them reaches it, the first one keeps trying. It returns 0 without nodes.
+func ReaderAmong(nodes []ident.NodeID, canReach func(ident.NodeID) bool) ident.NodeID {
+	candidates := rendezvous.Top(key, nodes, candidateCount)
 	for _, id := range candidates {
 		if canReach(id) {
-			return id == self
+			return id
 		}
 	}
-	return candidates[0] == self
+	if len(candidates) == 0 {
+		return 0
+	}
+	return candidates[0]
 }
 
 // IsReader reports whether the node self reads the store. others are the other running nodes of its
