--- a/bench/flows/evacuation_test.go
+++ b/bench/flows/evacuation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -119,6 +120,12 @@
 	f.evacuate(t)
 	f.assertUnused(t, 2*time.Second)
 	assertAnswered(t, open, "evacuated", 20*time.Millisecond, 4*time.Second)
+	hasStatus := func() bool {
+		return strings.HasPrefix(f.Store.EvacuationStatus(evacuated), `{"evacuated":true,"targets":2,"flows":`)
+	}
+	for until := time.Now().Add(evacuateWithin); !hasStatus(); time.Sleep(50 * time.Millisecond) {
+		assert.Assert(t, time.Now().Before(until), "status: %s", f.Store.EvacuationStatus(evacuated))
+	}
 	f.Entries[0].Kill() // its flows are found by searches, also in the evacuated data centre
 	assert.NilError(t, f.Entries[0].Launch())
 	assertAnswered(t, open, "searched", 20*time.Millisecond, 4*time.Second)
@@ -184,10 +191,10 @@
 }
 
 // Guards against new flows at agents that start during an evacuation, before they know of it: the targets beside them
-// hold on, and take flows at once. Entries start as well.
+// hold on, and take flows at once. The entries know nothing of it, and go on to send flows there.
 func TestAgentsThatStartDuringAnEvacuation(t *testing.T) {
 	t.Parallel()
-	f := startEvacuation(t)
+	f := startWith(t, flows.Options{Zones: 3, Targets: map[string]int{"a": 6}, EvacuateWithin: evacuateWithin, UnawareEntries: true})
 	f.evacuate(t)
 	for round := range 3 {
 		if round == 2 { // only other nodes can tell them
--- a/node/packetagent/agent.go
+++ b/node/packetagent/agent.go
@@ -24,6 +24,7 @@
 	"lacewinglever.dev/node/timing"
 	"lacewinglever.dev/platform"
 	"lacewinglever.dev/policy/admission"
+	"lacewinglever.dev/policy/coldlimit"
 	"lacewinglever.dev/policy/flowlist"
 	"lacewinglever.dev/policy/flowsearch"
 	"lacewinglever.dev/policy/holding"
@@ -94,6 +95,8 @@
 	outlier       atomic.Bool   // the target is judged an outlier
 	judgement     outlier.Watch // only used by the goroutine of watchTarget
 	poolTime      time.Duration // mean time of a request in the pool; as for judgement
+	cold          coldlimit.Limiter
+	wasEvacuated  atomic.Bool // this data centre was evacuated at the last check
 
 	admission        *admission.Controller
 	admissionMetrics fleet.AdmissionMetrics
@@ -198,7 +201,7 @@
 	hb.Target = roster.Target{
 		FormerRoutes: former,
 		Service:      a.service(&s), ID: s.ID, StartUnixMs: s.StartUnixMs, Accepting: s.Accepting, Ended: s.Ended,
-		MayHaveEnded: s.MayHaveEnded, WarmingUp: s.WarmingUp, Slots: s.Slots,
+		MayHaveEnded: s.MayHaveEnded, WarmingUp: s.WarmingUp || a.cold.IsCold(now, a.coldLimits(&s), s.WarmingUp), Slots: s.Slots,
 		Flows: load.Flows, Busy: load.Busy, Rate: load.Rate, Failing: load.Failing,
 		FlowLoad: a.flows.FlowLoad(now, s.Slots), Slowdown: load.Slowdown,
 	}
@@ -233,6 +236,7 @@
 	if result == targetstate.Changed {
 		if before.StartUnixMs != r.StartUnixMs {
 			a.flows.Clear()
+			a.cold.RecordCold(now - max(0, time.Since(time.UnixMilli(r.StartUnixMs))))
 		}
 		if before.StartUnixMs != 0 && before.StartUnixMs != r.StartUnixMs {
 			a.fleet.OwnFlows().Clear()
@@ -350,6 +354,7 @@
 
 // checkTarget sends heartbeats if the load or the state of the target has changed.
 func (a *Agent) checkTarget(now time.Duration) {
+	a.evacuationReason(now)
 	s := a.targetState.Status(now)
 	before := a.lastStatus.Swap(&s)
 	a.flows.SetPool(now, s.Slots, a.poolTime)
@@ -546,6 +551,11 @@
 		if a.refuseWithoutChance(now, pending, &in) {
 			return
 		}
+		if !a.cold.Admit(now, a.coldLimits(&s), s.WarmingUp) { // which counts the flow if it returns true
+			in.HasRoom = false
+			a.waitForCapacity(now, pending, &req, requests, &in)
+			return
+		}
 		a.admission.RecordAdmitted(now, p.CallerFlow(), &in)
 		a.targetState.RecordOffer(now)
 		a.flows.RecordOpening(now, p.CallerFlow())
@@ -667,10 +677,15 @@
 	return ""
 }
 
-// evacuationReason returns why no new flow may open in this data centre, empty if one may.
+// evacuationReason returns why no new flow may open in this data centre, empty if one may. The target is cold from the
+// end of an evacuation.
 func (a *Agent) evacuationReason(now time.Duration) string {
+	evacuated := slices.Contains(a.fleet.Evacuated(now), a.fleet.Self.DataCentre)
+	if a.wasEvacuated.Swap(evacuated) && !evacuated {
+		a.cold.RecordCold(now)
+	}
 	switch {
-	case slices.Contains(a.fleet.Evacuated(now), a.fleet.Self.DataCentre):
+	case evacuated:
 		return reasonEvacuated
 	case a.fleet.AwaitsEvacuations(now):
 		return "evacuations not known yet"
@@ -678,6 +693,16 @@
 	return ""
 }
 
+// coldLimits returns the limits of the target's service while it is cold, none if the routes have none.
+func (a *Agent) coldLimits(s *targetstate.Status) coldlimit.Limits {
+	t := a.fleet.Routes.Load()
+	if t == nil {
+		return coldlimit.Limits{}
+	}
+	limits := t.Limits[s.Service]
+	return coldlimit.Limits{PerSecond: limits.ColdPerSecond, For: limits.ColdStart}
+}
+
 // deliver sends a packet to the target.
 func (a *Agent) deliver(now time.Duration, fp *fleet.ForwardedPacket, p platform.Packet) {
 	flow := p.CallerFlow()
@@ -690,6 +715,7 @@
 		e := eventOf(p)
 		if e.Data {
 			e.Objective = a.objective(flow)
+			a.cold.RecordRequest(now)
 		}
 		if a.flows.RecordDelivered(now, flow, e) {
 			a.recordRequest(now, flow)
