--- a/node/packetagent/admission_test.go
+++ b/node/packetagent/admission_test.go
@@ -51,8 +51,7 @@
 		start := fleet.Now()
 		for now := start; now <= start+2*time.Second; now += 50 * time.Millisecond {
 			a.admission.RecordRunning(now)
-			switch index := slices.Index([]time.Duration{1400, 1600, 2000}, (now-start)/time.Millisecond); {
-			case index >= c.first:
+			if index := slices.Index([]time.Duration{1400, 1600, 2000}, (now-start)/time.Millisecond); index >= c.first {
 				a.open(now, 1, byte(index))
 			}
 		}
--- a/policy/admission/admission_test.go
+++ b/policy/admission/admission_test.go
@@ -105,6 +105,7 @@
 		at      []time.Duration // of the arrival, after 2 s
 		passed  bool
 		frozen  time.Duration // until
+		held    time.Duration
 		relayed bool
 		refused bool
 	}{
@@ -116,6 +117,7 @@
 		"first is elsewhere":     {copies: []int{1, 2}, at: []time.Duration{early, late}},
 		"first is late":          {copies: []int{1, 0}, at: []time.Duration{early, late}},
 		"read together":          {copies: []int{0, 1, 2}, at: []time.Duration{late, late, late}},
+		"next is under way":      {copies: []int{0}, at: []time.Duration{0}, held: 100 * ms},
 		"after a pause":          {copies: []int{0}, at: []time.Duration{0}, frozen: 1500 * ms},
 	} {
 		controller, now := admission.New(), time.Duration(0)
@@ -138,6 +140,7 @@
 				controller.RecordPassed(flow)
 			}
 		}
+		run(now + c.held)
 		in := controller.Input(now, table, offer)
 		in.HasRoom, in.Timeout, in.RequestTime = true, time.Second, time.Second
 		decision, _ := in.Decide()
