--- a/node/fleet/locality_test.go
+++ b/node/fleet/locality_test.go
@@ -33,6 +33,9 @@
 	agents := f.Roster.Agents(nil, "s")
 	assert.Assert(t, len(agents) == 1 && agents[0].Target.FlowLoad == 0.125)
 	l := f.Locality(Now(), "s", f.Self.DataCentre, steering.Flow{}, agents)
+	assert.Equal(t, l.Reach, steering.ReachFixed, "without the setting")
+	f.options.Settings.LocalityFailover = true
+	l = f.Locality(Now(), "s", f.Self.DataCentre, steering.Flow{}, agents)
 	assert.Equal(t, l.Reach, steering.ReachRemote)
 	assert.Assert(t, strings.Contains(logs.String(), `msg="leaving the data centre"`), logs.String())
 	assert.Assert(t, strings.Contains(logs.String(), `reason="no target in the data centre"`), logs.String())
