policy/routes, node: searches cover the services that a route has lost lately

Cause: a route that was split between two services led to one of them after the change. The log of the entry shows a search over the 42 agents of the remaining service that ended after 12 ms, before the agents of the other one had told that they hold flows of the route. The gap was there before, but a search by packets took longer than that. An entry that has just started has the same gap for agents that it hasn't heard of.

Change: a node searches the former services of a route for 10 s after it got the routes that replaced them, and a search ends only if all agents in the roster have been heard of. An agent that sees the start of its target change takes itself for complete only by the target's age.

Tests: TestFormerServicesAreSearchedForAWhile, TestFormerServicesOfNewRoutesAreKept; the services were not searched before.

--- a/node/fleet/fleet.go
+++ b/node/fleet/fleet.go
@@ -132,6 +132,7 @@
 	recordObserver  stalerecords.Observer                // only used by the goroutine of maintainRecord
 	pendingChange   atomic.Pointer[fleetv1.RoutesChange] // sent with the next announcement
 	flowLists       flowLists
+	formerServices  routes.FormerServices
 	outgoing        outgoingState
 	evacuations     evacuationState
 	locality        localityState
--- a/node/fleet/routes.go
+++ b/node/fleet/routes.go
@@ -27,6 +27,7 @@
 	"lacewinglever.dev/policy/ident"
 	"lacewinglever.dev/policy/roster"
 	"lacewinglever.dev/policy/routes"
+	"lacewinglever.dev/policy/steering"
 	"lacewinglever.dev/policy/storereader"
 )
 
@@ -186,12 +187,24 @@
 	if !ok {
 		return false
 	}
+	f.formerServices.Record(Now(), old, table)
 	_ = level.Info(f.options.Logger).Log(
 		logging.KeyMessage, "routes in force", logging.KeyRevision, table.Revision, logging.KeyVersion, table.Version,
 		logging.KeyEra, table.Era, "before", old.PositionOrZero(), "routes", len(table.Routes), "from", from, "call", call)
 	return true
 }
 
+// AppendFormerServices appends the services that the route of a flow has lost lately to services, unless they are in it.
+func (f *Fleet) AppendFormerServices(now time.Duration, services []string, flow steering.Flow) []string {
+	return f.formerServices.Append(now, services, flow.Service())
+}
+
+// KnowsAllAgents reports whether the roster contains all agents that may hold flows and each of them has been heard of. One
+// that hasn't may hold flows of a route that doesn't lead to its service any more.
+func (f *Fleet) KnowsAllAgents(now time.Duration) bool {
+	return f.RosterComplete(now) && !f.Roster.HasUnseenAgent(now)
+}
+
 // announceRoutes announces the routes in force by a heartbeat: with their last change if it is
 // small, else only with their revision.
 func (f *Fleet) announceRoutes() {
--- a/node/fleet/routes_test.go
+++ b/node/fleet/routes_test.go
@@ -11,7 +11,9 @@
 	"gotest.tools/v3/assert"
 
 	fleetv1 "lacewinglever.dev/node/gen/lacewing/fleet/v1"
+	"lacewinglever.dev/platform/platformtest"
 	"lacewinglever.dev/policy/routes"
+	"lacewinglever.dev/policy/steering"
 )
 
 // tableOf returns routes from n addresses to a service.
@@ -117,3 +119,16 @@
 	go func() { <-entered }()
 	assert.Equal(t, request(), http.StatusOK)
 }
+
+// Guards against a node that forgets, with new routes, at which services open flows of a route may be.
+func TestFormerServicesOfNewRoutesAreKept(t *testing.T) {
+	store, err := platformtest.NewStore("127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(store.Close)
+	f := newTestFleet(t, store, "self")
+	flow := steering.Flow{ServiceIP: [4]byte{198, 18, 0, 0}, ServicePort: 8443}
+	assert.Assert(t, f.applyTable(tableOf(1, 1, "a"), "test", "list"))
+	assert.DeepEqual(t, f.AppendFormerServices(Now(), []string{"b"}, flow), []string{"b"})
+	assert.Assert(t, f.applyTable(tableOf(2, 1, "b"), "test", "list"))
+	assert.DeepEqual(t, f.AppendFormerServices(Now(), []string{"b"}, flow), []string{"b", "a"})
+}
--- a/node/packetagent/agent.go
+++ b/node/packetagent/agent.go
@@ -774,7 +774,7 @@
 	}
 	if t := a.fleet.Routes.Load(); t != nil {
 		if route, ok := t.Lookup(flow.Service()); ok {
-			for _, service := range route.SearchServices(flow.Hash()) {
+			for _, service := range a.fleet.AppendFormerServices(fleet.Now(), route.SearchServices(flow.Hash()), flow) {
 				if !slices.Contains(services, service) {
 					services = append(services, service)
 				}
@@ -787,7 +787,7 @@
 // knowsCandidates reports whether this node knows all agents that may hold the flow of a packet. Routes older
 // than the entry's may lack services of the flow's route.
 func (a *Agent) knowsCandidates(now time.Duration, fp *fleet.ForwardedPacket) bool {
-	return fp.Service != "" && a.fleet.RosterComplete(now) && !fleet.AreRoutesNewer(fp.Routes, a.fleet.Routes.Position())
+	return fp.Service != "" && a.fleet.KnowsAllAgents(now) && !fleet.AreRoutesNewer(fp.Routes, a.fleet.Routes.Position())
 }
 
 // forward sends a packet to another agent.
--- a/node/packetentry/entry.go
+++ b/node/packetentry/entry.go
@@ -275,7 +275,7 @@
 	case flowsearch.Ended:
 	case flowsearch.Stalled:
 		table := e.fleet.Routes.Load()
-		services, ok := searchServices(item.Flow, table)
+		services, ok := e.searchServices(now, item.Flow, table)
 		if !ok {
 			return
 		}
@@ -488,7 +488,7 @@
 
 // searchServices returns the services at which an open flow may be, all if no routes are known. It returns false if the
 // flow's route was removed.
-func searchServices(flow steering.Flow, table *routes.Table) ([]string, bool) {
+func (e *Entry) searchServices(now time.Duration, flow steering.Flow, table *routes.Table) ([]string, bool) {
 	if table == nil {
 		return []string{""}, true
 	}
@@ -496,7 +496,7 @@
 	if !ok {
 		return nil, false
 	}
-	return route.SearchServices(flow.Hash()), true
+	return e.fleet.AppendFormerServices(now, route.SearchServices(flow.Hash()), flow), true
 }
 
 // nextCandidate returns the next step of the search for the owner of a flow.
@@ -519,6 +519,9 @@
 		steering.Asked{Tried: append(tried, s.answers.Absent...), Remembered: remembered, Silent: s.known.Silent},
 		table != nil && e.fleet.RosterComplete(now))
 	s.restarted = s.asked.Remembered < remembered
+	if s.result == steering.NotFound && !e.fleet.KnowsAllAgents(now) {
+		s.index, s.result = -1, steering.Unknown
+	}
 	s.wantsProgress = (s.known.Overdue || steering.AwaitsReturn(now, s.agents)) && len(s.agents) <= flowsearch.MaxTried
 	return s
 }
@@ -528,7 +531,7 @@
 func (e *Entry) searchOwner(
 	now time.Duration, pending *pendingPacket, flow steering.Flow, table *routes.Table, cause string) {
 	p := pending.Value
-	services, ok := searchServices(flow, table)
+	services, ok := e.searchServices(now, flow, table)
 	if !ok {
 		if !e.fleet.Routes.HasRemoved(flow.Service()) && e.unrouted.Judge(now, flow) == steering.Unknown {
 			e.hold(now, pending, "route unknown", table.Position)
--- a/policy/roster/roster.go
+++ b/policy/roster/roster.go
@@ -613,6 +613,20 @@
 	return agents
 }
 
+// HasUnseenAgent reports whether no heartbeat of an agent that may hold flows has arrived yet.
+func (r *Roster) HasUnseenAgent(now time.Duration) bool {
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	for _, p := range r.peers {
+		if !p.HeartbeatSeen && !p.Entry {
+			if v := r.view(p); v.Health(now) != Gone {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // FormerAgents appends the agents of other services than the given ones that hold flows to an address whose
 // route has led to their service.
 func (r *Roster) FormerAgents(agents []Peer, address netip.AddrPort, services []string) []Peer {
--- a/policy/routes/former.go
+++ b/policy/routes/former.go
@@ -5,6 +5,7 @@
 	"maps"
 	"net/netip"
 	"slices"
+	"sync"
 	"time"
 )
 
@@ -53,3 +54,57 @@
 	route, ok := t.Routes[a]
 	return ok && !slices.ContainsFunc(route.Shares, func(s Share) bool { return s.Service == service })
 }
+
+const (
+	// formerServiceTime is how long a node searches the former services of a route after it got the routes that have
+	// replaced them. Agents learn of the change within 3 s, and their heartbeats then name the route (Former).
+	formerServiceTime = 10 * time.Second
+	// maxFormerServices bounds the memory of the former services, at some 60 bytes each.
+	maxFormerServices = 8192
+)
+
+// FormerServices records, for a node that searches for flows, which services the routes have lost lately. The agents of a
+// former service may not have told yet that they hold flows of the route. The zero value is ready for use. Its methods are
+// safe for concurrent use.
+type FormerServices struct {
+	mu     sync.Mutex
+	former []formerService
+}
+
+type formerService struct {
+	address netip.AddrPort
+	service string
+	until   time.Duration
+}
+
+// Record records what the routes have lost with the change from one table to a later one. before may be nil.
+func (f *FormerServices) Record(now time.Duration, before, after *Table) {
+	if before == nil {
+		return
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.former = slices.DeleteFunc(f.former, func(s formerService) bool { return now > s.until })
+	for address, old := range before.Routes {
+		if _, ok := after.Routes[address]; !ok {
+			continue // the flows of a removed route end with it
+		}
+		for _, share := range old.Shares {
+			if after.isFormer(address, share.Service) && len(f.former) < maxFormerServices {
+				f.former = append(f.former, formerService{address, share.Service, now + formerServiceTime})
+			}
+		}
+	}
+}
+
+// Append appends the services that the route of an address has lost lately to services, unless they are in it.
+func (f *FormerServices) Append(now time.Duration, services []string, address netip.AddrPort) []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, s := range f.former {
+		if s.address == address && now <= s.until && !slices.Contains(services, s.service) {
+			services = append(services, s.service)
+		}
+	}
+	return services
+}
--- a/policy/routes/former_test.go
+++ b/policy/routes/former_test.go
@@ -65,3 +65,20 @@
 		assert.Assert(t, !current.HasRemoved(addressOf(3)))
 	}
 }
+
+// Guards against resets of open flows right after a change of the routes: a node that already has the new routes searched only
+// the services that these name, while the agents of the former service had not told yet that they hold flows of the route.
+func TestFormerServicesAreSearchedForAWhile(t *testing.T) {
+	a, b := netip.MustParseAddrPort("198.18.0.1:443"), netip.MustParseAddrPort("198.18.0.2:443")
+	split := routes.Route{Shares: []routes.Share{{Service: "x", Weight: 9}, {Service: "y", Weight: 1}}}
+	single := routes.Route{Shares: []routes.Share{{Service: "x", Weight: 1}}}
+	before := &routes.Table{Routes: map[netip.AddrPort]routes.Route{a: split, b: split}}
+	after := &routes.Table{Routes: map[netip.AddrPort]routes.Route{a: single}}
+	var f routes.FormerServices
+	f.Record(0, nil, before)
+	assert.DeepEqual(t, f.Append(0, []string{"x"}, a), []string{"x"})
+	f.Record(time.Second, before, after)
+	assert.DeepEqual(t, f.Append(2*time.Second, []string{"x"}, a), []string{"x", "y"})
+	assert.DeepEqual(t, f.Append(2*time.Second, []string{"x"}, b), []string{"x"}) // its flows end with the route
+	assert.DeepEqual(t, f.Append(12*time.Second, []string{"x"}, a), []string{"x"})
+}
--- a/policy/targetstate/target.go
+++ b/policy/targetstate/target.go
@@ -141,7 +141,7 @@
 		r.Service != t.report.Service || r.Draining != t.report.Draining
 	if !t.hasReported || r.StartUnixMs != t.report.StartUnixMs {
 		t.left, t.endedAtStop, t.drainedBeforeStart = false, false, false
-		t.seenSinceStart = t.hasReported || r.Age >= 0 && r.Age <= now-t.started+maxUnseenTime
+		t.seenSinceStart = r.Age >= 0 && r.Age <= now-t.started+maxUnseenTime
 	}
 	t.report, t.hasReported, t.lastReport = r, true, now
 	t.latestStart, t.unconfirmed = max(t.latestStart, r.StartUnixMs), nil
