--- a/node/ctl/ctl.go
+++ b/node/ctl/ctl.go
@@ -21,7 +21,7 @@
 const (
 	ExitOK       = 0
 	ExitFailed   = 1 // the command failed, or the spec was refused
-	ExitUsage    = 2
+	ExitUsage    = 2 // the call is wrong, or check can't read a file
 	ExitConflict = 3 // the object was changed by another writer
 )
 
@@ -34,6 +34,7 @@
 	Version  bool          `long:"version" description:"print the version and exit"`
 
 	Validate validateCommand `command:"validate" description:"check a settings file"`
+	Check    checkCommand    `command:"check" description:"check a configuration before it is sent, and print its difference to another"`
 	Apply    applyCommand    `command:"apply" description:"write the settings of a service"`
 	Get      getCommand      `command:"get" description:"print the settings of a service"`
 	Status   statusCommand   `command:"status" description:"print the status of a service"`
@@ -94,6 +95,9 @@
 	if conflict := (*objectapi.ConflictError)(nil); errors.As(err, &conflict) {
 		return ExitConflict
 	}
+	if unusable := (unusableError{}); errors.As(err, &unusable) {
+		return ExitUsage
+	}
 	return ExitFailed
 }
 
@@ -101,6 +105,8 @@
 	switch name {
 	case "validate":
 		return &p.Validate
+	case "check":
+		return &p.Check
 	case "apply":
 		return &p.Apply
 	case "get":
