Findings of the review: searches, owner queries, placement

Resets of open flows: an agent denied the flows of a target that had been silent for 2.6 s and returned, flows that a new process of the target had accepted before its first report, and flows that it had removed as idle although the operator's timeout was unknown; answers to an earlier search counted in the next; a paced reset didn't look at agents heard of since. Admission: a lower priority was never placed while all targets seemed full. Later packets: a request behind an acknowledgement that waits was dropped.

--- a/node/packetagent/agent.go
+++ b/node/packetagent/agent.go
@@ -47,6 +47,10 @@
 	// sent to the recent entries before the next round. Entries that act on a stale load
 	// all place their flows on the same target.
 	announcedLoadStep = 0.25
+	// maxCheckGap is the time between two checks above which the process was stalled, and packets may have been lost.
+	maxCheckGap = time.Second
+	// startSlack allows for the difference between the clocks by which a target's start and a packet's arrival are known.
+	startSlack = 100 * time.Millisecond
 	// checksPerExpiry is the number of checks of which one removes idle flows.
 	checksPerExpiry = 20
 	// stopGrace is how long an agent continues to forward packets that are on the way, after it has
@@ -72,13 +76,17 @@
 
 // Agent forwards packets between callers and the target beside it.
 type Agent struct {
-	settings      *Settings
-	logger        log.Logger
-	fleet         *fleet.Fleet
-	conn          *net.UDPConn // sends to the target and to callers, receives from the target
-	target        netip.AddrPort
-	callerPort    uint16 // port of the address to which callers' packets are sent
-	started       time.Duration
+	settings   *Settings
+	logger     log.Logger
+	fleet      *fleet.Fleet
+	conn       *net.UDPConn // sends to the target and to callers, receives from the target
+	target     netip.AddrPort
+	callerPort uint16 // port of the address to which callers' packets are sent
+	// knownSince is the time since which all packets of the target's flows have been seen, unless the agent has listened
+	// since the target's start: the start of the process, the end of a stall, or the time at which the flows were cleared.
+	knownSince atomic.Int64
+	// cleared is set while the flows were cleared because the target counted as ended, and no other one has started.
+	cleared       atomic.Bool
 	targetState   *targetstate.Target
 	flows         *inflight.Table
 	offers        offers
@@ -146,13 +154,13 @@
 func newAgent(s *Settings, p *fleet.Program) (*Agent, error) {
 	a := &Agent{
 		held: holding.NewQueue[fleet.ForwardedPacket](), awaiting: holding.NewQueue[fleet.ForwardedPacket](),
-		started:  fleet.Now(),
 		settings: s, logger: p.Logger, counters: newCounters(p.Metrics), flows: inflight.New(),
 		targetState: targetstate.New(fleet.Now(), targetstate.Options{Heartbeat: s.Heartbeat, AddressReuse: s.AddressReuse}),
 		logs:        p.NewDecisionLogs(),
 		admission:   admission.New(),
 	}
 	a.admissionMetrics = fleet.AdmissionMetrics{Set: p.Metrics, Waiting: a.held.Waiting}
+	a.knownSince.Store(int64(fleet.Now()))
 	a.agentBuffers.New = func() any { return new([]roster.Peer) }
 	a.lastStatus.Store(&targetstate.Status{})
 	p.Metrics.NewGauge("lacewing_flows", func() float64 { return float64(a.flows.Load(fleet.Now()).Flows) })
@@ -235,7 +243,12 @@
 	}
 	if result == targetstate.Changed {
 		if before.StartUnixMs != r.StartUnixMs {
-			a.flows.Clear()
+			start := now - r.Age - startSlack
+			if r.Age < 0 {
+				start = 0
+			}
+			a.flows.ClearBefore(start)
+			a.cleared.Store(false)
 			a.cold.RecordCold(now - max(0, time.Since(time.UnixMilli(r.StartUnixMs))))
 		}
 		if before.StartUnixMs != 0 && before.StartUnixMs != r.StartUnixMs {
@@ -279,12 +292,16 @@
 
 // watchTarget checks the state of the target periodically, until the context ends.
 func (a *Agent) watchTarget(ctx context.Context) error {
-	round := 0
+	round, lastCheck := 0, time.Duration(0)
 	var checked routes.Position // of the table in force at the last check of the former routes
 	return timing.Every(ctx, checkInterval, func(time.Time) {
 		now := fleet.Now()
 		a.targetState.RecordRunning(now)
 		a.admission.RecordRunning(now)
+		if lastCheck != 0 && now-lastCheck > maxCheckGap {
+			a.knownSince.Store(int64(now))
+		}
+		lastCheck = now
 		round++
 		expires := round%checksPerExpiry == 0
 		if table := a.fleet.Routes.Load(); expires || table.PositionOrZero() != checked {
@@ -312,7 +329,7 @@
 // knowsAllFlows reports whether the table of flows has all flows that the target holds and callers may still use: all of
 // their packets have passed this process, or each has had the time to pass one.
 func (a *Agent) knowsAllFlows(now time.Duration) bool {
-	return a.targetState.SeenSinceStart() || now-a.started > a.idleTimeout()
+	return a.targetState.SeenSinceStart() && !a.cleared.Load() || now-time.Duration(a.knownSince.Load()) > a.idleTimeout()
 }
 
 // AnswerOwnerQuery returns, for each of the flows, whether the target holds it.
@@ -326,7 +343,7 @@
 			verdicts[i] = ownerquery.NotHeld
 		case a.flows.Serves(flow):
 			verdicts[i] = ownerquery.Held
-		case complete && !a.flows.MayHold(flow):
+		case complete && !a.flows.MayHold(flow) && !a.fleet.OwnFlows().Contains(flow):
 			verdicts[i] = ownerquery.NotHeld
 		}
 	}
@@ -367,6 +384,8 @@
 	}
 	if s.Ended && !before.Ended {
 		a.flows.Clear()
+		a.cleared.Store(true) // a target that was only silent still holds its flows
+		a.knownSince.Store(int64(now))
 		a.fleet.OwnFlows().Clear()
 	}
 	_ = level.Info(a.logger).Log(
--- a/node/packetagent/owners_test.go
+++ b/node/packetagent/owners_test.go
@@ -40,3 +40,39 @@
 		assert.DeepEqual(t, a.AnswerOwnerQuery(later, flows[2:]), []ownerquery.Verdict{ownerquery.NotHeld})
 	}
 }
+
+// Guards against an agent that denies the flows of a target that was only silent, and those of a target that has accepted flows
+// before its first report.
+func TestAgentsDontDenyFlowsOfASilentOrNewTarget(t *testing.T) {
+	store, err := platformtest.NewStore("127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(store.Close)
+	flow := steering.Flow{CallerPort: 1}
+	serve := func(a *Agent, now time.Duration) {
+		a.flows.RecordOpening(now, flow)
+		a.flows.RecordDelivered(now, flow, inflight.Event{Data: true, Sequence: 1})
+		a.flows.RecordSent(now, flow, inflight.Event{Data: true})
+	}
+	report := func(sequence uint64, start time.Time) targetstate.Report {
+		return targetstate.Report{ID: "i-1", Service: "a", StartUnixMs: start.UnixMilli(), Sequence: sequence, Slots: 2, Age: time.Since(start)}
+	}
+	silent := newTestAgent(t, store)
+	start, now := time.Now(), fleet.Now()
+	assert.NilError(t, silent.HandleHeartbeat(report(1, start), targetAddress))
+	serve(silent, now)
+	for end := now + 4*time.Second; now < end; now += checkInterval {
+		silent.targetState.RecordRunning(now)
+		silent.checkTarget(now)
+	}
+	assert.Assert(t, silent.targetState.Status(now).Ended)
+	silent.targetState.RecordReport(now, report(2, start))
+	silent.checkTarget(now)
+	assert.DeepEqual(t, silent.AnswerOwnerQuery(now, []steering.Flow{flow}), []ownerquery.Verdict{ownerquery.Unknown})
+
+	restarted := newTestAgent(t, store)
+	assert.NilError(t, restarted.HandleHeartbeat(report(1, time.Now().Add(-time.Second)), targetAddress))
+	start = time.Now()
+	serve(restarted, fleet.Now())
+	assert.NilError(t, restarted.HandleHeartbeat(report(1, start), targetAddress))
+	assert.DeepEqual(t, restarted.AnswerOwnerQuery(fleet.Now(), []steering.Flow{flow}), []ownerquery.Verdict{ownerquery.Unknown})
+}
--- a/node/packetentry/entry.go
+++ b/node/packetentry/entry.go
@@ -334,7 +334,7 @@
 	meanRequestTime := steering.MeanRequestTime(agents)
 	late := steering.MissesObjective(p.Age()+now-pending.Arrived, route.Objective, meanRequestTime)
 	in := e.admissionInput(now, pending, admission.Offer{Service: service, Route: route}, late, table, agents)
-	index, tried := e.chooseAgent(now, pending, &in, agents, late)
+	index, tried := e.chooseAgent(now, pending, &in, service, agents, late)
 	if in.HasRoom = index >= 0; e.refuseWithoutChance(now, pending, &in, table) {
 		return
 	}
@@ -385,12 +385,13 @@
 // be tried again. Copies go to the same agent as the first packet, even if one of them was held in
 // the meantime, unless that agent has to be replaced.
 func (e *Entry) chooseAgent(
-	now time.Duration, pending *pendingPacket, in *admission.Input, agents []roster.Peer, late bool) (int, []ident.NodeID) {
+	now time.Duration, pending *pendingPacket, in *admission.Input, service string, agents []roster.Peer, late bool,
+) (int, []ident.NodeID) {
 	p := pending.Value
 	requirements := in.Restrict(steering.Requirements{
 		Origin: e.fleet.Self.DataCentre, CapacityWait: pending.CapacityWait(now), Late: late,
 		Flow:     p.CallerFlow().Hash(),
-		Locality: e.fleet.Locality(now, in.Service, e.fleet.Self.DataCentre, p.CallerFlow(), agents),
+		Locality: e.fleet.Locality(now, service, e.fleet.Self.DataCentre, p.CallerFlow(), agents),
 	})
 	if owner, ok := e.flows.get(now, p.CallerFlow()); ok {
 		for i := range agents {
@@ -540,13 +541,17 @@
 		e.resetFlow(flow, p, "route removed", table)
 		return
 	}
+	admitted := false
 	switch e.owners.Lookup(now, flow) {
 	case ownerquery.Awaited:
 		e.hold(now, pending, "owner asked for", table.PositionOrZero())
 		return
 	case ownerquery.Absent:
-		e.resetUnowned(now, pending, flow, table, services[0])
-		return
+		if !e.admitsReset(now, pending, services[0]) {
+			e.hold(now, pending, "reset paced", table.PositionOrZero())
+			return
+		}
+		admitted = true // agents that have been heard of since are asked first
 	}
 	s := e.nextCandidate(now, flow, table, services)
 	if s.awaitsLists {
@@ -580,7 +585,11 @@
 				"agents", steering.DescribeCandidates(now, s.agents, nil))
 		}
 		e.owners.MarkAbsent(flow)
-		e.resetUnowned(now, pending, flow, table, services[0])
+		if !admitted && !e.admitsReset(now, pending, services[0]) {
+			e.hold(now, pending, "reset paced", table.PositionOrZero())
+			return
+		}
+		e.resetFlow(flow, p, "no target holds the flow", table)
 	case steering.Unknown:
 		reason := "agents unknown"
 		if s.listed {
@@ -663,7 +672,7 @@
 // dropped, and the caller's retransmission replaces it.
 func (e *Entry) hold(now time.Duration, pending *pendingPacket, reason string, at routes.Position) {
 	item, p := *pending, pending.Value
-	item.Flow = p.CallerFlow()
+	item.Flow, item.Data = p.CallerFlow(), p.HasData()
 	isNew := item.Arrived == now
 	if p.Opens() {
 		item.HoldTime = p.ValidFor()
--- a/node/packetentry/owners.go
+++ b/node/packetentry/owners.go
@@ -10,7 +10,6 @@
 	"lacewinglever.dev/policy/ownerquery"
 	"lacewinglever.dev/policy/resetpacing"
 	"lacewinglever.dev/policy/roster"
-	"lacewinglever.dev/policy/routes"
 	"lacewinglever.dev/policy/steering"
 )
 
@@ -97,12 +96,9 @@
 	return p
 }
 
-// resetUnowned resets a flow that no target holds. In large pools the callers return at the rate at which their pool can serve
-// them; each entry admits its share of them.
-func (e *Entry) resetUnowned(now time.Duration, pending *pendingPacket, flow steering.Flow, table *routes.Table, service string) {
-	if p := e.poolOf(now, service); p.size >= ownerquery.MinPool && !pending.Value.Resets() && !p.pacer.Admit(now, p.slots, p.load) {
-		e.hold(now, pending, "reset paced", table.PositionOrZero())
-		return
-	}
-	e.resetFlow(flow, pending.Value, "no target holds the flow", table)
+// admitsReset reports whether a flow that no target holds may be reset now. In large pools the callers return at the rate at
+// which their pool can serve them; each entry admits its share of them.
+func (e *Entry) admitsReset(now time.Duration, pending *pendingPacket, service string) bool {
+	p := e.poolOf(now, service)
+	return p.size < ownerquery.MinPool || pending.Value.Resets() || p.pacer.Admit(now, p.slots, p.load)
 }
--- a/node/packetentry/owners_test.go
+++ b/node/packetentry/owners_test.go
@@ -1,7 +1,10 @@
 package packetentry
 
 import (
+	"bytes"
 	"fmt"
+	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -12,6 +15,7 @@
 	"lacewinglever.dev/policy/ident"
 	"lacewinglever.dev/policy/ownerquery"
 	"lacewinglever.dev/policy/roster"
+	"lacewinglever.dev/policy/routes"
 )
 
 // Guards against packets that are shown to the targets of a large pool, one after the other, and against a packet that stays
@@ -40,3 +44,25 @@
 	found, ok := e.flows.get(now, packet.CallerFlow())
 	assert.Assert(t, ok && found == owner)
 }
+
+// Guards against services that share one locality decision: one with targets at home sent its flows away with another one that
+// had none.
+func TestEachServiceHasALocalityDecisionOfItsOwn(t *testing.T) {
+	e, _ := newTestEntry(t)
+	e.settings.LocalityFailover = true
+	packet := make(platform.Packet, platform.HeaderSize)
+	packet[0] = 8 // opens
+	now := fleet.Now()
+	for _, service := range []string{"a", "b"} {
+		e.fleet.Routes.Offer(&routes.Table{Position: routes.Position{Version: int64(service[0]), Revision: 1}, Routes: map[netip.AddrPort]routes.Route{
+			packet.CallerFlow().Service(): {Name: service, Shares: []routes.Share{{Service: service, Weight: 1}}},
+		}})
+		e.forward(now, &pendingPacket{Arrived: now, Value: packet})
+	}
+	var b bytes.Buffer
+	e.counters.Set.WritePrometheus(&b)
+	for _, service := range []string{"a", "b"} {
+		assert.Assert(t, strings.Contains(b.String(), `lacewing_remote_share{service="`+service+`"}`), b.String())
+	}
+	assert.Assert(t, !strings.Contains(b.String(), `lacewing_remote_share{service=""}`))
+}
--- a/policy/admission/admission.go
+++ b/policy/admission/admission.go
@@ -173,7 +173,7 @@
 	}
 	r.Ahead = in.Ahead
 	if in.IsAssured() {
-		r.CapacityWait, r.Late = 0, false // up to the load that flows on time may use, and not beyond
+		r.Late = false // up to the load that flows on time may use; beyond it after the time that any flow waits
 		return r
 	}
 	if in.Demand.Higher >= minReserve {
--- a/policy/admission/admission_test.go
+++ b/policy/admission/admission_test.go
@@ -158,3 +158,13 @@
 		assert.Equal(t, decision, want)
 	}
 }
+
+// Guards against lower priorities that are locked out for as long as all targets seem full: loads are estimates.
+func TestAssuredFlowsOpenAfterTheUsualWait(t *testing.T) {
+	in := admission.Input{Priority: 2, Classes: admission.Classes{0, 2}, Objective: 800 * time.Millisecond, Age: 700 * time.Millisecond}
+	assert.Assert(t, in.IsAssured())
+	r := in.Restrict(steering.Requirements{CapacityWait: 500 * time.Millisecond, Late: true})
+	assert.Assert(t, r.Fits(8, 2), "%+v", r)
+	r = in.Restrict(steering.Requirements{CapacityWait: 100 * time.Millisecond, Late: true})
+	assert.Assert(t, !r.Fits(8, 2) && r.Fits(5, 2), "%+v", r)
+}
--- a/policy/flowlist/flowlist.go
+++ b/policy/flowlist/flowlist.go
@@ -150,6 +150,14 @@
 	delete(o.flows, Of(f))
 }
 
+// Contains reports whether a flow is recorded, so that the target may hold it.
+func (o *Own) Contains(f steering.Flow) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	_, ok := o.flows[Of(f)]
+	return ok
+}
+
 // Clear removes all flows, for when the target has ended.
 func (o *Own) Clear() {
 	o.mu.Lock()
--- a/policy/holding/holding.go
+++ b/policy/holding/holding.go
@@ -36,7 +36,9 @@
 	HoldTime        time.Duration // how long to keep the packet, at most MaxHoldTime; 0 stands for MaxHoldTime
 	NoCapacitySince time.Duration // when the packet was first kept for lack of target capacity; 0 if it was not
 	Rank            Rank
-	Value           T
+	// Data is set if the packet carries bytes of the connection. It then replaces a kept packet of the flow without any.
+	Data  bool
+	Value T
 }
 
 // Rank is the place of a new flow among those that compete for targets. The zero value is that of all
@@ -81,7 +83,7 @@
 // polling.
 func (q *Queue[T]) NonEmpty() <-chan struct{} { return q.nonEmpty }
 
-// Put keeps a packet. If a packet of its flow is already kept, that one stays, with the earlier of
+// Put keeps a packet. If a packet of its flow is already kept, that one stays unless only the new one has data, with the earlier of
 // the two arrival times: a retransmission must not make a flow look newer. Put returns false if the
 // packet is too old or the queue is full.
 func (q *Queue[T]) Put(now time.Duration, item Item[T]) bool {
@@ -96,6 +98,9 @@
 		if existing.NoCapacitySince == 0 {
 			existing.NoCapacitySince = item.NoCapacitySince
 		}
+		if item.Data && !existing.Data {
+			existing.Data, existing.Value = true, item.Value
+		}
 		q.items[item.Flow] = existing
 		return true
 	}
--- a/policy/holding/holding_test.go
+++ b/policy/holding/holding_test.go
@@ -73,3 +73,19 @@
 	assert.Equal(t, item.Arrived, 100*time.Millisecond)
 	assert.Equal(t, item.CapacityWait(900*time.Millisecond), 200*time.Millisecond)
 }
+
+// Guards against a request that is lost behind an acknowledgement of its flow that waits for the same decision.
+func TestPacketsWithDataReplaceOthers(t *testing.T) {
+	q := holding.NewQueue[string]()
+	flow := steering.Flow{CallerPort: 1}
+	put := func(data bool, value string) {
+		assert.Assert(t, q.Put(2, holding.Item[string]{Flow: flow, Arrived: 1, Data: data, Value: value}))
+	}
+	put(false, "acknowledgement")
+	put(true, "request")
+	put(true, "second part")
+	put(false, "acknowledgement")
+	items := q.Take()
+	assert.Equal(t, len(items), 1)
+	assert.Equal(t, items[0].Value, "request")
+}
--- a/policy/inflight/inflight.go
+++ b/policy/inflight/inflight.go
@@ -362,6 +362,30 @@
 func (t *Table) Clear() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.clear()
+}
+
+// ClearBefore removes all flows, for when a process of the target has started at the time start. The target may know those
+// that have had a packet since.
+func (t *Table) ClearBefore(start time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	kept := map[steering.Flow]time.Duration{}
+	for id, at := range t.recent {
+		if at >= start {
+			kept[id] = at
+		}
+	}
+	for id, f := range t.flows {
+		if f.lastPacket >= start {
+			kept[id] = f.lastPacket
+		}
+	}
+	t.clear()
+	t.recent = kept
+}
+
+func (t *Table) clear() {
 	clear(t.flows)
 	clear(t.opening)
 	clear(t.recent)
--- a/policy/locality/locality.go
+++ b/policy/locality/locality.go
@@ -206,6 +206,11 @@
 	inService   float64            // requests in service, smoothed as long as agents smooth the rate of requests
 	requestTime float64            // seconds that a target works on a request; 0 if unknown
 	roomSince   time.Duration
+	emptySince  time.Duration // since when no target of the data centre is heard of although some may run; 0 if one is
+	beforeEmpty struct {      // Share and Leaving at that time
+		share   float64
+		leaving bool
+	}
 	history     [historyLength]float64 // shares of the last updates, the latest at the index historyNext-1
 	historyNext int
 }
@@ -216,6 +221,7 @@
 // site is what a node knows of the targets of one data centre.
 type site struct {
 	slots, targets int
+	silent         int // targets that may accept flows, but haven't been heard of lately
 	sums           sums
 	age            time.Duration // mean age of the loads, the fresh ones having more weight
 	known          bool          // utilisation, queue and share are set
@@ -235,9 +241,14 @@
 	home := s.sites[in.Origin]
 	s.Destinations = s.Destinations[:0:0] // placements may still use the ones before
 	if home.slots == 0 {
-		s.leaveEntirely(in)
+		s.leaveEntirely(now, in)
 		return
 	}
+	// Heartbeats that were late, at a node that has just started or was frozen, say nothing about the room at home.
+	if s.emptySince != 0 && now-s.emptySince < returnAfter {
+		s.Share, s.Leaving = s.beforeEmpty.share, s.beforeEmpty.leaving
+	}
+	s.emptySince = 0
 	work := s.workTime()
 	s.HomeWait = home.wait(work)
 	cheapest, room, foreign := s.assessOthers(in, work)
@@ -283,7 +294,11 @@
 }
 
 // leaveEntirely sends all flows to the data centres that have targets, if any has.
-func (s *state) leaveEntirely(in Input) {
+func (s *state) leaveEntirely(now time.Duration, in Input) {
+	if s.emptySince == 0 && s.sites[in.Origin].silent > 0 {
+		s.emptySince = now
+		s.beforeEmpty.share, s.beforeEmpty.leaving = s.Share, s.Leaving
+	}
 	for _, dc := range s.centres {
 		if s.sites[dc].slots > 0 {
 			s.Destinations = append(s.Destinations, steering.Destination{DataCentre: dc})
@@ -370,14 +385,20 @@
 // measure updates the sites by the agents' last heartbeats.
 func (s *state) measure(now, elapsed time.Duration, in Input) {
 	for _, site := range s.sites {
-		site.slots, site.targets, site.sums = 0, 0, sums{}
+		site.slots, site.targets, site.silent, site.sums = 0, 0, 0, sums{}
 	}
 	s.siteOf(in.Origin)
 	inService, rate := 0.0, 0.0
 	for i := range in.Agents {
 		p := &in.Agents[i]
 		at := s.siteOf(p.DataCentre)
-		if !steering.AcceptsNewFlows(p, now) || in.Excluded != nil && in.Excluded(p.DataCentre) {
+		if in.Excluded != nil && in.Excluded(p.DataCentre) {
+			continue
+		}
+		if !steering.AcceptsNewFlows(p, now) {
+			if !p.Leaving && (!p.HeartbeatSeen || p.Target.Accepting) {
+				at.silent++
+			}
 			continue
 		}
 		slots := max(p.Target.Slots, 1)
--- a/policy/locality/locality_test.go
+++ b/policy/locality/locality_test.go
@@ -268,3 +268,25 @@
 	}
 	assert.Equal(t, r.RoundTrip("dc-1"), 8*time.Millisecond)
 }
+
+// Guards against flows that leave for seconds because a node that has just started, or was frozen, had not heard of its own data
+// centre for a moment.
+func TestLateHeartbeatsOfTheDataCentreDontSendFlowsAway(t *testing.T) {
+	all := func(silent bool) []roster.Peer {
+		peers := agents(interval, [3]int{10, 10, 10}, [3]float64{0.4, 0.4, 0.4}, [3]time.Duration{})
+		for i := range peers {
+			if silent && peers[i].DataCentre == "dc-0" {
+				peers[i].HeartbeatSeen = false
+			}
+		}
+		return peers
+	}
+	var table locality.Table
+	in := locality.Input{Service: "s", Origin: "dc-0", Agents: all(true)}
+	d, _ := table.Decide(interval, in)
+	assert.Equal(t, d.Share, 1.0)
+	in.Agents = all(false)
+	d, _ = table.Decide(2*interval, in)
+	assert.Equal(t, d.Share, 0.0)
+	assert.Assert(t, !d.Leaving)
+}
--- a/policy/ownerquery/ownerquery.go
+++ b/policy/ownerquery/ownerquery.go
@@ -181,7 +181,7 @@
 		s = &flowState{since: now}
 		t.flows[flow] = s
 	}
-	s.waitUntil = 0
+	s.waitUntil, s.absent = 0, false
 	var r Result
 	seen := 0
 	for i := range agents {
@@ -258,7 +258,7 @@
 	delete(t.pending, id)
 	for i, flow := range q.flows {
 		s := t.flows[flow]
-		if s == nil {
+		if s == nil || q.at < s.since { // the answer is to a query of an earlier search
 			continue
 		}
 		a := s.find(agent)
--- a/policy/ownerquery/ownerquery_test.go
+++ b/policy/ownerquery/ownerquery_test.go
@@ -163,3 +163,19 @@
 	_, ok := table.Ask(0, flowOf(1), agents[:4])
 	assert.Assert(t, !ok, "small pools are searched by packets")
 }
+
+// Guards against answers from before a flow has opened, which deny it, in a later search for it.
+func TestAnswersToAnEarlierSearchDontCount(t *testing.T) {
+	table := ownerquery.New(1)
+	flow := flowOf(1)
+	agents := poolOf(20, flow)
+	_, _ = table.Ask(0, flow, agents)
+	earlier := table.Queries(0)
+	table.End(flow)
+	_, _ = table.Ask(time.Second, flow, agents)
+	for _, q := range earlier {
+		table.RecordAnswer(q.Agent, q.ID, []ownerquery.Verdict{ownerquery.NotHeld})
+	}
+	r, _ := table.Ask(time.Second+ms, flow, agents)
+	assert.Equal(t, len(r.Absent), 0)
+}
--- a/policy/steering/locality.go
+++ b/policy/steering/locality.go
@@ -79,7 +79,7 @@
 		return index
 	}
 	if r.Locality.Reach == ReachRemote {
-		remote := candidates{remote: localCandidates + remoteCandidates, destinationsOnly: true, remoteLimit: unlimited}
+		remote := candidates{remote: localCandidates, destinationsOnly: true, remoteLimit: unlimited}
 		if i := try(remote); i >= 0 {
 			return i, true
 		}
@@ -91,18 +91,22 @@
 	if i := try(home); i >= 0 {
 		return i, true
 	}
-	rest := candidates{remote: localCandidates + remoteCandidates, remoteLimit: overflowLoad}
-	if !hasAccepting(now, r, agents) {
+	rest := candidates{remote: localCandidates, remoteLimit: overflowLoad}
+	if !hasAccepting(now, r, agents, outliers) {
 		rest.remoteLimit = unlimited
 	}
 	return try(rest), anyAccepts
 }
 
 // hasAccepting reports whether a target in the caller's data centre accepts the flow, though it may lack
-// capacity.
-func hasAccepting(now time.Duration, r *Requirements, agents []roster.Peer) bool {
+// capacity. An outlier accepts only its share of the flows.
+func hasAccepting(now time.Duration, r *Requirements, agents []roster.Peer, outliers []outlier.Verdict) bool {
 	for i := range agents {
-		if agents[i].DataCentre == r.Origin && r.permits(now, &agents[i]) {
+		p := &agents[i]
+		if p.DataCentre != r.Origin || !r.permits(now, p) {
+			continue
+		}
+		if v := verdictOn(i, outliers); v == nil || getsFlow(p, r.Flow, v.Share) {
 			return true
 		}
 	}
