--- a/bench/flows/soak_capacity.go
+++ b/bench/flows/soak_capacity.go
@@ -80,6 +80,7 @@
 	}
 }
 
+// durationOf draws a time from low to high.
 func durationOf(r *rand.Rand, low, high time.Duration) time.Duration {
 	return low + time.Duration(r.Int64N(int64(high-low)))
 }
