--- a/node/packetagent/agent.go
+++ b/node/packetagent/agent.go
@@ -203,12 +203,16 @@
 	if p := a.formerRoutes.Load(); p != nil {
 		former = *p
 	}
+	flowLoad := 0.0 // unknown
+	if a.settings.LocalityFailover {
+		flowLoad = a.flows.FlowLoad(now, s.Slots)
+	}
 	hb.Target = roster.Target{
 		FormerRoutes: former,
 		Service:      a.service(&s), ID: s.ID, StartUnixMs: s.StartUnixMs, Accepting: s.Accepting, Ended: s.Ended,
 		MayHaveEnded: s.MayHaveEnded, WarmingUp: s.WarmingUp || a.cold.IsCold(now, a.coldLimits(&s), s.WarmingUp), Slots: s.Slots,
 		Flows: load.Flows, Busy: load.Busy, Rate: load.Rate, Failing: load.Failing,
-		FlowLoad: a.flows.FlowLoad(now, s.Slots), Slowdown: load.Slowdown,
+		FlowLoad: flowLoad, Slowdown: load.Slowdown,
 	}
 }
 
