node/fleet: starting nodes read the evacuations after 50 ms

Cause: an agent takes no new flow until it knows which data centres are evacuated. A starting node waited 400 ms for another one to tell, and nodes that start together wait for each other.

Change: 50 ms. Running nodes answer the first message of a starting one well within it, so that a single start costs no read; the start of a whole fleet costs one read a node, as the routes do.

--- a/node/fleet/evacuations.go
+++ b/node/fleet/evacuations.go
@@ -28,9 +28,10 @@
 	evacuationsCheckInterval = 100 * time.Millisecond
 	// evacuationStatusInterval is the shortest interval of two writes of the status of one request.
 	evacuationStatusInterval = 5 * time.Second
-	// firstHeartbeatsWait is how long a starting node waits for the set of another one before it reads the store.
-	// It exceeds joinInterval by the time in which a node answers.
-	firstHeartbeatsWait = joinInterval + 100*time.Millisecond
+	// firstHeartbeatsWait is how long a starting node waits for the set of another one before it reads the store. Nodes that
+	// run answer its first message well within it. Nodes that have all started together can't tell of a set, and their
+	// agents take no new flows until they know one.
+	firstHeartbeatsWait = 50 * time.Millisecond
 )
 
 // evacuationState is what a node knows of the operator's requests to evacuate data centres.
