policy/ownerquery: an agent that can't tell gets the packet before others are asked

Cause: agents that have just started can't tell which flows their targets hold. A search then asked the whole pool and waited for all answers, while the owner was among the first agents in rank.

Change: if one of the first agents can't tell, its target gets the packet; others are asked once it has bounced it.

Test: TestAnAgentThatCantTellGetsThePacket.

--- a/node/packetentry/search.go
+++ b/node/packetentry/search.go
@@ -146,7 +146,7 @@
 	}
 	// An entry that has just started in a running fleet knows less of the agents than they know of each other.
 	if !unseen || !e.fleet.JoinedRunning() {
-		if s.answers, _ = e.owners.Ask(now, flow, s.agents); s.answers.Waiting {
+		if s.answers, _ = e.owners.Ask(now, flow, s.agents, s.known.Tried); s.answers.Waiting {
 			return s
 		}
 	}
--- a/policy/ownerquery/ownerquery.go
+++ b/policy/ownerquery/ownerquery.go
@@ -161,9 +161,11 @@
 }
 
 // Ask returns what the candidates of a flow have answered, and asks those that have not. agents must be ranked: the first
-// ones are asked before all others. It returns false if the flow isn't searched by queries, because the pool is small or too
+// ones are asked before all others. tried are agents whose targets have bounced a packet of the flow. If one of the first
+// agents can't tell, its target gets the packet before others are asked: new flows open at the first agents, and after the
+// restart of all agents none of them can tell. It returns false if the flow isn't searched by queries, because the pool is small or too
 // many flows are asked for already.
-func (t *Table) Ask(now time.Duration, flow steering.Flow, agents []roster.Peer) (Result, bool) {
+func (t *Table) Ask(now time.Duration, flow steering.Flow, agents []roster.Peer, tried []ident.NodeID) (Result, bool) {
 	if len(agents) < MinPool {
 		return Result{}, false
 	}
@@ -183,13 +185,13 @@
 	}
 	s.waitUntil, s.absent = 0, false
 	var r Result
-	seen := 0
+	seen, isFirst, unknown := 0, now-s.since < firstTime, false
 	for i := range agents {
 		p := &agents[i]
 		if p.Health(now) != roster.Live || p.Target.Ended {
 			continue // whether to wait for such an agent is decided by the search
 		}
-		if seen++; seen == firstCandidates+1 && r.Waiting && now-s.since < firstTime {
+		if seen++; seen == firstCandidates+1 && (unknown || r.Waiting && isFirst) {
 			break
 		}
 		a := s.find(p.ID)
@@ -202,6 +204,7 @@
 			if a.verdict == NotHeld {
 				r.Absent = append(r.Absent, p.ID)
 			}
+			unknown = unknown || a.verdict == Unknown && !slices.Contains(tried, p.ID)
 		case a.queries > 0 && now-a.at <= AnswerTimeout:
 			r.Waiting = true
 			s.waitUntil = max(s.waitUntil, a.at+AnswerTimeout)
@@ -214,8 +217,10 @@
 			r.Silent++
 		}
 	}
-	if now-s.since < firstTime {
+	if isFirst {
 		s.waitUntil = min(s.waitUntil, s.since+firstTime)
+	} else if unknown && seen > firstCandidates {
+		r.Waiting, s.waitUntil = false, 0
 	}
 	return r, true
 }
--- a/policy/ownerquery/ownerquery_test.go
+++ b/policy/ownerquery/ownerquery_test.go
@@ -70,7 +70,7 @@
 			if table.Lookup(now, flow) == ownerquery.Absent {
 				continue
 			}
-			r, ok := table.Ask(now, flow, poolOf(agents, flow))
+			r, ok := table.Ask(now, flow, poolOf(agents, flow), nil)
 			assert.Assert(t, ok)
 			if !r.Waiting {
 				assert.Equal(t, len(r.Absent), agents)
@@ -92,7 +92,7 @@
 	table := ownerquery.New(1)
 	flow := flowOf(1)
 	agents := poolOf(42, flow)
-	r, ok := table.Ask(0, flow, agents)
+	r, ok := table.Ask(0, flow, agents, nil)
 	assert.Assert(t, ok && r.Waiting)
 	assert.Equal(t, table.Lookup(ms, flow), ownerquery.Awaited)
 	queries, _, held := answer(table, 0, agents[2].ID, 0)
@@ -110,7 +110,7 @@
 	var r ownerquery.Result
 	asked, now := 0, time.Duration(0)
 	for ; now < time.Second; now += 25 * ms {
-		if r, _ = table.Ask(now, flow, agents); !r.Waiting {
+		if r, _ = table.Ask(now, flow, agents, nil); !r.Waiting {
 			break
 		}
 		_, n, _ := answer(table, now, 0, silent)
@@ -130,14 +130,14 @@
 	flow := flowOf(1)
 	agents := poolOf(20, flow)
 	for now := time.Duration(0); now < 100*ms; now += 25 * ms {
-		_, _ = table.Ask(now, flow, agents)
+		_, _ = table.Ask(now, flow, agents, nil)
 		answer(table, now, 0, 0)
 	}
-	r, _ := table.Ask(150*ms, flow, agents)
+	r, _ := table.Ask(150*ms, flow, agents, nil)
 	assert.Equal(t, len(r.Absent), 20)
 	table.MarkAbsent(flow)
 	assert.Equal(t, table.Lookup(4*time.Second, flow), ownerquery.Undecided)
-	r, _ = table.Ask(4*time.Second, flow, agents)
+	r, _ = table.Ask(4*time.Second, flow, agents, nil)
 	assert.Assert(t, r.Waiting && len(r.Absent) == 0)
 	table.End(flow)
 	table.Expire(8 * time.Second)
@@ -149,7 +149,7 @@
 	table := ownerquery.New(1)
 	flow := flowOf(1)
 	agents := poolOf(20, flow)
-	_, _ = table.Ask(0, flow, agents)
+	_, _ = table.Ask(0, flow, agents, nil)
 	for _, q := range table.Queries(0) {
 		h, d := table.RecordAnswer(q.Agent, q.ID, nil)
 		assert.Equal(t, len(h)+len(d), 0)
@@ -157,10 +157,10 @@
 		assert.Equal(t, len(h)+len(d), 0)
 	}
 	for i := range 10_000 {
-		_, _ = table.Ask(0, flowOf(i), agents)
+		_, _ = table.Ask(0, flowOf(i), agents, nil)
 	}
 	assert.Assert(t, table.Len() <= 4096, "%d", table.Len())
-	_, ok := table.Ask(0, flowOf(1), agents[:4])
+	_, ok := table.Ask(0, flowOf(1), agents[:4], nil)
 	assert.Assert(t, !ok, "small pools are searched by packets")
 }
 
@@ -169,13 +169,41 @@
 	table := ownerquery.New(1)
 	flow := flowOf(1)
 	agents := poolOf(20, flow)
-	_, _ = table.Ask(0, flow, agents)
+	_, _ = table.Ask(0, flow, agents, nil)
 	earlier := table.Queries(0)
 	table.End(flow)
-	_, _ = table.Ask(time.Second, flow, agents)
+	_, _ = table.Ask(time.Second, flow, agents, nil)
 	for _, q := range earlier {
 		table.RecordAnswer(q.Agent, q.ID, []ownerquery.Verdict{ownerquery.NotHeld})
 	}
-	r, _ := table.Ask(time.Second+ms, flow, agents)
+	r, _ := table.Ask(time.Second+ms, flow, agents, nil)
 	assert.Equal(t, len(r.Absent), 0)
 }
+
+// Guards against packets that wait for answers of the whole pool after the restart of all agents, when none of them can tell:
+// the first one in rank gets the packet at once, and others are asked only once its target has bounced it.
+func TestAnAgentThatCantTellGetsThePacket(t *testing.T) {
+	table := ownerquery.New(1)
+	flow := flowOf(1)
+	agents := poolOf(42, flow)
+	answerUnknown := func(now time.Duration) (queries int) {
+		for _, q := range table.Queries(now) {
+			queries++
+			table.RecordAnswer(q.Agent, q.ID, make([]ownerquery.Verdict, len(q.Flows)))
+		}
+		return queries
+	}
+	r, _ := table.Ask(0, flow, agents, nil)
+	assert.Assert(t, r.Waiting)
+	assert.Equal(t, answerUnknown(0), 5)
+	r, _ = table.Ask(5*ms, flow, agents, nil)
+	assert.Assert(t, !r.Waiting && len(r.Absent) == 0, "%+v", r)
+	assert.Equal(t, answerUnknown(5*ms), 0)
+	var tried []ident.NodeID
+	for _, p := range agents[:5] {
+		tried = append(tried, p.ID)
+	}
+	r, _ = table.Ask(200*ms, flow, agents, tried)
+	assert.Assert(t, r.Waiting)
+	assert.Equal(t, answerUnknown(200*ms), 37)
+}
